--- /dev/null
+++ b/coord/client.go
@@ -0,0 +1,233 @@
+package coord
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/conns"
+	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/relay"
+	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/wire"
+)
+
+const (
+	// exchangePeriod is the time between two reports. Loads change within a tenth
+	// of a second; each report costs both sides about a tenth of a millisecond.
+	exchangePeriod = 250 * time.Millisecond
+	// exchangeTimeout bounds a report: links take 5 ms one way, a slow instance
+	// some tens of milliseconds.
+	exchangeTimeout = 600 * time.Millisecond
+	// holdingLifetime is how long the coordinator's view of engines goes before the
+	// registry's.
+	holdingLifetime = 1500 * time.Millisecond
+	// reachableFor is how long after an answer the coordinator counts as reachable.
+	reachableFor = 1200 * time.Millisecond
+	// firstNeedPause spaces reports that tell of requests that begin to wait.
+	firstNeedPause = 30 * time.Millisecond
+)
+
+// ClientConfig carries what a [Client] is built from.
+type ClientConfig struct {
+	Instance names.Instance
+	// Self is what this process would publish as coordinator.
+	Self   string
+	Desk   *Desk
+	Pool   *pool.Pool
+	Shares *share.Holder
+	Policy func() *policy.Snapshot
+	// Connections lead to other entries.
+	Connections *conns.Pool
+	Clock  *clock.Service
+	Log    logrus.FieldLogger
+}
+
+// Client exchanges reports with the coordinator. It is safe for concurrent use.
+type Client struct {
+	config ClientConfig
+	kick   chan struct{}
+	// mutex guards all below.
+	mutex sync.Mutex
+	// leader is the coordinator's value; conn is nil where it is this process or
+	// none.
+	leader   string
+	conn     *grpc.ClientConn
+	demands  map[Target]Demand
+	answered time.Time
+	lost     bool
+}
+
+var _ relay.Coordinator = (*Client)(nil)
+
+// NewClient returns a client that knows no coordinator.
+func NewClient(config ClientConfig) *Client {
+	return &Client{config: config, kick: make(chan struct{}, 1), demands: map[Target]Demand{}}
+}
+
+// Follow turns to another coordinator; an empty value means that there is none.
+func (client *Client) Follow(value string) {
+	var conn *grpc.ClientConn
+	if value != "" && value != client.config.Self {
+		identity, err := DecodeIdentity(value)
+		if err == nil {
+			conn, err = client.config.Connections.Get(identity.Address)
+		}
+		if err != nil {
+			event.CoordinatorLost.Log(client.config.Log, logrus.Fields{"coordinator": value, "cause": err.Error()})
+		}
+	}
+	client.mutex.Lock()
+	client.leader, client.conn = value, conn
+	client.mutex.Unlock()
+	client.wake()
+}
+
+func (client *Client) wake() {
+	select {
+	case client.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Demand implements [relay.Coordinator].
+func (client *Client) Demand(service names.Service, model names.Model, work float64) {
+	client.change(service, model, func(demand *Demand) { demand.Work += work })
+}
+
+// Need implements [relay.Coordinator].
+func (client *Client) Need(service names.Service, model names.Model, delta int) {
+	client.change(service, model, func(demand *Demand) { demand.Waiting = max(demand.Waiting+delta, 0) })
+	if delta > 0 {
+		client.wake()
+	}
+}
+
+func (client *Client) change(service names.Service, model names.Model, edit func(*Demand)) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	target := Target{Service: service, Model: model}
+	demand := client.demands[target]
+	edit(&demand)
+	client.demands[target] = demand
+}
+
+// Reachable implements [relay.Coordinator].
+func (client *Client) Reachable() bool {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	return client.config.Clock.Now().Sub(client.answered) < reachableFor
+}
+
+// Adapter implements [relay.Coordinator].
+func (client *Client) Adapter(ctx context.Context, server *pool.Server, adapter pool.Adapter) error {
+	client.mutex.Lock()
+	conn, leader := client.conn, client.leader
+	client.mutex.Unlock()
+	switch {
+	case leader == "":
+		return &NoCoordinatorError{}
+	case leader == client.config.Self:
+		return client.config.Desk.Adapter(ctx, server.ID, adapter)
+	case conn == nil:
+		return &NoCoordinatorError{}
+	}
+	_, err := wire.NewCoordinationClient(conn).LoadAdapter(ctx, &wire.CoordAdapterRequest{
+		Server: string(server.ID), Adapter: &wire.CoordAdapter{Model: string(adapter.Model), Name: string(adapter.Name)},
+	})
+	return err
+}
+
+// Run exchanges reports until ctx ends.
+func (client *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := client.config.Clock.Now()
+		client.exchange(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-client.config.Clock.After(exchangePeriod):
+		case <-client.kick:
+			if wait := firstNeedPause - client.config.Clock.Now().Sub(began); wait > 0 {
+				<-client.config.Clock.After(wait)
+			}
+		}
+	}
+}
+
+func (client *Client) exchange(ctx context.Context) {
+	snapshot := client.config.Policy()
+	if snapshot == nil {
+		return
+	}
+	asked := client.config.Clock.Now()
+	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own()}
+	client.mutex.Lock()
+	conn, leader := client.conn, client.leader
+	report.Demands = maps.Clone(client.demands)
+	client.mutex.Unlock()
+	reply, err := client.call(ctx, conn, leader, report)
+	if err != nil {
+		client.lose(leader, err)
+		return
+	}
+	client.settle(report)
+	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
+	client.config.Pool.Inform(reply.Holdings, reply.Loads, asked.Add(holdingLifetime))
+}
+
+func (client *Client) call(ctx context.Context, conn *grpc.ClientConn, leader string, report Report) (Reply, error) {
+	switch {
+	case leader == "":
+		return Reply{}, &NoCoordinatorError{}
+	case leader == client.config.Self:
+		return client.config.Desk.Exchange(report)
+	case conn == nil:
+		return Reply{}, &NoCoordinatorError{}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	message, err := wire.NewCoordinationClient(conn).Exchange(callCtx, encodeReport(report))
+	if err != nil {
+		return Reply{}, err
+	}
+	return decodeReply(message), nil
+}
+
+// settle takes out the work that a report has told.
+func (client *Client) settle(report Report) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	for target, told := range report.Demands {
+		demand := client.demands[target]
+		demand.Work -= told.Work
+		if demand.Waiting == 0 && demand.Work <= 0 {
+			delete(client.demands, target)
+			continue
+		}
+		client.demands[target] = demand
+	}
+	client.answered = client.config.Clock.Now()
+	if client.lost {
+		client.lost = false
+		event.CoordinatorRegained.Log(client.config.Log, logrus.Fields{"coordinator": client.leader})
+	}
+}
+
+func (client *Client) lose(leader string, cause error) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if client.lost {
+		return
+	}
+	client.lost = true
+	event.CoordinatorLost.Log(client.config.Log, logrus.Fields{"coordinator": leader, "cause": cause.Error()})
+}
--- /dev/null
+++ b/coord/codec.go
@@ -0,0 +1,112 @@
+package coord
+
+import (
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/wire"
+)
+
+func encodeReport(report Report) *wire.CoordExchangeRequest {
+	message := &wire.CoordExchangeRequest{
+		Instance:     string(report.Instance),
+		ShareTerm:    report.Held.Term,
+		ShareVersion: report.Held.Version,
+		Loads:        encodeLoads(report.Loads),
+	}
+	accounts := map[names.ClientAccount]bool{}
+	for account := range report.Held.Shares {
+		accounts[account] = true
+	}
+	for account := range report.Held.Usage {
+		accounts[account] = true
+	}
+	for account := range accounts {
+		message.Shares = append(message.Shares, &wire.CoordShare{
+			Account: string(account), Share: report.Held.Shares[account], UsagePerSecond: report.Held.Usage[account],
+		})
+	}
+	for target, demand := range report.Demands {
+		message.Demands = append(message.Demands, &wire.CoordModelDemand{
+			Service: string(target.Service), Model: string(target.Model), Work: demand.Work, Waiting: int32(demand.Waiting),
+		})
+	}
+	return message
+}
+
+func decodeReport(message *wire.CoordExchangeRequest) Report {
+	report := Report{
+		Instance: names.Instance(message.GetInstance()),
+		Held: share.Held{
+			Term: message.GetShareTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Usage: share.Set{},
+		},
+		Loads:   decodeLoads(message.GetLoads()),
+		Demands: map[Target]Demand{},
+	}
+	for _, each := range message.GetShares() {
+		account := names.ClientAccount(each.GetAccount())
+		report.Held.Shares[account] = each.GetShare()
+		report.Held.Usage[account] = each.GetUsagePerSecond()
+	}
+	for _, each := range message.GetDemands() {
+		target := Target{Service: names.Service(each.GetService()), Model: names.Model(each.GetModel())}
+		report.Demands[target] = Demand{Work: each.GetWork(), Waiting: int(each.GetWaiting())}
+	}
+	return report
+}
+
+func encodeReply(reply Reply) *wire.CoordExchangeReply {
+	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads)}
+	for account, part := range reply.Assigned.Shares {
+		message.Shares = append(message.Shares, &wire.CoordShare{Account: string(account), Share: part})
+	}
+	for _, holding := range reply.Holdings {
+		encoded := &wire.CoordHolding{Server: string(holding.Server)}
+		for _, model := range holding.Models {
+			encoded.Models = append(encoded.Models, string(model))
+		}
+		for _, adapter := range holding.Adapters {
+			encoded.Adapters = append(encoded.Adapters, &wire.CoordAdapter{Model: string(adapter.Model), Name: string(adapter.Name)})
+		}
+		message.Holdings = append(message.Holdings, encoded)
+	}
+	return message
+}
+
+func decodeReply(message *wire.CoordExchangeReply) Reply {
+	reply := Reply{
+		Term:     message.GetTerm(),
+		Assigned: share.Assigned{Term: message.GetTerm(), Version: message.GetShareVersion(), Shares: share.Set{}},
+		Loads:    decodeLoads(message.GetLoads()),
+	}
+	for _, each := range message.GetShares() {
+		reply.Assigned.Shares[names.ClientAccount(each.GetAccount())] = each.GetShare()
+	}
+	for _, each := range message.GetHoldings() {
+		holding := pool.Holding{Server: names.BackendServer(each.GetServer())}
+		for _, model := range each.GetModels() {
+			holding.Models = append(holding.Models, names.Model(model))
+		}
+		for _, adapter := range each.GetAdapters() {
+			holding.Adapters = append(holding.Adapters, pool.Adapter{Model: names.Model(adapter.GetModel()), Name: names.Adapter(adapter.GetName())})
+		}
+		reply.Holdings = append(reply.Holdings, holding)
+	}
+	return reply
+}
+
+func encodeLoads(loads map[names.BackendServer]int) []*wire.CoordServerLoad {
+	encoded := make([]*wire.CoordServerLoad, 0, len(loads))
+	for server, running := range loads {
+		encoded = append(encoded, &wire.CoordServerLoad{Server: string(server), Running: int32(running)})
+	}
+	return encoded
+}
+
+func decodeLoads(encoded []*wire.CoordServerLoad) map[names.BackendServer]int {
+	loads := make(map[names.BackendServer]int, len(encoded))
+	for _, each := range encoded {
+		loads[names.BackendServer(each.GetServer())] = int(each.GetRunning())
+	}
+	return loads
+}
--- /dev/null
+++ b/coord/errors.go
@@ -0,0 +1,23 @@
+package coord
+
+import (
+	"fmt"
+
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// NotCoordinatingError reports a call to an entry that does not coordinate.
+type NotCoordinatingError struct {
+	Instance names.Instance
+}
+
+// Error implements error.
+func (notCoordinatingError *NotCoordinatingError) Error() string {
+	return fmt.Sprintf("instance %q does not coordinate", notCoordinatingError.Instance)
+}
+
+// NoCoordinatorError reports that no coordinator is known.
+type NoCoordinatorError struct{}
+
+// Error implements error.
+func (*NoCoordinatorError) Error() string { return "no coordinator is known" }
--- /dev/null
+++ b/coord/exchange.go
@@ -0,0 +1,36 @@
+package coord
+
+import (
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/share"
+)
+
+// Target is a model of a service.
+type Target struct {
+	Service names.Service
+	Model   names.Model
+}
+
+// Demand is what an entry's callers asked for since its last report.
+type Demand struct {
+	Work    float64
+	Waiting int
+}
+
+// Report is what an entry tells the coordinator.
+type Report struct {
+	Instance names.Instance
+	Held     share.Held
+	Loads    map[names.BackendServer]int
+	Demands  map[Target]Demand
+}
+
+// Reply is what the coordinator answers.
+type Reply struct {
+	Term     int64
+	Assigned share.Assigned
+	// Loads are those of all other entries.
+	Loads    map[names.BackendServer]int
+	Holdings []pool.Holding
+}
--- /dev/null
+++ b/coord/leader.go
@@ -0,0 +1,34 @@
+package coord
+
+import "encoding/json"
+
+// Identity is what a coordinator publishes of itself.
+type Identity struct {
+	Instance string
+	Address  string
+	// Process tells a restarted process from its predecessor.
+	Process string
+}
+
+type identityDocument struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Process  string `json:"process"`
+}
+
+// Encode returns the identity as text.
+func (identity Identity) Encode() string {
+	data, err := json.Marshal(identityDocument(identity))
+	if err != nil {
+		// Three strings can always be encoded.
+		panic(err)
+	}
+	return string(data)
+}
+
+// DecodeIdentity reads what [Identity.Encode] wrote.
+func DecodeIdentity(text string) (Identity, error) {
+	var document identityDocument
+	err := json.Unmarshal([]byte(text), &document)
+	return Identity(document), err
+}
--- /dev/null
+++ b/coord/server.go
@@ -0,0 +1,54 @@
+package coord
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/wire"
+)
+
+// Server offers a desk to other entries.
+type Server struct {
+	wire.UnimplementedCoordinationServer
+	desk *Desk
+}
+
+// NewServer returns a server of desk.
+func NewServer(desk *Desk) *Server { return &Server{desk: desk} }
+
+// Register adds the service to server.
+func (server *Server) Register(registrar grpc.ServiceRegistrar) {
+	wire.RegisterCoordinationServer(registrar, server)
+}
+
+// Exchange implements the service.
+func (server *Server) Exchange(_ context.Context, message *wire.CoordExchangeRequest) (*wire.CoordExchangeReply, error) {
+	reply, err := server.desk.Exchange(decodeReport(message))
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return encodeReply(reply), nil
+}
+
+// LoadAdapter implements the service.
+func (server *Server) LoadAdapter(ctx context.Context, message *wire.CoordAdapterRequest) (*wire.CoordAdapterReply, error) {
+	adapter := pool.Adapter{Model: names.Model(message.GetAdapter().GetModel()), Name: names.Adapter(message.GetAdapter().GetName())}
+	if err := server.desk.Adapter(ctx, names.BackendServer(message.GetServer()), adapter); err != nil {
+		return nil, encodeError(err)
+	}
+	return &wire.CoordAdapterReply{}, nil
+}
+
+func encodeError(err error) error {
+	var notCoordinatingError *NotCoordinatingError
+	if errors.As(err, &notCoordinatingError) {
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return status.Error(codes.Aborted, err.Error())
+}
--- /dev/null
+++ b/copies/ledger.go
@@ -0,0 +1,173 @@
+package copies
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+// Ledger is what the coordinator knows of one engine.
+type Ledger struct {
+	// sending serialises orders to the engine. It is taken before mutex.
+	sending sync.Mutex
+	// mutex guards all below.
+	mutex    sync.Mutex
+	server   *pool.Server
+	accepted int64
+	// certain tells that accepted is exact: an order was taken in this term and
+	// none has been without an answer since.
+	certain  bool
+	models   []names.Model
+	adapters []pool.Adapter
+	inMemory []names.Model
+	onDisk   []names.Model
+	since    map[names.Model]time.Time
+	// loading is being loaded until readyAt; zero until the engine took the order.
+	loading names.Model
+	readyAt time.Time
+	// leaving models make way; requests no longer go to them.
+	leaving []names.Model
+	fixed   bool
+	fenced  bool
+	// touched is when the last order was taken.
+	touched time.Time
+}
+
+func newLedger(server *pool.Server) *Ledger {
+	ledger := &Ledger{since: map[names.Model]time.Time{}}
+	ledger.adopt(server)
+	return ledger
+}
+
+// registryLag is how long an entry of the registry may be older than an order's
+// effect: a server reports about once a second, and the registry lags.
+const registryLag = 3 * time.Second
+
+// adopt takes the registry's entry for the whole truth. The count of accepted
+// orders is not in it: a new server has accepted none, and a conflict tells of a
+// count that is wrong.
+func (ledger *Ledger) adopt(server *pool.Server) {
+	ledger.server = server
+	ledger.models = slices.Clone(server.Models)
+	ledger.adapters = slices.Clone(server.Adapters)
+	ledger.inMemory, ledger.onDisk = server.InMemory, server.OnDisk
+}
+
+// sync takes in a newer entry of the registry, which lags behind orders.
+func (ledger *Ledger) sync(server *pool.Server, now time.Time) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if ledger.server == server {
+		return
+	}
+	if ledger.server.Born != server.Born || ledger.server.Address != server.Address {
+		ledger.certain, ledger.loading, ledger.leaving, ledger.accepted = false, "", nil, 0
+		ledger.since = map[names.Model]time.Time{}
+		ledger.adopt(server)
+		return
+	}
+	ledger.server = server
+	ledger.inMemory, ledger.onDisk = server.InMemory, server.OnDisk
+	if ledger.loading != "" && server.Holds(ledger.loading) {
+		ledger.loaded(now)
+	}
+	if !ledger.fixed && now.Sub(ledger.touched) > registryLag {
+		ledger.adopt(server)
+	}
+}
+
+// report takes in what the engine says of itself.
+func (ledger *Ledger) report(report Report, now time.Time) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.accepted = report.Accepted
+	ledger.models = slices.Clone(report.Models)
+	ledger.adapters = slices.Clone(report.Adapters)
+	if report.InMemory != nil || report.OnDisk != nil {
+		ledger.inMemory, ledger.onDisk = report.InMemory, report.OnDisk
+	}
+	if ledger.loading != "" && slices.Contains(ledger.models, ledger.loading) {
+		ledger.loaded(now)
+	}
+}
+
+// loaded ends a load. It is called with the mutex held.
+func (ledger *Ledger) loaded(now time.Time) {
+	if !slices.Contains(ledger.models, ledger.loading) {
+		ledger.models = append(ledger.models, ledger.loading)
+	}
+	ledger.since[ledger.loading] = now
+	ledger.touched = now
+	ledger.loading, ledger.readyAt = "", time.Time{}
+}
+
+// settle ends a load whose time has passed.
+func (ledger *Ledger) settle(now time.Time) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if ledger.loading != "" && !ledger.readyAt.IsZero() && !now.Before(ledger.readyAt) {
+		ledger.loaded(now)
+	}
+}
+
+// state returns what the planner needs.
+func (ledger *Ledger) state() EngineState {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return EngineState{
+		Server:   ledger.server.ID,
+		Models:   slices.Clone(ledger.models),
+		Loading:  ledger.loading,
+		InMemory: ledger.inMemory,
+		OnDisk:   ledger.onDisk,
+		Since:    ledger.sinceNow(),
+		Fixed:    ledger.fixed || ledger.fenced || ledger.loading != "",
+		Leaving:  ledger.server.Draining,
+	}
+}
+
+func (ledger *Ledger) sinceNow() map[names.Model]time.Time {
+	since := make(map[names.Model]time.Time, len(ledger.since))
+	for model, at := range ledger.since {
+		since[model] = at
+	}
+	return since
+}
+
+// holding returns what requests may be sent for.
+func (ledger *Ledger) holding() pool.Holding {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	models := slices.DeleteFunc(slices.Clone(ledger.models), func(model names.Model) bool {
+		return slices.Contains(ledger.leaving, model)
+	})
+	return pool.Holding{Server: ledger.server.ID, Models: models, Adapters: slices.Clone(ledger.adapters)}
+}
+
+// took notes an order that the engine carries out or finds done.
+func (ledger *Ledger) took(order Order, verdict Verdict, now time.Time) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.touched = now
+	counted := verdict == VerdictTaken || (order.Adapter != "" && order.Unload)
+	if counted {
+		ledger.accepted++
+		ledger.certain = true
+	}
+	adapter := pool.Adapter{Model: order.Model, Name: order.Adapter}
+	switch {
+	case order.Adapter != "" && order.Unload:
+		ledger.adapters = slices.DeleteFunc(ledger.adapters, func(other pool.Adapter) bool { return other == adapter })
+	case order.Adapter != "":
+		if !slices.Contains(ledger.adapters, adapter) {
+			ledger.adapters = append(ledger.adapters, adapter)
+		}
+	case order.Unload:
+		ledger.models = slices.DeleteFunc(ledger.models, func(other names.Model) bool { return other == order.Model })
+		ledger.adapters = slices.DeleteFunc(ledger.adapters, func(other pool.Adapter) bool { return other.Model == order.Model })
+		delete(ledger.since, order.Model)
+	}
+}
--- /dev/null
+++ b/copies/planner.go
@@ -0,0 +1,168 @@
+package copies
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+)
+
+const (
+	// hotFactor is how far above the mean load of engines the engines of a model
+	// have to be before it gets another copy.
+	hotFactor = 1.25
+	// hotLoad is the load of an engine, as a part of its capacity, below which no
+	// copy is added: its requests are served in time.
+	hotLoad = 0.35
+	// leastStay is how long a copy stays at least, so that copies do not alternate
+	// within the time of a load.
+	leastStay = 3 * time.Second
+	// gainFactor is how much higher a model's load has to be than that of a copy
+	// that makes way for it.
+	gainFactor = 1.5
+	// loadsAtOnce is how many loads run at once for each load a second that the
+	// weight store allows; beyond that each takes longer.
+	loadsAtOnce = 1.2
+	// sizeExponent relates the work of a request to the size of its model; models
+	// of half the size take a third of the time.
+	sizeExponent = 1.5
+)
+
+// Demand is what callers ask of one model.
+type Demand struct {
+	// Work is the time of an engine that a second's requests take.
+	Work float64
+	// Waiting counts requests that wait because no engine holds the model.
+	Waiting int
+}
+
+// EngineState is what the planner needs to know of an engine.
+type EngineState struct {
+	Server   names.BackendServer
+	Models   []names.Model
+	Loading  names.Model
+	InMemory []names.Model
+	OnDisk   []names.Model
+	// Running counts requests under way for each model.
+	Running map[names.Model]int
+	// Since tells since when a copy is there.
+	Since map[names.Model]time.Time
+	// Fixed engines take no orders now: one is under way, or the engine leaves.
+	Fixed bool
+	// Leaving engines take no requests.
+	Leaving bool
+}
+
+// Input is what a plan follows from.
+type Input struct {
+	Engine  *policy.Engine
+	Engines []EngineState
+	Demand  map[names.Model]Demand
+	Now     time.Time
+}
+
+// Step is one change: the models to unload first, and the one to load.
+type Step struct {
+	Server names.BackendServer
+	Unload []names.Model
+	Load   names.Model
+	// FromStore tells that the load counts against the weight store.
+	FromStore bool
+}
+
+// Planner decides which copies to add. It is not safe for concurrent use.
+type Planner struct {
+	loads *loadWindow
+}
+
+// PlannerConfig carries what a [Planner] is built from.
+type PlannerConfig struct {
+	// Window is the span in which loads from the weight store are counted.
+	Window time.Duration
+	// Now is when the term began; loads of the former term count as begun then.
+	Now time.Time
+	// Former is how many loads may have begun before.
+	Former int
+}
+
+// NewPlanner returns a planner.
+func NewPlanner(config PlannerConfig) *Planner {
+	planner := &Planner{loads: &loadWindow{span: config.Window}}
+	for range config.Former {
+		planner.loads.begin(config.Now)
+	}
+	return planner
+}
+
+// Plan returns the next changes, the most urgent first.
+func (planner *Planner) Plan(input Input) []Step {
+	view := newView(input)
+	var steps []Step
+	for range input.Engines {
+		step, found := planner.next(view)
+		if !found {
+			break
+		}
+		if step.FromStore {
+			planner.loads.begin(input.Now)
+		}
+		view.apply(step)
+		steps = append(steps, step)
+	}
+	return steps
+}
+
+// next returns the most urgent change that is possible.
+func (planner *Planner) next(view *view) (Step, bool) {
+	for _, model := range view.urgent() {
+		best, bestCost := Step{}, math.Inf(1)
+		for index := range view.engines {
+			step, cost, possible := planner.placed(view, index, model)
+			if possible && cost < bestCost {
+				best, bestCost = step, cost
+			}
+		}
+		if !math.IsInf(bestCost, 1) {
+			return best, true
+		}
+	}
+	return Step{}, false
+}
+
+// placed returns the change that adds a copy of model to an engine, and its
+// cost: the load of the engine, of the copies that make way, and of the load.
+func (planner *Planner) placed(view *view, index int, model names.Model) (Step, float64, bool) {
+	engine := &view.engines[index]
+	if engine.Fixed || engine.Leaving || slices.Contains(engine.Models, model) || engine.Loading != "" {
+		return Step{}, 0, false
+	}
+	step := Step{Server: engine.Server, Load: model}
+	cost := view.engineLoad(index)
+	switch {
+	case slices.Contains(engine.InMemory, model):
+	case slices.Contains(engine.OnDisk, model):
+		cost += diskCost
+	default:
+		step.FromStore = true
+		cost += storeCost
+		if !planner.loads.allows(view.input.Engine.LoadsPerSecond, view.input.Now) || view.storeLoads >= mostAtOnce(view.input.Engine) {
+			return Step{}, 0, false
+		}
+	}
+	unload, lost, possible := view.makeRoom(index, model)
+	step.Unload = unload
+	return step, cost + lost, possible
+}
+
+const (
+	// diskCost and storeCost are the loads of an engine that a load from its disk
+	// or from the weight store counts as.
+	diskCost  = 0.02
+	storeCost = 0.15
+)
+
+func mostAtOnce(engine *policy.Engine) int {
+	return max(int(math.Ceil(engine.LoadsPerSecond*loadsAtOnce)), 1)
+}
--- /dev/null
+++ b/copies/view.go
@@ -0,0 +1,218 @@
+package copies
+
+import (
+	"math"
+	"slices"
+	"sort"
+
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// view is what the planner reckons with while it makes a plan.
+type view struct {
+	input   Input
+	engines []EngineState
+	// copies counts the engines that hold or load a model, work is the load that
+	// its requests are, in engines.
+	copies     map[names.Model]int
+	work       map[names.Model]float64
+	mean       float64
+	total      float64
+	storeLoads int
+	largest    float64
+}
+
+func newView(input Input) *view {
+	view := &view{input: input, engines: slices.Clone(input.Engines), copies: map[names.Model]int{}, work: map[names.Model]float64{}}
+	for _, model := range input.Engine.Models {
+		view.largest = max(view.largest, model.WeightsMB)
+	}
+	usable := 0.0
+	for _, engine := range view.engines {
+		if engine.Loading != "" {
+			view.storeLoads++
+		}
+		if engine.Leaving {
+			continue
+		}
+		usable++
+		for _, model := range held(engine) {
+			view.copies[model]++
+		}
+	}
+	for name, demand := range input.Demand {
+		size := input.Engine.Models[name].WeightsMB
+		view.work[name] = demand.Work * math.Pow(size/view.largest, sizeExponent)
+		view.total += view.work[name]
+	}
+	view.mean = view.total / max(usable, 1)
+	return view
+}
+
+// held lists the models that an engine holds or will hold.
+func held(engine EngineState) []names.Model {
+	if engine.Loading == "" || slices.Contains(engine.Models, engine.Loading) {
+		return engine.Models
+	}
+	return append(slices.Clone(engine.Models), engine.Loading)
+}
+
+// copyLoad is the load that one copy of a model carries.
+func (view *view) copyLoad(model names.Model) float64 {
+	return view.work[model] / float64(max(view.copies[model], 1))
+}
+
+// engineLoad is the load of all copies of an engine.
+func (view *view) engineLoad(index int) float64 {
+	load := 0.0
+	for _, model := range held(view.engines[index]) {
+		load += view.copyLoad(model)
+	}
+	return load
+}
+
+// modelLoad is the mean load of the engines that hold a model.
+func (view *view) modelLoad(model names.Model) float64 {
+	load, count := 0.0, 0.0
+	for index, engine := range view.engines {
+		if !engine.Leaving && slices.Contains(held(engine), model) {
+			load += view.engineLoad(index)
+			count++
+		}
+	}
+	return load / max(count, 1)
+}
+
+// urgent lists the models that need a copy: first those that nobody holds, by
+// how many wait, then those whose engines are far above the mean, then those
+// that nobody holds or asks for.
+func (view *view) urgent() []names.Model {
+	type need struct {
+		model names.Model
+		rank  int
+		value float64
+	}
+	var needs []need
+	for name := range view.input.Engine.Models {
+		demand := view.input.Demand[name]
+		switch {
+		case view.copies[name] == 0 && (demand.Waiting > 0 || demand.Work > 0):
+			needs = append(needs, need{model: name, rank: 0, value: float64(demand.Waiting) + demand.Work})
+		case view.copies[name] == 0 && view.total > 0:
+			needs = append(needs, need{model: name, rank: 2})
+		case view.work[name] > 0:
+			if load := view.modelLoad(name); load > hotLoad && load > view.mean*hotFactor && view.copyLoad(name) > view.mean/2 {
+				needs = append(needs, need{model: name, rank: 1, value: load})
+			}
+		}
+	}
+	sort.Slice(needs, func(i, j int) bool {
+		a, b := needs[i], needs[j]
+		switch {
+		case a.rank != b.rank:
+			return a.rank < b.rank
+		case a.value != b.value:
+			return a.value > b.value
+		default:
+			return a.model < b.model
+		}
+	})
+	models := make([]names.Model, 0, len(needs))
+	for _, each := range needs {
+		models = append(models, each.model)
+	}
+	return models
+}
+
+// makeRoom returns the copies that make way for a model on an engine, and the
+// load that they carry.
+func (view *view) makeRoom(index int, model names.Model) ([]names.Model, float64, bool) {
+	engine := &view.engines[index]
+	free := view.input.Engine.WeightsMB - view.adapterRoom() - view.input.Engine.Models[model].WeightsMB
+	for _, each := range held(*engine) {
+		free -= view.input.Engine.Models[each].WeightsMB
+	}
+	if free >= 0 {
+		return nil, 0, true
+	}
+	victims := slices.Clone(engine.Models)
+	sort.SliceStable(victims, func(i, j int) bool { return view.lossOf(victims[i]) < view.lossOf(victims[j]) })
+	var unload []names.Model
+	lost := 0.0
+	for _, victim := range victims {
+		if free >= 0 {
+			break
+		}
+		if !view.mayGo(engine, victim, model) {
+			continue
+		}
+		unload = append(unload, victim)
+		lost += view.lossOf(victim) + runningCost*float64(engine.Running[victim])
+		free += view.input.Engine.Models[victim].WeightsMB
+	}
+	return unload, lost, free >= 0
+}
+
+// runningCost is the load that a request under way counts as, since an unload
+// waits for it.
+const runningCost = 0.02
+
+// lossOf is what is lost with one copy of a model: the load that others take
+// over, and much more where there is no other.
+func (view *view) lossOf(model names.Model) float64 {
+	if view.copies[model] <= 1 {
+		return lastCopyLoss + view.work[model]
+	}
+	return view.copyLoad(model)
+}
+
+// lastCopyLoss keeps the last copy of a model that nobody asks for behind every
+// second copy.
+const lastCopyLoss = 1
+
+// mayGo tells whether a copy may make way for another model.
+func (view *view) mayGo(engine *EngineState, victim, model names.Model) bool {
+	if since, known := engine.Since[victim]; known && view.input.Now.Sub(since) < leastStay {
+		return false
+	}
+	demand := view.input.Demand[model]
+	wanted := demand.Work > 0 || demand.Waiting > 0
+	if view.copies[victim] <= 1 {
+		// The last copy goes only where nobody asks for it and the other is asked for
+		// and held nowhere.
+		return view.work[victim] == 0 && view.input.Demand[victim].Waiting == 0 && wanted && view.copies[model] == 0
+	}
+	if view.copies[model] == 0 {
+		return wanted || view.work[victim] == 0
+	}
+	return view.copyLoad(victim)*gainFactor < view.copyLoad(model)
+}
+
+// adapterRoom is the memory that an engine's adapters may take.
+func (view *view) adapterRoom() float64 {
+	largest := 0.0
+	for _, model := range view.input.Engine.Models {
+		largest = max(largest, model.AdapterMB)
+	}
+	return largest * float64(view.input.Engine.AdapterSlots)
+}
+
+// apply changes the view as a step will.
+func (view *view) apply(step Step) {
+	for index := range view.engines {
+		engine := &view.engines[index]
+		if engine.Server != step.Server {
+			continue
+		}
+		kept := slices.Clone(engine.Models)
+		for _, model := range step.Unload {
+			view.copies[model]--
+			kept = slices.DeleteFunc(kept, func(other names.Model) bool { return other == model })
+		}
+		engine.Models, engine.Loading, engine.Fixed = kept, step.Load, true
+		view.copies[step.Load]++
+		if step.FromStore {
+			view.storeLoads++
+		}
+	}
+}
--- /dev/null
+++ b/elect/elector.go
@@ -0,0 +1,207 @@
+package elect
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/store"
+)
+
+const (
+	// renewals is how many times a lease is renewed in its time to live.
+	renewals = 4
+	// safety is the part of the time to live by which this process stops earlier
+	// than the service can end the lease.
+	safety = 8
+)
+
+// Leader is who coordinates, as the platform's service tells.
+type Leader struct {
+	// Term is the fencing token; zero means that nobody coordinates.
+	Term store.Revision
+	// Value is what the leader published of itself.
+	Value string
+}
+
+// Config carries what an [Elector] is built from.
+type Config struct {
+	Store store.Store
+	Key   string
+	// Value is published by this process when it leads; it is unlike that of every
+	// other process.
+	Value string
+	// TTL is the time to live of the lease.
+	TTL time.Duration
+	// Delay is how long this process waits before it stands for election, so that
+	// not all stand at once.
+	Delay time.Duration
+	Clock *clock.Service
+	// Awake is a steady time that counts suspensions; nil means [Awake].
+	Awake func() time.Duration
+	Log   logrus.FieldLogger
+	// Elected and Ended are called when this process begins and ceases to lead.
+	Elected func(term store.Revision)
+	Ended   func()
+	// Leader is called with each change of leader.
+	Leader func(leader Leader)
+}
+
+// Elector stands for election and keeps the lease. It is safe for concurrent
+// use.
+type Elector struct {
+	config Config
+	// mutex guards all below.
+	mutex sync.Mutex
+	// term is this process's own, zero while it does not lead.
+	term  store.Revision
+	until time.Duration
+	lease store.LeaseID
+	// leader is the last one seen, and known whether the service told it.
+	leader  Leader
+	known   bool
+	standAt time.Time
+	retired bool
+}
+
+// New returns an elector that does not lead.
+func New(config Config) *Elector {
+	if config.Awake == nil {
+		config.Awake = Awake
+	}
+	return &Elector{config: config}
+}
+
+// Term returns this process's term while it certainly leads, else zero.
+func (elector *Elector) Term() store.Revision {
+	elector.mutex.Lock()
+	defer elector.mutex.Unlock()
+	if elector.term == 0 || elector.config.Awake() >= elector.until {
+		return 0
+	}
+	return elector.term
+}
+
+// Seen tells what the service holds at the key.
+func (elector *Elector) Seen(leader Leader) {
+	elector.mutex.Lock()
+	changed := !elector.known || elector.leader != leader
+	elector.leader, elector.known = leader, true
+	if leader.Term == 0 && changed {
+		elector.standAt = elector.config.Clock.Now().Add(elector.config.Delay)
+	}
+	elector.mutex.Unlock()
+	if changed {
+		event.CoordinatorKnown.Log(elector.config.Log, logrus.Fields{"coordinator": leader.Value, "term": int64(leader.Term)})
+		elector.config.Leader(leader)
+	}
+}
+
+// Retire gives up the lease and stands no more.
+func (elector *Elector) Retire(ctx context.Context) {
+	elector.mutex.Lock()
+	elector.retired = true
+	lease := elector.lease
+	led := elector.term != 0
+	elector.mutex.Unlock()
+	if !led {
+		return
+	}
+	elector.end("stopping")
+	if err := elector.config.Store.Revoke(ctx, lease); err != nil {
+		event.CoordinatorEnded.Log(elector.config.Log, logrus.Fields{"reason": "lease left to expire", "cause": err.Error()})
+	}
+}
+
+// Run renews or stands until ctx ends.
+func (elector *Elector) Run(ctx context.Context) {
+	period := elector.config.TTL / renewals
+	elector.config.Clock.Subscribe(ctx, period, func(ctx context.Context, now time.Time) {
+		elector.mutex.Lock()
+		leading := elector.term != 0
+		stand := !leading && elector.known && elector.leader.Term == 0 && !now.Before(elector.standAt) && !elector.retired
+		elector.mutex.Unlock()
+		callCtx, cancel := context.WithTimeout(ctx, elector.config.TTL)
+		defer cancel()
+		switch {
+		case leading:
+			elector.renew(callCtx)
+		case stand:
+			elector.stand(callCtx)
+		}
+	})
+}
+
+func (elector *Elector) renew(ctx context.Context) {
+	elector.mutex.Lock()
+	lease := elector.lease
+	elector.mutex.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, elector.config.TTL/2)
+	defer cancel()
+	before := elector.config.Awake()
+	err := elector.config.Store.Renew(callCtx, lease)
+	var leaseError *store.LeaseError
+	switch {
+	case err == nil:
+		elector.mutex.Lock()
+		elector.until = before + elector.config.TTL - elector.config.TTL/safety
+		elector.mutex.Unlock()
+	case errors.As(err, &leaseError):
+		elector.end("lease ended")
+	case elector.Term() == 0:
+		elector.end("lease not renewed in time")
+	}
+}
+
+func (elector *Elector) stand(ctx context.Context) {
+	before := elector.config.Awake()
+	lease, err := elector.config.Store.Grant(ctx, elector.config.TTL)
+	if err != nil {
+		return
+	}
+	term, err := elector.config.Store.Swap(ctx, store.Swap{Key: elector.config.Key, Value: []byte(elector.config.Value), Lease: lease})
+	var conflictError *store.ConflictError
+	var unknownError *store.UnknownError
+	switch {
+	case errors.As(err, &conflictError):
+		// The lease is left to expire: ending it costs a call.
+		return
+	case errors.As(err, &unknownError):
+		entry, found, readErr := elector.config.Store.Get(ctx, elector.config.Key)
+		if readErr != nil || !found || string(entry.Value()) != elector.config.Value {
+			return
+		}
+		term = entry.Revision()
+	case err != nil:
+		return
+	}
+	elector.mutex.Lock()
+	elector.term, elector.lease = term, lease
+	elector.until = before + elector.config.TTL - elector.config.TTL/safety
+	elector.mutex.Unlock()
+	if elector.Term() == 0 {
+		elector.end("elected too late")
+		return
+	}
+	event.CoordinatorElected.Log(elector.config.Log, logrus.Fields{"term": int64(term)})
+	elector.config.Elected(term)
+	elector.Seen(Leader{Term: term, Value: elector.config.Value})
+}
+
+func (elector *Elector) end(reason string) {
+	elector.mutex.Lock()
+	term := elector.term
+	elector.term, elector.lease = 0, 0
+	if elector.leader.Term == term {
+		// The watch tells when the key has gone, or who holds it now.
+		elector.standAt = elector.config.Clock.Now().Add(elector.config.TTL)
+	}
+	elector.mutex.Unlock()
+	event.CoordinatorEnded.Log(elector.config.Log, logrus.Fields{"reason": reason, "term": int64(term)})
+	elector.config.Ended()
+}
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/conns"
+	"github.com/basilkeel/basilkeel/coord"
+	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/ident"
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/platform"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/relay"
+	"github.com/basilkeel/basilkeel/setup"
+	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/spool"
+	"github.com/basilkeel/basilkeel/trunk"
+)
+
+const (
+	// collectPercent lets the heap grow to four times what is in use before it is
+	// collected: processor time is scarcer than memory on entries.
+	collectPercent = 300
+	// heapPart is the part of the memory limit beyond which the heap is collected
+	// more often; the rest is for stacks and buffers of connections.
+	heapPart = 0.6
+	// peerBuffer is the buffer of a connection between entries; messages are a few
+	// kilobytes.
+	peerBuffer = 8 << 10
+	// firstRedial and lastRedial bound the pause before an entry is dialled again.
+	firstRedial = 50 * time.Millisecond
+	lastRedial  = 500 * time.Millisecond
+)
+
+// RunRelay runs an entry of a prepared deployment until a signal or the end of
+// ctx. The settings are read from the file at path.
+func RunRelay(ctx context.Context, path string) error {
+	host, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(heapPart * float64(host.MemoryBytes)))
+	output := spool.NewWriter(os.Stdout, spool.DefaultLines)
+	defer output.Close()
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(host.Bounds.StopGrace+stopMargin),
+		fx.Supply(host, output, settingsPath(path)),
+		fx.Provide(
+			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newShares,
+			newRelay, newPeerConnections, newDesk, newCoordClient, newElector, newMembers,
+		),
+		fx.Invoke(serveCoordination, followPlatform, coordinate, serveReadiness, serveRelay, sweep, watchSettings, tellStart, retire),
+	)
+	return run(ctx, app, host.Bounds.StopGrace)
+}
+
+type settingsPath string
+
+// relaySelf names this process to others.
+type relaySelf struct {
+	instance names.Instance
+	address  string
+	value    string
+}
+
+func newRelaySelf(host *setup.Host) *relaySelf {
+	self := &relaySelf{
+		instance: names.Instance(host.Instance),
+		address:  net.JoinHostPort(host.IP, strconv.Itoa(host.FirstPort)),
+	}
+	self.value = coord.Identity{Instance: host.Instance, Address: self.address, Process: uuid.NewString()}.Encode()
+	return self
+}
+
+func newRelayLog(host *setup.Host, output *spool.Writer) logrus.FieldLogger {
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetOutput(output)
+	logger.AddHook(ident.Redactor{})
+	return logger.WithField("instance", host.Instance)
+}
+
+func newPlatformStore(host *setup.Host, registry metrics.Registry) *platform.Store {
+	return platform.NewStore(platform.StoreConfig{
+		Address:   host.StoreAddress,
+		Transport: platform.NewTransport(trunk.NewDialer().DialContext),
+		Metrics:   registry,
+	})
+}
+
+func newServerPool(host *setup.Host) *pool.Pool {
+	return pool.New(pool.Config{RegistryPeriod: host.RegistryPeriod, Draw: rand.Float64})
+}
+
+func newTrunk(clock *clock.Service, registry metrics.Registry) *trunk.Trunk {
+	return trunk.New(trunk.Config{Clock: clock, Metrics: registry})
+}
+
+func newShares() *share.Holder { return share.NewHolder() }
+
+// relayParts is what a relay is built from.
+type relayParts struct {
+	fx.In
+
+	Host    *setup.Host
+	Pool    *pool.Pool
+	Trunk   *trunk.Trunk
+	Shares  *share.Holder
+	Clock   *clock.Service
+	Log     logrus.FieldLogger
+	Metrics metrics.Registry
+}
+
+func newRelay(parts relayParts) *relay.Relay {
+	bounds := parts.Host.Bounds
+	return relay.New(relay.Config{
+		Codec: platform.Headers{}, Pool: parts.Pool, Trunk: parts.Trunk, Shares: parts.Shares,
+		Clock: parts.Clock, Log: parts.Log, Metrics: parts.Metrics, Domain: names.FailureDomain(parts.Host.Domain),
+		RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
+	})
+}
+
+func newPeerConnections() *conns.Pool {
+	dialer := trunk.NewDialer()
+	return conns.NewPool(conns.PoolConfig{Options: []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{
+			BaseDelay: firstRedial, Multiplier: 2, Jitter: 0.2, MaxDelay: lastRedial,
+		}}),
+		grpc.WithReadBufferSize(peerBuffer), grpc.WithWriteBufferSize(peerBuffer),
+		grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
+	}})
+}
+
+// serveCoordination offers the desk to other entries.
+func serveCoordination(lifecycle fx.Lifecycle, self *relaySelf, desk *coord.Desk, log logrus.FieldLogger) {
+	server := grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
+	coord.NewServer(desk).Register(server)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			listener, err := listen(ctx, self.address, bounds{}, nil)
+			if err != nil {
+				return err
+			}
+			serveRPC(server, listener, log)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			server.Stop()
+			return nil
+		},
+	})
+}
+
+func tellStart(lifecycle fx.Lifecycle, host *setup.Host, log logrus.FieldLogger) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			event.ProcessStarted.Log(log, logrus.Fields{
+				"version": Version(), "callers": host.CallerAddress, "store": host.StoreAddress,
+				"settings": fmt.Sprintf("%+v", host.Bounds),
+			})
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			event.ProcessStopping.Log(log, logrus.Fields{})
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/node/relaycoord.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/conns"
+	"github.com/basilkeel/basilkeel/coord"
+	"github.com/basilkeel/basilkeel/elect"
+	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/platform"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/relay"
+	"github.com/basilkeel/basilkeel/setup"
+	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/store"
+	"github.com/basilkeel/basilkeel/trunk"
+)
+
+const (
+	// coordinatorLease is the time to live of the coordinator's lease: long enough
+	// for a slow answer of the platform's service, short enough that adapters are
+	// loaded again soon after a coordinator is lost.
+	coordinatorLease = 2 * time.Second
+	// standSpread is the span over which entries stand for election.
+	standSpread = 400 * time.Millisecond
+	// registerPause is the wait before an instance registers again.
+	registerPause = 300 * time.Millisecond
+	// registerTimeout bounds one try.
+	registerTimeout = 2 * time.Second
+	// retireTimeout bounds giving up the lease at a stop.
+	retireTimeout = time.Second
+)
+
+// deskParts is what a desk is built from.
+type deskParts struct {
+	fx.In
+
+	Host    *setup.Host
+	Self    *relaySelf
+	Trunk   *trunk.Trunk
+	Pool    *pool.Pool
+	Relay   *relay.Relay
+	Members *members
+	Clock   *clock.Service
+	Log     logrus.FieldLogger
+}
+
+func newDesk(parts deskParts) *coord.Desk {
+	return coord.NewDesk(coord.DeskConfig{
+		Engine: platform.NewEngines(parts.Trunk), Clock: parts.Clock, Log: parts.Log, Instance: parts.Self.instance,
+		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, Members: parts.Members.list,
+		Term: func() int64 {
+			if parts.Members.elector == nil {
+				return 0
+			}
+			return int64(parts.Members.elector.Term())
+		},
+		LoadWindow: parts.Host.Bounds.LoadWindow,
+	})
+}
+
+// clientParts is what a client of the coordinator is built from.
+type clientParts struct {
+	fx.In
+
+	Self        *relaySelf
+	Desk        *coord.Desk
+	Pool        *pool.Pool
+	Shares      *share.Holder
+	Relay       *relay.Relay
+	Connections *conns.Pool
+	Clock       *clock.Service
+	Log         logrus.FieldLogger
+}
+
+func newCoordClient(parts clientParts) *coord.Client {
+	client := coord.NewClient(coord.ClientConfig{
+		Instance: parts.Self.instance, Self: parts.Self.value, Desk: parts.Desk, Pool: parts.Pool, Shares: parts.Shares,
+		Policy: parts.Relay.Policy, Connections: parts.Connections, Clock: parts.Clock, Log: parts.Log,
+	})
+	parts.Relay.Use(client)
+	return client
+}
+
+func newElector(host *setup.Host, self *relaySelf, platformStore *platform.Store, desk *coord.Desk, client *coord.Client, clock *clock.Service, log logrus.FieldLogger) *elect.Elector {
+	return elect.New(elect.Config{
+		Store: platformStore, Key: coordinatorKey, Value: self.value, TTL: max(coordinatorLease, host.ShortestLease),
+		Delay: time.Duration(xxhash.Sum64String(host.Instance) % uint64(standSpread)),
+		Clock: clock, Log: log,
+		Elected: func(term store.Revision) { desk.Elected(context.Background(), int64(term)) },
+		Ended:   desk.Ended,
+		Leader:  func(leader elect.Leader) { client.Follow(leader.Value) },
+	})
+}
+
+// coordinateParts is what taking part in coordination needs.
+type coordinateParts struct {
+	fx.In
+
+	Self    *relaySelf
+	Store   *platform.Store
+	Client  *coord.Client
+	Elector *elect.Elector
+	Desk    *coord.Desk
+	Clock   *clock.Service
+	Log     logrus.FieldLogger
+}
+
+// coordinate registers this instance, stands for election and exchanges
+// reports. An instance holds no shares of limits before it is registered.
+func coordinate(lifecycle fx.Lifecycle, parts coordinateParts) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				parts.register(ctx)
+				parts.Elector.Run(ctx)
+				parts.Client.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			<-done
+			parts.Desk.Ended()
+			return nil
+		},
+	})
+}
+
+// retire has another entry coordinate as soon as a stop begins. It is registered
+// last, so that it is stopped first.
+func retire(lifecycle fx.Lifecycle, elector *elect.Elector) {
+	lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		retireCtx, cancel := context.WithTimeout(ctx, retireTimeout)
+		defer cancel()
+		elector.Retire(retireCtx)
+		return nil
+	}})
+}
+
+// register writes this instance's key, which stays.
+func (parts *coordinateParts) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+		_, err := parts.Store.Swap(callCtx, store.Swap{Key: memberPrefix + string(parts.Self.instance), Value: []byte(parts.Self.address)})
+		cancel()
+		var conflictError *store.ConflictError
+		if err == nil || errors.As(err, &conflictError) {
+			return
+		}
+		event.StoreLost.Log(parts.Log, logrus.Fields{"operation": "register", "cause": err.Error()})
+		select {
+		case <-ctx.Done():
+		case <-parts.Clock.After(registerPause):
+		}
+	}
+}
--- /dev/null
+++ b/policy/snapshot.go
@@ -0,0 +1,98 @@
+package policy
+
+import (
+	"crypto/sha256"
+	"net"
+	"sort"
+	"strings"
+
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// SnapshotConfig carries what a [Snapshot] is built from.
+type SnapshotConfig struct {
+	Version  int64
+	Routes   []*Route
+	Services []*Service
+	Accounts []*Account
+	Limits   Limits
+}
+
+// Snapshot is one version of the operators' decisions. It is immutable.
+type Snapshot struct {
+	config SnapshotConfig
+	// routes holds the routes of each host, the longest prefix first.
+	routes   map[string][]*Route
+	services map[names.Service]*Service
+	// keys maps the hash of each key to its account.
+	keys map[[sha256.Size]byte]*Account
+}
+
+// NewSnapshot returns the snapshot described by config.
+func NewSnapshot(config SnapshotConfig) *Snapshot {
+	snapshot := &Snapshot{
+		config:   config,
+		routes:   map[string][]*Route{},
+		services: map[names.Service]*Service{},
+		keys:     map[[sha256.Size]byte]*Account{},
+	}
+	for _, route := range config.Routes {
+		host := strings.ToLower(route.Host)
+		snapshot.routes[host] = append(snapshot.routes[host], route)
+	}
+	for _, routes := range snapshot.routes {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for _, service := range config.Services {
+		snapshot.services[service.Name] = service
+	}
+	for _, account := range config.Accounts {
+		for _, key := range account.Keys {
+			snapshot.keys[sha256.Sum256([]byte(key))] = account
+		}
+	}
+	return snapshot
+}
+
+// Version rises with each change.
+func (snapshot *Snapshot) Version() int64 { return snapshot.config.Version }
+
+// Limits bound what callers send.
+func (snapshot *Snapshot) Limits() Limits { return snapshot.config.Limits }
+
+// Route returns the route of host with the longest prefix of path, or nil.
+func (snapshot *Snapshot) Route(host, path string) *Route {
+	host = strings.ToLower(host)
+	routes, found := snapshot.routes[host]
+	if !found {
+		bare, _, err := net.SplitHostPort(host)
+		if err != nil {
+			return nil
+		}
+		routes = snapshot.routes[bare]
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (snapshot *Snapshot) Service(name names.Service) *Service { return snapshot.services[name] }
+
+// Services returns every service.
+func (snapshot *Snapshot) Services() []*Service { return snapshot.config.Services }
+
+// Accounts returns every client account.
+func (snapshot *Snapshot) Accounts() []*Account { return snapshot.config.Accounts }
+
+// NeedsKeys tells whether routes that are not open need a key.
+func (snapshot *Snapshot) NeedsKeys() bool { return len(snapshot.config.Accounts) > 0 }
+
+// Account returns the account that key belongs to, or nil. The look-up compares
+// hashes, so its time tells nothing of how much of a key is right.
+func (snapshot *Snapshot) Account(key string) *Account {
+	return snapshot.keys[sha256.Sum256([]byte(key))]
+}
--- /dev/null
+++ b/pool/outcome.go
@@ -0,0 +1,97 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// Begin counts a request that is about to be sent to a server.
+func (pool *Pool) Begin(id names.BackendServer) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if member, found := pool.members[id]; found {
+		member.own++
+	}
+}
+
+// End counts a request that is no longer at a server.
+func (pool *Pool) End(id names.BackendServer) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if member, found := pool.members[id]; found && member.own > 0 {
+		member.own--
+	}
+}
+
+// Answered tells that a server answered, and whether with an error of its own.
+// It returns true where the server had been ejected.
+func (pool *Pool) Answered(id names.BackendServer, failed bool) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	member, found := pool.members[id]
+	if !found {
+		return false
+	}
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	member.errors += errorWeight * (value - member.errors)
+	returned := member.ejections > 0
+	member.failures, member.ejections = 0, 0
+	member.ejectedUntil = time.Time{}
+	return returned
+}
+
+// Failed tells that a server gave no whole answer. A severe failure ejects at
+// once. It returns until when the server is ejected, or the zero time.
+func (pool *Pool) Failed(id names.BackendServer, severe bool, now time.Time) time.Time {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	member, found := pool.members[id]
+	if !found {
+		return time.Time{}
+	}
+	member.failures++
+	member.errors += errorWeight * (1 - member.errors)
+	if member.ejected(now) || (!severe && member.failures < ejectFailures) {
+		return time.Time{}
+	}
+	wait := min(firstEjection<<min(member.ejections, 3), lastEjection)
+	member.ejections++
+	member.ejectedUntil = now.Add(wait)
+	return member.ejectedUntil
+}
+
+// Slow counts a request that has waited too long for its first byte, or no
+// longer waits where delta is negative.
+func (pool *Pool) Slow(id names.BackendServer, delta int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if member, found := pool.members[id]; found {
+		member.slow = max(member.slow+delta, 0)
+	}
+}
+
+// Lacks tells that a server refused a request for a model that it lacks.
+func (pool *Pool) Lacks(id names.BackendServer, model names.Model, now time.Time) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if member, found := pool.members[id]; found {
+		member.absent[model] = now.Add(absentFor)
+	}
+}
+
+// Own returns how many requests of this instance each server has.
+func (pool *Pool) Own() map[names.BackendServer]int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	own := map[names.BackendServer]int{}
+	for id, member := range pool.members {
+		if member.own > 0 {
+			own[id] = member.own
+		}
+	}
+	return own
+}
--- /dev/null
+++ b/pool/pick.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Pick chooses a server for a request.
+func (pool *Pool) Pick(query Query, now time.Time) Choice {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	candidates, listed := pool.candidates(query, now)
+	if len(candidates) == 0 {
+		if listed {
+			return NoCopy{}
+		}
+		return NoServer{}
+	}
+	best, bestScore := pool.best(candidates, query, now, nil)
+	full := float64(fullPlain)
+	if query.Model != "" {
+		full = fullEngine
+	}
+	chosen := Chosen{Others: len(candidates) - 1}
+	if query.Adapter != "" {
+		adapter := Adapter{Model: query.Model, Name: query.Adapter}
+		with, withScore := pool.best(candidates, query, now, &adapter)
+		chosen.AdapterMissing = with == nil || withScore > bestScore+adapterSlack
+		if !chosen.AdapterMissing {
+			best = with
+		}
+	}
+	if best.load() >= full {
+		return Full{Load: best.load()}
+	}
+	chosen.Server, chosen.Load = best.server, best.load()
+	return chosen
+}
+
+// candidates returns the members that may run the request, and whether any
+// server of the service is usable at all. Where every one is ejected, it returns
+// those. It is called with the mutex held.
+func (pool *Pool) candidates(query Query, now time.Time) ([]*member, bool) {
+	var good, ejected []*member
+	listed := false
+	for _, member := range pool.members {
+		if member.server.Service != query.Service || member.server.Draining || pool.gone(member, now) {
+			continue
+		}
+		listed = true
+		if slices.Contains(query.Tried, member.server.ID) {
+			continue
+		}
+		if query.Model != "" && !member.holds(query.Model, now) {
+			continue
+		}
+		if member.ejected(now) {
+			ejected = append(ejected, member)
+		} else {
+			good = append(good, member)
+		}
+	}
+	if len(good) == 0 {
+		return ejected, listed
+	}
+	return good, listed
+}
+
+// best returns the member with the least score, of those with an adapter where
+// one is given, or nil.
+func (pool *Pool) best(candidates []*member, query Query, now time.Time, adapter *Adapter) (*member, float64) {
+	var best *member
+	bestScore := math.Inf(1)
+	for _, member := range candidates {
+		if adapter != nil && !member.holdsAdapter(*adapter, now) {
+			continue
+		}
+		score := member.load() + float64(member.slow)*slowPenalty +
+			max(member.errors-toleratedErrors, 0)*errorPenalty + pool.config.Draw()/member.slots()
+		if member.server.Domain != query.Domain {
+			score += distancePenalty
+		}
+		if score < bestScore {
+			best, bestScore = member, score
+		}
+	}
+	return best, bestScore
+}
--- /dev/null
+++ b/pool/server.go
@@ -0,0 +1,46 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// Server is what the registry says of a backend server. It is immutable.
+type Server struct {
+	ID      names.BackendServer
+	Service names.Service
+	Address string
+	Domain  names.FailureDomain
+	// Slots is how many requests the server runs at once.
+	Slots int
+	// Draining servers take no new requests.
+	Draining bool
+	// Leaves is how long a draining server keeps running; zero means not told.
+	Leaves time.Duration
+	// Warming is how long the server stays slow after its start.
+	Warming time.Duration
+	// Born is the start of the server; another one means that it has lost all.
+	Born int64
+	// Models and Adapters are what a model engine holds.
+	Models   []names.Model
+	Adapters []Adapter
+	// InMemory and OnDisk are the models whose weights the engine has at hand.
+	InMemory []names.Model
+	OnDisk   []names.Model
+}
+
+// Adapter is an adapter with the model it belongs to.
+type Adapter struct {
+	Model names.Model
+	Name  names.Adapter
+}
+
+// Holds tells whether the server holds a model.
+func (server *Server) Holds(model names.Model) bool { return slices.Contains(server.Models, model) }
+
+// HoldsAdapter tells whether the server holds an adapter.
+func (server *Server) HoldsAdapter(adapter Adapter) bool {
+	return slices.Contains(server.Adapters, adapter)
+}
--- /dev/null
+++ b/rate/doc.go
@@ -0,0 +1,3 @@
+// Package rate measures amounts a second, smoothed over a half-life. Time is an
+// argument.
+package rate
--- /dev/null
+++ b/relay/place.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+const (
+	// longestLoadWait bounds how long a request waits for its model: planning, a
+	// load of up to two seconds, and another load before it.
+	longestLoadWait = 5 * time.Second
+	// lookAgain is how often a waiting request looks again without news.
+	lookAgain = 100 * time.Millisecond
+	// adapterTimeout bounds the order of an adapter, which takes milliseconds.
+	adapterTimeout = 700 * time.Millisecond
+	// adapterTime is the loading time of an adapter.
+	adapterTime = 8 * time.Millisecond
+	// loadPause, fullPause and notReadyPause are when callers should come back: a
+	// load takes one to two seconds, a place at an engine is free much sooner.
+	loadPause     = 1500 * time.Millisecond
+	fullPause     = 500 * time.Millisecond
+	notReadyPause = time.Second
+	// leastTime is the time without which a request is not worth sending.
+	leastTime = 20 * time.Millisecond
+)
+
+func (passage *passage) pick() pool.Choice {
+	return passage.relay.config.Pool.Pick(pool.Query{
+		Service: passage.service,
+		Model:   passage.call.Model,
+		Adapter: passage.call.Adapter,
+		Domain:  passage.relay.config.Domain,
+		Tried:   passage.tried,
+	}, passage.now())
+}
+
+// place finds a server that holds what the request needs, and waits while a
+// model is being loaded.
+func (passage *passage) place(ctx context.Context) (*pool.Server, *refusal) {
+	began := passage.now()
+	needed := false
+	defer func() {
+		if needed {
+			passage.relay.config.Coordinator.Need(passage.service, passage.call.Model, -1)
+		}
+		passage.waited += passage.now().Sub(began)
+	}()
+	for {
+		changed := passage.relay.config.Pool.Changed()
+		refusal := &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoServer, after: loadPause}
+		switch choice := passage.pick().(type) {
+		case pool.Chosen:
+			passage.lastLoad = choice.Load
+			return passage.withAdapter(ctx, choice)
+		case pool.Full:
+			refusal.reason, refusal.after, refusal.load = ReasonFull, fullPause, choice.Load
+			return nil, refusal
+		case pool.NoServer:
+			return nil, refusal
+		case pool.NoCopy:
+			refusal.reason = ReasonNoCopy
+			if passage.call.Model == "" || !passage.mayWait(began) {
+				return nil, refusal
+			}
+			if !needed {
+				needed = true
+				passage.relay.config.Coordinator.Need(passage.service, passage.call.Model, 1)
+				passage.waits()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			refusal.reason = ReasonTimeUp
+			return nil, refusal
+		case <-changed:
+		case <-passage.relay.config.Clock.After(lookAgain):
+		}
+	}
+}
+
+// mayWait tells whether a model that no server holds can be loaded in time.
+func (passage *passage) mayWait(began time.Time) bool {
+	now := passage.now()
+	return len(passage.tried) == 0 && passage.relay.config.Coordinator.Reachable() &&
+		now.Sub(began) < longestLoadWait && passage.limit.Sub(now) > leastTime
+}
+
+// withAdapter has the adapter loaded where the server lacks it.
+func (passage *passage) withAdapter(ctx context.Context, choice pool.Chosen) (*pool.Server, *refusal) {
+	if !choice.AdapterMissing {
+		return choice.Server, nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, adapterTimeout)
+	defer cancel()
+	adapter := pool.Adapter{Model: passage.call.Model, Name: passage.call.Adapter}
+	if err := passage.relay.config.Coordinator.Adapter(callCtx, choice.Server, adapter); err != nil {
+		passage.cause = err
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoAdapter, after: fullPause}
+	}
+	select {
+	case <-ctx.Done():
+	case <-passage.relay.config.Clock.After(adapterTime):
+	}
+	return choice.Server, nil
+}
--- /dev/null
+++ b/relay/reason.go
@@ -0,0 +1,28 @@
+package relay
+
+// Reason tells why a request was refused or failed; it labels logs and counters.
+type Reason string
+
+// Reasons of refusals; the request has not run.
+const (
+	ReasonNotReady   Reason = "notReady"
+	ReasonNoRoute    Reason = "noRoute"
+	ReasonUnknownKey Reason = "unknownKey"
+	ReasonBadRequest Reason = "badRequest"
+	ReasonBodySize   Reason = "bodyTooLarge"
+	ReasonBody       Reason = "bodyNotRead"
+	ReasonQuota      Reason = "overLimit"
+	ReasonNoServer   Reason = "noServer"
+	ReasonNoCopy     Reason = "modelNotLoaded"
+	ReasonNoAdapter  Reason = "adapterNotLoaded"
+	ReasonFull       Reason = "serversFull"
+	ReasonUnsent     Reason = "notSent"
+	ReasonNotRun     Reason = "refusedByServer"
+	ReasonTimeUp     Reason = "timeUp"
+)
+
+// Reasons of failures; the request may have run.
+const (
+	ReasonBroken  Reason = "answerBroken"
+	ReasonTimeout Reason = "timeout"
+)
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/trunk"
+)
+
+// Coordinator is asked for models and adapters.
+type Coordinator interface {
+	// Need tells that a request waits for a model that no server holds.
+	Need(service names.Service, model names.Model, delta int)
+	// Adapter has an adapter loaded and returns once that is under way.
+	Adapter(ctx context.Context, server *pool.Server, adapter pool.Adapter) error
+	// Demand counts a request's work for a model, in seconds of an engine.
+	Demand(service names.Service, model names.Model, work float64)
+	// Reachable tells whether the coordinator has answered lately.
+	Reachable() bool
+}
+
+// Config carries what a [Relay] is built from.
+type Config struct {
+	Codec       Codec
+	Pool        *pool.Pool
+	Trunk       *trunk.Trunk
+	Shares      *share.Holder
+	Coordinator Coordinator
+	Clock       *clock.Service
+	Log         logrus.FieldLogger
+	Metrics     metrics.Registry
+	Domain      names.FailureDomain
+	// RetryRatio, RetrySlack and RetryWindow bound requests sent again over all
+	// entries.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Relay serves callers.
+type Relay struct {
+	config   Config
+	budget   *budget
+	snapshot atomic.Pointer[policy.Snapshot]
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+var _ http.Handler = (*Relay)(nil)
+
+// New returns a relay that refuses all until it has a policy.
+func New(config Config) *Relay {
+	return &Relay{config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow)}
+}
+
+// Adopt puts a policy in force.
+func (relay *Relay) Adopt(snapshot *policy.Snapshot) { relay.snapshot.Store(snapshot) }
+
+// Policy returns the policy in force, or nil.
+func (relay *Relay) Policy() *policy.Snapshot { return relay.snapshot.Load() }
+
+// Stop has every further answer close its connection.
+func (relay *Relay) Stop() { relay.stopping.Store(true) }
+
+// Active counts the requests that are under way.
+func (relay *Relay) Active() int64 { return relay.active.Load() }
+
+// ServeHTTP implements [http.Handler].
+func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	relay.active.Add(1)
+	defer relay.active.Add(-1)
+	passage := &passage{
+		relay:   relay,
+		writer:  writer,
+		request: request,
+		started: relay.config.Clock.Now(),
+		call:    relay.config.Codec.ReadCall(request),
+	}
+	if refusal := passage.admit(); refusal != nil {
+		passage.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), passage.limit)
+	defer cancel()
+	passage.run(ctx)
+}
+
+// admit finds the route and the account, reads the body and takes the cost from
+// the account's limits.
+func (passage *passage) admit() *refusal {
+	relay := passage.relay
+	snapshot := relay.snapshot.Load()
+	if snapshot == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNotReady, after: notReadyPause}
+	}
+	passage.version = snapshot.Version()
+	target := passage.request.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		return &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
+	}
+	path, _, _ := strings.Cut(target, "?")
+	passage.route = snapshot.Route(passage.request.Host, path)
+	if passage.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: ReasonNoRoute}
+	}
+	if snapshot.NeedsKeys() && !passage.route.Open {
+		passage.account = snapshot.Account(passage.call.Key)
+		if passage.account == nil {
+			return &refusal{status: http.StatusUnauthorized, reason: ReasonUnknownKey}
+		}
+	}
+	passage.limit = passage.started.Add(passage.route.Timeout)
+	if passage.call.Deadline > 0 && passage.call.Deadline < passage.route.Timeout {
+		passage.limit = passage.started.Add(passage.call.Deadline)
+	}
+	if refusal := passage.readBody(snapshot.Limits().BodyBytes); refusal != nil {
+		return refusal
+	}
+	passage.service = passage.route.Target(rand.Float64())
+	return passage.charge()
+}
+
+func (passage *passage) charge() *refusal {
+	if passage.account == nil {
+		return nil
+	}
+	passage.cost = passage.account.Cost(passage.call.Tokens())
+	wait, taken := passage.relay.config.Shares.Take(passage.account, passage.cost, passage.relay.config.Clock.Now())
+	if !taken {
+		passage.cost = 0
+		return &refusal{status: http.StatusTooManyRequests, reason: ReasonQuota, after: wait}
+	}
+	return nil
+}
+
+// Use sets the coordinator that is asked; it is called before the first request.
+func (relay *Relay) Use(coordinator Coordinator) { relay.config.Coordinator = coordinator }
+
+// Stopping tells whether [Relay.Stop] has been called.
+func (relay *Relay) Stopping() bool { return relay.stopping.Load() }
--- /dev/null
+++ b/setup/host.go
@@ -0,0 +1,72 @@
+package setup
+
+import "time"
+
+// Host is what a prepared deployment tells a process about its place and its
+// surroundings.
+type Host struct {
+	// Instance is the name of the machine; it outlives restarts.
+	Instance string
+	// Domain is the failure domain.
+	Domain string
+	// IP is the address of this instance without a port.
+	IP string
+	// CallerAddress takes callers' connections, ReadyAddress readiness probes.
+	CallerAddress string
+	ReadyAddress  string
+	// FirstPort to LastPort are free for the system's own use on every instance.
+	FirstPort int
+	LastPort  int
+	// StoreAddress is the platform's key-value service.
+	StoreAddress string
+	// ShortestLease is the least time to live of a lease.
+	ShortestLease time.Duration
+	// RegistryPeriod is the time between two reports of a backend server to the
+	// registry.
+	RegistryPeriod time.Duration
+	// MemoryBytes is what the process may use; CPUs its share of processor time.
+	MemoryBytes int64
+	CPUs        float64
+	// Bounds are the promises that figures are derived from.
+	Bounds HostBounds
+}
+
+// HostBounds are figures that operators promise for a whole deployment.
+type HostBounds struct {
+	// StopGrace is the time from SIGTERM to SIGKILL.
+	StopGrace time.Duration
+	// Drain is how soon a leaving backend server gets no more requests.
+	Drain time.Duration
+	// PolicyApply is how soon a new version has to be in force.
+	PolicyApply time.Duration
+	// RetryRatio and RetrySlack bound resent requests of a service in RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// OrderLease is the least time between orders of two coordinators to one engine.
+	OrderLease time.Duration
+	// LoadWindow and LoadExcess bound loads from the weight store: in LoadWindow
+	// at most LoadExcess times the rate, and some more.
+	LoadWindow time.Duration
+	LoadExcess float64
+	// EventDelay is the longest that a stream's event may take to its caller.
+	EventDelay time.Duration
+}
+
+// Validate returns a *FaultsError naming every fault, or nil.
+func (host *Host) Validate() error {
+	checker := &checker{}
+	checker.required("instance name", host.Instance)
+	checker.required("failure domain", host.Domain)
+	checker.address("store address", host.StoreAddress)
+	checker.address("callers' address", host.CallerAddress)
+	checker.address("readiness address", host.ReadyAddress)
+	if host.FirstPort <= 0 || host.LastPort <= host.FirstPort {
+		checker.fail("own ports", "%d to %d is not a range of two ports or more", host.FirstPort, host.LastPort)
+	}
+	checker.positive("memory bytes", host.MemoryBytes)
+	checker.positive("drain bound", int64(host.Bounds.Drain))
+	checker.positive("stop grace", int64(host.Bounds.StopGrace))
+	checker.positive("registry period", int64(host.RegistryPeriod))
+	return checker.err()
+}
--- /dev/null
+++ b/share/holder.go
@@ -0,0 +1,144 @@
+package share
+
+import (
+	"sync"
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/rate"
+)
+
+const (
+	// Lifetime is how long a share lasts without contact with a coordinator. It
+	// outlasts the outages of the platform's service that are usual.
+	Lifetime = 12 * time.Second
+	// lifetimeMargin is how much earlier the holder stops than the coordinator
+	// reckons: clocks run at nearly the same rate.
+	lifetimeMargin = 500 * time.Millisecond
+	// usageHalfLife smooths the use that shares follow.
+	usageHalfLife = 2 * time.Second
+)
+
+// Set is the shares of one entry by account.
+type Set map[names.ClientAccount]float64
+
+// Holder holds the shares of one entry and admits requests against them. It is
+// safe for concurrent use.
+type Holder struct {
+	// mutex guards all below.
+	mutex   sync.Mutex
+	buckets map[names.ClientAccount]*bucket
+	usage   map[names.ClientAccount]*rate.Meter
+	// term and version name the set that is in force.
+	term    int64
+	version int64
+	expires time.Time
+}
+
+// NewHolder returns a holder without shares.
+func NewHolder() *Holder {
+	return &Holder{buckets: map[names.ClientAccount]*bucket{}, usage: map[names.ClientAccount]*rate.Meter{}}
+}
+
+// Take uses cost of an account's share. Where there is not enough it returns
+// false and how long until there is.
+func (holder *Holder) Take(account *policy.Account, cost float64, now time.Time) (time.Duration, bool) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	if account.Rate <= 0 {
+		return 0, true
+	}
+	used, found := holder.usage[account.Name]
+	if !found {
+		used = rate.NewMeter(usageHalfLife)
+		holder.usage[account.Name] = used
+	}
+	used.Add(cost, now)
+	held, found := holder.buckets[account.Name]
+	if !found || !now.Before(holder.expires) {
+		return time.Second, false
+	}
+	held.rate, held.burst = account.Rate, account.Burst
+	held.refill(now)
+	if held.level < cost && cost <= held.burst*held.share {
+		return held.wait(cost), false
+	}
+	if cost > held.burst*held.share && held.level < held.burst*held.share {
+		// A request above the burst of this share waits for a full bucket, and is
+		// paid for afterwards.
+		return held.wait(held.burst * held.share), false
+	}
+	held.level -= cost
+	return 0, true
+}
+
+// Return gives back what a request that did not run had taken.
+func (holder *Holder) Return(account *policy.Account, cost float64) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	if held, found := holder.buckets[account.Name]; found {
+		held.level = min(held.level+cost, held.burst*held.share)
+	}
+}
+
+// Held returns what is in force, for the coordinator.
+func (holder *Holder) Held(now time.Time) Held {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	held := Held{Term: holder.term, Version: holder.version, Shares: Set{}, Usage: Set{}}
+	if now.Before(holder.expires) {
+		for account, bucket := range holder.buckets {
+			held.Shares[account] = bucket.share
+		}
+	}
+	for account, used := range holder.usage {
+		held.Usage[account] = used.PerSecond(now)
+	}
+	return held
+}
+
+// Held is what an entry tells the coordinator.
+type Held struct {
+	// Term and Version name the set that the entry applied last.
+	Term    int64
+	Version int64
+	Shares  Set
+	// Usage is what callers asked for of each account, in its unit a second.
+	Usage Set
+}
+
+// Apply takes over the set that a coordinator assigned in answer to a message
+// sent at asked. Sets of former terms and versions are passed over.
+func (holder *Holder) Apply(assigned Assigned, limits *policy.Snapshot, asked time.Time) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	if assigned.Term < holder.term || (assigned.Term == holder.term && assigned.Version < holder.version) {
+		return
+	}
+	lapsed := !asked.Before(holder.expires)
+	holder.term, holder.version = assigned.Term, assigned.Version
+	holder.expires = asked.Add(Lifetime - lifetimeMargin)
+	for _, account := range limits.Accounts() {
+		held, found := holder.buckets[account.Name]
+		if !found {
+			held = &bucket{at: asked}
+			holder.buckets[account.Name] = held
+		}
+		held.rate, held.burst = account.Rate, account.Burst
+		if lapsed {
+			// What was held before may have been given to others meanwhile.
+			held.level, held.at = 0, asked
+		}
+		held.refill(maxTime(held.at, asked))
+		held.share = assigned.Shares[account.Name]
+		held.level = min(held.level, held.burst*held.share)
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/subcmd/basilkeel.go
+++ b/subcmd/basilkeel.go
@@ -16,6 +16,7 @@
 		Commands: append(buildAll(
 			&entryCommand{},
 			&agentCommand{},
+			&serveCommand{},
 			&checkCommand{},
 			&seedCommand{},
 			&hashCommand{},
--- /dev/null
+++ b/trunk/errors.go
@@ -0,0 +1,43 @@
+package trunk
+
+import "fmt"
+
+// UnsentError reports a request that certainly did not reach a server.
+type UnsentError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (unsentError *UnsentError) Error() string {
+	return fmt.Sprintf("request to %s was not sent: %v", unsentError.Address, unsentError.Cause)
+}
+
+// Unwrap returns the cause.
+func (unsentError *UnsentError) Unwrap() error { return unsentError.Cause }
+
+// BrokenError reports a request that may have run and got no whole answer.
+type BrokenError struct {
+	Address string
+	// Reused tells that the connection had carried a request before.
+	Reused bool
+	Cause  error
+}
+
+// Error implements error.
+func (brokenError *BrokenError) Error() string {
+	return fmt.Sprintf("no whole answer from %s: %v", brokenError.Address, brokenError.Cause)
+}
+
+// Unwrap returns the cause.
+func (brokenError *BrokenError) Unwrap() error { return brokenError.Cause }
+
+// StrayError reports answers on a connection that belong to other requests.
+type StrayError struct {
+	Answers int
+}
+
+// Error implements error.
+func (strayError *StrayError) Error() string {
+	return fmt.Sprintf("%d answers that belong to other requests", strayError.Answers)
+}
