One watch over all keys, verified; kept shares; terms without a lease

Change: one mirror of all keys, its revision checked against the store's each 0.7 s by the coordinator; the record of shares is kept before a share is raised; a coordinator whose lease ran out in an outage goes on while most entries report to it and engines check fences; a stopping entry closes idle connections after 2.3 s and refuses what comes later.

--- a/coord/client.go
+++ b/coord/client.go
@@ -17,6 +17,7 @@
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/relay"
 	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/store"
 	"github.com/basilkeel/basilkeel/wire"
 )
 
@@ -45,16 +46,22 @@
 	Pool   *pool.Pool
 	Shares *share.Holder
 	Policy func() *policy.Snapshot
+	// Verify is told a revision that the platform's service has reached, and Head
+	// asks for it where no coordinator does.
+	Verify func(revision store.Revision)
+	Head   func(ctx context.Context) (store.Revision, error)
 	// Connections lead to other entries.
 	Connections *conns.Pool
-	Clock  *clock.Service
-	Log    logrus.FieldLogger
+	Clock       *clock.Service
+	Log         logrus.FieldLogger
 }
 
 // Client exchanges reports with the coordinator. It is safe for concurrent use.
 type Client struct {
 	config ClientConfig
 	kick   chan struct{}
+	// looked is when the service was asked for its revision; only exchanges use it.
+	looked time.Time
 	// mutex guards all below.
 	mutex sync.Mutex
 	// leader is the coordinator's value; conn is nil where it is this process or
@@ -177,13 +184,32 @@
 	reply, err := client.call(ctx, conn, leader, report)
 	if err != nil {
 		client.lose(leader, err)
+		client.look(ctx, asked)
 		return
 	}
+	client.config.Verify(reply.Revision)
 	client.settle(report)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.Inform(reply.Holdings, reply.Loads, asked.Add(holdingLifetime))
 }
 
+// look reads how far the platform's service has come, while there is no
+// coordinator to tell it.
+func (client *Client) look(ctx context.Context, now time.Time) {
+	if now.Sub(client.looked) < headPeriod {
+		return
+	}
+	client.looked = now
+	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	revision, err := client.config.Head(callCtx)
+	if err != nil {
+		event.RevisionUnread.Log(client.config.Log, logrus.Fields{"cause": err.Error()})
+		return
+	}
+	client.config.Verify(revision)
+}
+
 func (client *Client) call(ctx context.Context, conn *grpc.ClientConn, leader string, report Report) (Reply, error) {
 	switch {
 	case leader == "":
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -4,6 +4,7 @@
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/store"
 	"github.com/basilkeel/basilkeel/wire"
 )
 
@@ -56,7 +57,7 @@
 }
 
 func encodeReply(reply Reply) *wire.CoordExchangeReply {
-	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads)}
+	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
 	for account, part := range reply.Assigned.Shares {
 		message.Shares = append(message.Shares, &wire.CoordShare{Account: string(account), Share: part})
 	}
@@ -78,6 +79,7 @@
 		Term:     message.GetTerm(),
 		Assigned: share.Assigned{Term: message.GetTerm(), Version: message.GetShareVersion(), Shares: share.Set{}},
 		Loads:    decodeLoads(message.GetLoads()),
+		Revision: store.Revision(message.GetRevision()),
 	}
 	for _, each := range message.GetShares() {
 		reply.Assigned.Shares[names.ClientAccount(each.GetAccount())] = each.GetShare()
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -15,6 +15,7 @@
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/rate"
 	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/store"
 )
 
 const (
@@ -25,6 +26,19 @@
 	demandHalfLife = 1200 * time.Millisecond
 	// reportLifetime is how long an entry's report counts.
 	reportLifetime = 2 * time.Second
+	// dividePeriod is the least time between two moves of shares; each is a write.
+	dividePeriod = 500 * time.Millisecond
+	// keepTimeout bounds a call of the platform's service, which answers within a
+	// quarter of a second when slow.
+	keepTimeout = 600 * time.Millisecond
+	// headPeriod is the time between two looks at how far the platform's service has
+	// come. A watch that hears nothing has to be found within half of the time in
+	// which a new version of the policy has to be in force.
+	headPeriod = 700 * time.Millisecond
+	// freshReport is the age up to which a report shows that an entry follows this
+	// coordinator; memberLifetime that up to which the entry counts at all.
+	freshReport    = 700 * time.Millisecond
+	memberLifetime = 8 * time.Second
 	// negligibleWork is the demand, in engines, that counts as none.
 	negligibleWork = 0.0005
 )
@@ -42,18 +56,35 @@
 	Servers func(now time.Time) []*pool.Server
 	// Term returns this entry's term while it certainly coordinates, else zero.
 	Term func() int64
-	// Members lists the instances that may hold shares.
-	Members func() []names.Instance
+	// Doubtful returns the term where the lease ran out only because the platform's
+	// service does not answer, else zero.
+	Doubtful func() int64
+	// Fenced tells that engines refuse orders of former terms.
+	Fenced bool
+	// Shares keeps the record of shares.
+	Shares ShareKeeper
+	// Head returns the revision that the platform's service has reached.
+	Head func(ctx context.Context) (store.Revision, error)
 	// LoadWindow is the span over which loads from the weight store are bounded.
 	LoadWindow time.Duration
 }
 
+// ShareKeeper keeps the record of shares in the platform's service.
+type ShareKeeper interface {
+	// Recorded returns the record that was read last.
+	Recorded() share.Record
+	// Keep writes a record in place of the one that was read last.
+	Keep(ctx context.Context, record share.Record) error
+}
+
 // Desk coordinates while its entry is elected. It is safe for concurrent use.
 type Desk struct {
 	config DeskConfig
 	// mutex guards all below.
 	mutex sync.Mutex
 	term  *term
+	// revision is what the platform's service was seen to have reached.
+	revision store.Revision
 }
 
 // term is the state of one election.
@@ -86,15 +117,10 @@
 		cancel: cancel,
 		keeper: copies.NewKeeper(copies.KeeperConfig{
 			Engine: desk.config.Engine, Clock: desk.config.Clock, Log: desk.config.Log, Holder: string(desk.config.Instance),
-			Term: func() int64 {
-				if current := desk.config.Term(); current == number {
-					return number
-				}
-				return 0
-			},
+			Term: func() int64 { return desk.acting(number) },
 		}),
 		planner: map[names.Service]*copies.Planner{},
-		divider: share.NewDivider(share.DividerConfig{Term: number, Now: now, Known: desk.config.Members()}),
+		divider: share.NewDivider(share.DividerConfig{Term: number, Now: now, Record: desk.config.Shares.Recorded()}),
 		began:   now,
 		reports: map[names.Instance]received{},
 		demand:  map[Target]*rate.Meter{},
@@ -103,6 +129,80 @@
 	desk.term = begun
 	desk.mutex.Unlock()
 	desk.config.Clock.Subscribe(termCtx, planPeriod, func(ctx context.Context, now time.Time) { desk.plan(ctx, begun, now) })
+	desk.config.Clock.Subscribe(termCtx, dividePeriod, func(ctx context.Context, now time.Time) { desk.divide(ctx, begun, now) })
+	desk.config.Clock.Subscribe(termCtx, headPeriod, func(ctx context.Context, _ time.Time) { desk.look(ctx) })
+}
+
+// acting returns number while this entry may give orders in that term, else
+// zero. Without a lease it may while engines refuse orders of former terms and
+// most entries still report here, which they do not where they see another
+// coordinator.
+func (desk *Desk) acting(number int64) int64 {
+	if desk.config.Term() == number {
+		return number
+	}
+	if !desk.config.Fenced || desk.config.Doubtful() != number {
+		return 0
+	}
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	if desk.term == nil || desk.term.number != number || !desk.term.followed(desk.config.Clock.Now()) {
+		return 0
+	}
+	return number
+}
+
+// followed tells whether most entries report here. It is called with the desk's
+// mutex held.
+func (term *term) followed(now time.Time) bool {
+	known, fresh := 0, 0
+	for _, entry := range term.reports {
+		if now.Sub(entry.at) < memberLifetime {
+			known++
+		}
+		if now.Sub(entry.at) < freshReport {
+			fresh++
+		}
+	}
+	return 2*fresh > known
+}
+
+// divide moves shares, once the record of them is kept.
+func (desk *Desk) divide(ctx context.Context, current *term, now time.Time) {
+	snapshot := desk.config.Policy()
+	if snapshot == nil || desk.config.Term() != current.number {
+		return
+	}
+	desk.mutex.Lock()
+	record, raised := current.divider.Propose(limited(snapshot), now)
+	desk.mutex.Unlock()
+	if !raised {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	if err := desk.config.Shares.Keep(callCtx, record); err != nil {
+		event.SharesUnkept.Log(desk.config.Log, logrus.Fields{"term": current.number, "cause": err.Error()})
+		return
+	}
+	desk.mutex.Lock()
+	current.divider.Commit(record)
+	desk.mutex.Unlock()
+	event.SharesMoved.Log(desk.config.Log, logrus.Fields{"term": current.number, "holders": len(record)})
+}
+
+// look reads how far the platform's service has come.
+func (desk *Desk) look(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	revision, err := desk.config.Head(callCtx)
+	if err != nil {
+		event.RevisionUnread.Log(desk.config.Log, logrus.Fields{"cause": err.Error()})
+		return
+	}
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.revision = max(desk.revision, revision)
 }
 
 // Ended ends the term.
@@ -122,7 +222,7 @@
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	current := desk.term
-	if current == nil || snapshot == nil || desk.config.Term() != current.number {
+	if current == nil || snapshot == nil || (desk.config.Term() != current.number && desk.config.Doubtful() != current.number) {
 		return Reply{}, &NotCoordinatingError{Instance: desk.config.Instance}
 	}
 	entry := received{at: now, loads: report.Loads, waiting: map[Target]int{}}
@@ -136,8 +236,8 @@
 		entry.waiting[target] = demand.Waiting
 	}
 	current.reports[report.Instance] = entry
-	reply := Reply{Term: current.number, Loads: map[names.BackendServer]int{}}
-	reply.Assigned = current.divider.Report(report.Instance, report.Held, limited(snapshot), now)
+	reply := Reply{Term: current.number, Loads: map[names.BackendServer]int{}, Revision: desk.revision}
+	reply.Assigned = current.divider.Report(report.Instance, report.Held, now)
 	for instance, other := range current.reports {
 		if instance == report.Instance || now.Sub(other.at) > reportLifetime {
 			continue
@@ -189,7 +289,7 @@
 // plan looks for copies to add.
 func (desk *Desk) plan(ctx context.Context, current *term, now time.Time) {
 	snapshot := desk.config.Policy()
-	if snapshot == nil || desk.config.Term() != current.number {
+	if snapshot == nil || desk.acting(current.number) == 0 {
 		return
 	}
 	current.keeper.Sync(desk.config.Servers(now), now)
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -4,6 +4,7 @@
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/share"
+	"github.com/basilkeel/basilkeel/store"
 )
 
 // Target is a model of a service.
@@ -33,4 +34,6 @@
 	// Loads are those of all other entries.
 	Loads    map[names.BackendServer]int
 	Holdings []pool.Holding
+	// Revision is what the platform's service is known to have reached.
+	Revision store.Revision
 }
--- a/elect/elector.go
+++ b/elect/elector.go
@@ -87,6 +87,18 @@
 	return elector.term
 }
 
+// Doubtful returns this process's term where its lease has run out only because
+// the service does not answer, and no other leader has been seen. Whoever acts on
+// it needs evidence that nobody else leads, and a fencing token that is checked.
+func (elector *Elector) Doubtful() store.Revision {
+	elector.mutex.Lock()
+	defer elector.mutex.Unlock()
+	if elector.leader.Term > elector.term {
+		return 0
+	}
+	return elector.term
+}
+
 // Seen tells what the service holds at the key.
 func (elector *Elector) Seen(leader Leader) {
 	elector.mutex.Lock()
@@ -95,7 +107,11 @@
 	if leader.Term == 0 && changed {
 		elector.standAt = elector.config.Clock.Now().Add(elector.config.Delay)
 	}
+	deposed := elector.term != 0 && leader.Term != elector.term
 	elector.mutex.Unlock()
+	if deposed {
+		elector.end("another process coordinates, or the key has gone")
+	}
 	if changed {
 		event.CoordinatorKnown.Log(elector.config.Log, logrus.Fields{"coordinator": leader.Value, "term": int64(leader.Term)})
 		elector.config.Leader(leader)
@@ -153,8 +169,6 @@
 		elector.mutex.Unlock()
 	case errors.As(err, &leaseError):
 		elector.end("lease ended")
-	case elector.Term() == 0:
-		elector.end("lease not renewed in time")
 	}
 }
 
@@ -184,13 +198,9 @@
 	elector.term, elector.lease = term, lease
 	elector.until = before + elector.config.TTL - elector.config.TTL/safety
 	elector.mutex.Unlock()
-	if elector.Term() == 0 {
-		elector.end("elected too late")
-		return
-	}
 	event.CoordinatorElected.Log(elector.config.Log, logrus.Fields{"term": int64(term)})
-	elector.config.Elected(term)
 	elector.Seen(Leader{Term: term, Value: elector.config.Value})
+	elector.config.Elected(term)
 }
 
 func (elector *Elector) end(reason string) {
--- a/event/platform.go
+++ b/event/platform.go
@@ -10,6 +10,8 @@
 	StoreLost = define(9001, logrus.WarnLevel, "storeLost", "The platform's key-value service does not answer this process. What was known last stays in use.")
 	// StoreRegained is logged when calls to the service succeed again.
 	StoreRegained = define(9002, logrus.InfoLevel, "storeRegained", "The platform's key-value service answers this process again.")
+	// RevisionUnread is logged when the service does not tell how far it has come.
+	RevisionUnread = define(9003, logrus.DebugLevel, "revisionUnread", "The platform's key-value service did not tell its revision; whether watches lag is not known until it does.")
 	// PolicyInForce is logged when a version of the operators' routes takes effect.
 	PolicyInForce = define(9010, logrus.InfoLevel, "policyInForce", "A version of the operators' routes, services and accounts is in force in this process.")
 	// PolicyUnread is logged when a version cannot be read.
@@ -64,6 +66,10 @@
 	CoordinatorRegained = define(9204, logrus.InfoLevel, "coordinatorRegained", "The coordinator answers again.")
 	// SharesMoved is logged when the shares of client accounts' limits change.
 	SharesMoved = define(9210, logrus.InfoLevel, "sharesMoved", "Shares of client accounts' limits were divided anew between instances.")
+	// SharesUnkept is logged when the record of shares cannot be written.
+	SharesUnkept = define(9211, logrus.WarnLevel, "sharesUnkept", "The record of shares could not be written; no share is raised until it can.")
+	// SharesUnread is logged when the record of shares cannot be read.
+	SharesUnread = define(9212, logrus.ErrorLevel, "sharesUnread", "The record of shares cannot be read and counts as empty; it is written anew with the next move.")
 	// CopyPlanned is logged when a copy of a model is to be added.
 	CopyPlanned = define(9219, logrus.InfoLevel, "copyPlanned", "A copy of a model is to be added on a model engine; the demand that asks for it is given.")
 	// OrderSent is logged with the outcome of each order to a model engine.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,9 @@
 	// The registry has to be current within two seconds of an outage's end.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
+	// deafAfter is how long a watch may lag behind the service; it answers within
+	// milliseconds, and within a quarter of a second when slow.
+	deafAfter = 350 * time.Millisecond
 )
 
 // Source is what a mirror reads from.
@@ -59,16 +63,48 @@
 
 // Mirror follows one prefix.
 type Mirror struct {
-	config   Config
+	config Config
+	loaded bool
+	lost   bool
+	pause  time.Duration
+	// mutex guards all below.
+	mutex    sync.Mutex
 	revision store.Revision
-	loaded   bool
-	lost     bool
-	pause    time.Duration
+	// behind is when a revision was first seen that this mirror has not reached.
+	behind time.Time
+	// interrupt ends the watch that is under way.
+	interrupt context.CancelFunc
+	deaf      bool
 }
 
 // New returns a mirror that has read nothing.
 func New(config Config) *Mirror { return &Mirror{config: config, pause: firstPause} }
 
+// Revision returns the revision up to which changes are known.
+func (mirror *Mirror) Revision() store.Revision {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return mirror.revision
+}
+
+// Verify tells the mirror a revision of the service that is known from elsewhere.
+// A mirror of all keys that does not reach it in time has a watch that no longer
+// hears of changes, and reads everything again.
+func (mirror *Mirror) Verify(revision store.Revision) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	now := mirror.config.Clock.Now()
+	switch {
+	case revision <= mirror.revision:
+		mirror.behind = time.Time{}
+	case mirror.behind.IsZero():
+		mirror.behind = now
+	case now.Sub(mirror.behind) > deafAfter && mirror.interrupt != nil:
+		mirror.deaf, mirror.behind = true, time.Time{}
+		mirror.interrupt()
+	}
+}
+
 // Run follows the prefix until ctx ends.
 func (mirror *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -86,6 +122,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if mirror.wasDeaf() {
+			mirror.loaded = false
+			event.MirrorReset.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "cause": "the watch does not tell of changes"})
+			continue
+		}
 		mirror.lose(err)
 		select {
 		case <-ctx.Done():
@@ -103,7 +144,8 @@
 		if err != nil {
 			return err
 		}
-		mirror.revision, mirror.loaded = revision, true
+		mirror.loaded = true
+		mirror.reach(revision)
 		mirror.config.Owner.Replaced(entries)
 		return nil
 	}
@@ -114,17 +156,36 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	entries, revision, err := mirror.config.Source.Changes(callCtx, mirror.config.Prefix, mirror.revision, wait)
+	mirror.mutex.Lock()
+	mirror.interrupt = cancel
+	after := mirror.revision
+	mirror.mutex.Unlock()
+	entries, revision, err := mirror.config.Source.Changes(callCtx, mirror.config.Prefix, after, wait)
 	if err != nil {
 		return err
 	}
-	mirror.revision = max(revision, mirror.revision)
+	mirror.reach(revision)
 	if len(entries) > 0 {
 		mirror.config.Owner.Changed(entries)
 	}
 	return nil
 }
 
+// reach notes that changes up to revision are known.
+func (mirror *Mirror) reach(revision store.Revision) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.revision = max(mirror.revision, revision)
+}
+
+func (mirror *Mirror) wasDeaf() bool {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	deaf := mirror.deaf
+	mirror.deaf = false
+	return deaf
+}
+
 func (mirror *Mirror) lose(cause error) {
 	if mirror.lost {
 		return
@@ -140,6 +201,6 @@
 		return
 	}
 	mirror.lost = false
-	event.StoreRegained.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "revision": int64(mirror.revision)})
+	event.StoreRegained.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "revision": int64(mirror.Revision())})
 	mirror.config.Owner.Regained(mirror.config.Clock.Now())
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -66,7 +66,7 @@
 		fx.Supply(host, output, settingsPath(path)),
 		fx.Provide(
 			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newShares,
-			newRelay, newPeerConnections, newDesk, newCoordClient, newElector, newMembers,
+			newRelay, newPeerConnections, newDesk, newCoordClient, newElector, newMembers, newMirror,
 		),
 		fx.Invoke(serveCoordination, followPlatform, coordinate, serveReadiness, serveRelay, sweep, watchSettings, tellStart, retire),
 	)
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,7 +12,7 @@
 	"github.com/basilkeel/basilkeel/conns"
 	"github.com/basilkeel/basilkeel/coord"
 	"github.com/basilkeel/basilkeel/elect"
-	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/mirror"
 	"github.com/basilkeel/basilkeel/platform"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/relay"
@@ -30,10 +29,6 @@
 	coordinatorLease = 2 * time.Second
 	// standSpread is the span over which entries stand for election.
 	standSpread = 400 * time.Millisecond
-	// registerPause is the wait before an instance registers again.
-	registerPause = 300 * time.Millisecond
-	// registerTimeout bounds one try.
-	registerTimeout = 2 * time.Second
 	// retireTimeout bounds giving up the lease at a stop.
 	retireTimeout = time.Second
 )
@@ -44,6 +39,7 @@
 
 	Host    *setup.Host
 	Self    *relaySelf
+	Store   *platform.Store
 	Trunk   *trunk.Trunk
 	Pool    *pool.Pool
 	Relay   *relay.Relay
@@ -55,22 +51,25 @@
 func newDesk(parts deskParts) *coord.Desk {
 	return coord.NewDesk(coord.DeskConfig{
 		Engine: platform.NewEngines(parts.Trunk), Clock: parts.Clock, Log: parts.Log, Instance: parts.Self.instance,
-		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, Members: parts.Members.list,
-		Term: func() int64 {
-			if parts.Members.elector == nil {
-				return 0
-			}
-			return int64(parts.Members.elector.Term())
-		},
+		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, Shares: parts.Members, Fenced: parts.Host.Bounds.Fenced,
+		Term:       func() int64 { return int64(parts.Members.elector.Term()) },
+		Doubtful:   func() int64 { return int64(parts.Members.elector.Doubtful()) },
+		Head:       headOf(parts.Store),
 		LoadWindow: parts.Host.Bounds.LoadWindow,
 	})
 }
 
+func headOf(platformStore *platform.Store) func(ctx context.Context) (store.Revision, error) {
+	return func(ctx context.Context) (store.Revision, error) { return platformStore.Head(ctx, coordinatorKey) }
+}
+
 // clientParts is what a client of the coordinator is built from.
 type clientParts struct {
 	fx.In
 
 	Self        *relaySelf
+	Store       *platform.Store
+	Mirror      *mirror.Mirror
 	Desk        *coord.Desk
 	Pool        *pool.Pool
 	Shares      *share.Holder
@@ -84,6 +83,7 @@
 	client := coord.NewClient(coord.ClientConfig{
 		Instance: parts.Self.instance, Self: parts.Self.value, Desk: parts.Desk, Pool: parts.Pool, Shares: parts.Shares,
 		Policy: parts.Relay.Policy, Connections: parts.Connections, Clock: parts.Clock, Log: parts.Log,
+		Verify: parts.Mirror.Verify, Head: headOf(parts.Store),
 	})
 	parts.Relay.Use(client)
 	return client
@@ -104,17 +104,12 @@
 type coordinateParts struct {
 	fx.In
 
-	Self    *relaySelf
-	Store   *platform.Store
 	Client  *coord.Client
 	Elector *elect.Elector
 	Desk    *coord.Desk
-	Clock   *clock.Service
-	Log     logrus.FieldLogger
 }
 
-// coordinate registers this instance, stands for election and exchanges
-// reports. An instance holds no shares of limits before it is registered.
+// coordinate stands for election and exchanges reports.
 func coordinate(lifecycle fx.Lifecycle, parts coordinateParts) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -122,7 +117,6 @@
 		OnStart: func(context.Context) error {
 			go func() {
 				defer close(done)
-				parts.register(ctx)
 				parts.Elector.Run(ctx)
 				parts.Client.Run(ctx)
 			}()
@@ -147,21 +141,3 @@
 		return nil
 	}})
 }
-
-// register writes this instance's key, which stays.
-func (parts *coordinateParts) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-		_, err := parts.Store.Swap(callCtx, store.Swap{Key: memberPrefix + string(parts.Self.instance), Value: []byte(parts.Self.address)})
-		cancel()
-		var conflictError *store.ConflictError
-		if err == nil || errors.As(err, &conflictError) {
-			return
-		}
-		event.StoreLost.Log(parts.Log, logrus.Fields{"operation": "register", "cause": err.Error()})
-		select {
-		case <-ctx.Done():
-		case <-parts.Clock.After(registerPause):
-		}
-	}
-}
--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -10,13 +9,16 @@
 	"go.uber.org/fx"
 
 	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/coord"
 	"github.com/basilkeel/basilkeel/elect"
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/mirror"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/platform"
+	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/relay"
+	"github.com/basilkeel/basilkeel/share"
 	"github.com/basilkeel/basilkeel/store"
 )
 
@@ -25,8 +27,8 @@
 	ownPrefix = "basilkeel/"
 	// coordinatorKey names the entry that coordinates.
 	coordinatorKey = ownPrefix + "coordinator"
-	// memberPrefix holds a key for each instance that ever served.
-	memberPrefix = ownPrefix + "members/"
+	// sharesKey holds the record of shares of client accounts' limits.
+	sharesKey = ownPrefix + "shares"
 )
 
 // policyOwner puts configurations in force.
@@ -127,31 +129,85 @@
 // Regained implements [mirror.Owner].
 func (owner *registryOwner) Regained(at time.Time) { owner.pool.Regained(at) }
 
-// members follows what the system keeps for itself.
+// members follows what the system keeps for itself, and keeps the record of
+// shares.
 type members struct {
-	elector *elect.Elector
-	log     logrus.FieldLogger
-	// mutex guards known and loaded.
-	mutex  sync.Mutex
-	known  map[names.Instance]bool
-	loaded bool
+	store    *platform.Store
+	holder   *share.Holder
+	instance names.Instance
+	policy   func() *policy.Snapshot
+	clock    *clock.Service
+	log      logrus.FieldLogger
+	elector  *elect.Elector
+	// mutex guards all below.
+	mutex    sync.Mutex
+	record   share.Record
+	revision store.Revision
+	read     bool
 }
 
-var _ mirror.Owner = (*members)(nil)
+var (
+	_ mirror.Owner      = (*members)(nil)
+	_ coord.ShareKeeper = (*members)(nil)
+)
+
+func newMembers(self *relaySelf, platformStore *platform.Store, holder *share.Holder, relay *relay.Relay, clock *clock.Service, log logrus.FieldLogger) *members {
+	return &members{
+		store: platformStore, holder: holder, instance: self.instance, policy: relay.Policy, clock: clock, log: log, record: share.Record{},
+	}
+}
+
+// Recorded implements [coord.ShareKeeper].
+func (members *members) Recorded() share.Record {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	return members.record
+}
 
-func newMembers(log logrus.FieldLogger) *members {
-	return &members{log: log, known: map[names.Instance]bool{}}
+// Keep implements [coord.ShareKeeper].
+func (members *members) Keep(ctx context.Context, record share.Record) error {
+	data, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	members.mutex.Lock()
+	expected := members.revision
+	members.mutex.Unlock()
+	revision, err := members.store.Swap(ctx, store.Swap{Key: sharesKey, Expected: expected, Value: data})
+	if err != nil {
+		return err
+	}
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	if revision > members.revision {
+		members.record, members.revision = record, revision
+	}
+	return nil
 }
 
-// list returns the instances that may serve.
-func (members *members) list() []names.Instance {
+// recorded takes in the record.
+func (members *members) recorded(entry store.Entry) {
+	record, err := share.DecodeRecord(entry.Value())
+	if err != nil {
+		event.SharesUnread.Log(members.log, logrus.Fields{"revision": int64(entry.Revision()), "cause": err.Error()})
+		record = share.Record{}
+	}
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	list := make([]names.Instance, 0, len(members.known))
-	for instance := range members.known {
-		list = append(list, instance)
+	if entry.Revision() > members.revision {
+		members.record, members.revision = record, entry.Revision()
+	}
+}
+
+// begin has this instance use what the record grants it until a coordinator
+// answers.
+func (members *members) begin() {
+	members.mutex.Lock()
+	own, found := members.record[members.instance]
+	members.mutex.Unlock()
+	if found {
+		members.holder.Start(own, members.policy(), members.clock.Now())
 	}
-	return list
 }
 
 // Replaced implements [mirror.Owner].
@@ -163,24 +219,22 @@
 		}
 	}
 	members.Changed(entries)
-	members.elector.Seen(leader)
+	members.begin()
+	if leader.Term == 0 {
+		members.elector.Seen(leader)
+	}
 }
 
 // Changed implements [mirror.Owner].
 func (members *members) Changed(entries []store.Entry) {
 	for _, entry := range entries {
-		if instance, found := strings.CutPrefix(entry.Key(), memberPrefix); found {
-			members.mutex.Lock()
-			members.known[names.Instance(instance)] = true
-			members.mutex.Unlock()
-			continue
-		}
-		if entry.Key() != coordinatorKey {
-			continue
-		}
-		if entry.Deleted() {
+		switch {
+		case entry.Key() == sharesKey && !entry.Deleted():
+			members.recorded(entry)
+		case entry.Key() != coordinatorKey:
+		case entry.Deleted():
 			members.elector.Seen(elect.Leader{})
-		} else {
+		default:
 			members.elector.Seen(elect.Leader{Term: entry.Revision(), Value: string(entry.Value())})
 		}
 	}
@@ -192,38 +246,45 @@
 // Regained implements [mirror.Owner].
 func (*members) Regained(time.Time) {}
 
-// platformParts is what following the platform needs.
-type platformParts struct {
+// mirrorParts is what a mirror of the platform's service is built from.
+type mirrorParts struct {
 	fx.In
 
 	Store   *platform.Store
 	Relay   *relay.Relay
 	Pool    *pool.Pool
-	Elector *elect.Elector
 	Members *members
 	Clock   *clock.Service
 	Log     logrus.FieldLogger
 }
 
+// newMirror follows all keys with one watch: their revisions then have no gaps,
+// so that a watch that hears nothing can be told from a quiet time.
+func newMirror(parts mirrorParts) *mirror.Mirror {
+	return mirror.New(mirror.Config{Source: parts.Store, Clock: parts.Clock, Log: parts.Log, Owner: mirror.Parts{
+		{Prefix: platform.PolicyKey, Owner: &policyOwner{relay: parts.Relay, log: parts.Log}},
+		{Prefix: platform.RegistryPrefix, Owner: &registryOwner{pool: parts.Pool, clock: parts.Clock, log: parts.Log, known: map[names.BackendServer]bool{}}},
+		{Prefix: ownPrefix, Owner: parts.Members},
+	}})
+}
+
+// platformParts is what following the platform needs.
+type platformParts struct {
+	fx.In
+
+	Mirror  *mirror.Mirror
+	Elector *elect.Elector
+	Members *members
+}
+
 // followPlatform keeps policy, registry and the system's own keys up to date.
 func followPlatform(lifecycle fx.Lifecycle, parts platformParts) {
 	ctx, cancel := context.WithCancel(context.Background())
 	parts.Members.elector = parts.Elector
-	owners := []struct {
-		prefix string
-		owner  mirror.Owner
-	}{
-		{platform.PolicyKey, &policyOwner{relay: parts.Relay, log: parts.Log}},
-		{platform.RegistryPrefix, &registryOwner{pool: parts.Pool, clock: parts.Clock, log: parts.Log, known: map[names.BackendServer]bool{}}},
-		{ownPrefix, parts.Members},
-	}
 	var running sync.WaitGroup
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			for _, each := range owners {
-				follower := mirror.New(mirror.Config{Source: parts.Store, Prefix: each.prefix, Owner: each.owner, Clock: parts.Clock, Log: parts.Log})
-				running.Go(func() { follower.Run(ctx) })
-			}
+			running.Go(func() { parts.Mirror.Run(ctx) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -40,9 +40,10 @@
 	sweepPeriod = time.Second
 	// settingsPeriod is the time between looks for a changed settings file.
 	settingsPeriod = 5 * time.Second
-	// leastDrain is how long a stopping entry serves at least: two readiness probes
-	// a second apart, and what is on its way.
-	leastDrain = 2800 * time.Millisecond
+	// leastDrain is how long a stopping entry takes connections: the balancer turns
+	// away after two readiness probes a second apart. After that idle connections
+	// are closed and requests are refused, since they might not be finished in time.
+	leastDrain = 2300 * time.Millisecond
 	// stopReserve is how long before SIGKILL a stopping entry ends.
 	stopReserve = 500 * time.Millisecond
 	// drainPoll is the time between looks for requests under way.
@@ -104,18 +105,22 @@
 		OnStop: func(stopCtx context.Context) error {
 			cancel()
 			relay.Stop()
-			drain(stopCtx, host, relay, clock)
+			drain(stopCtx, host, relay, idle, clock)
 			return server.Close()
 		},
 	})
 }
 
 // drain waits until nothing is under way, or the grace has nearly passed.
-func drain(ctx context.Context, host *setup.Host, relay *relay.Relay, clock *clock.Service) {
+func drain(ctx context.Context, host *setup.Host, relay *relay.Relay, idle *idleConnections, clock *clock.Service) {
 	began := clock.Now()
 	for {
 		passed := clock.Now().Sub(began)
-		if passed >= host.Bounds.StopGrace-stopReserve || (passed >= leastDrain && relay.Active() == 0) {
+		if passed >= leastDrain {
+			relay.Refuse()
+			idle.closeBefore(clock.Now())
+		}
+		if passed >= host.Bounds.StopGrace-stopReserve || (passed >= leastDrain+drainPoll && relay.Active() == 0) {
 			return
 		}
 		select {
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -49,13 +49,13 @@
 // Attempt is what a server is told with a request.
 type Attempt struct {
 	// Server is the only one that is to run the request.
-	Server   names.BackendServer
-	Account  names.ClientAccount
-	Left     time.Duration
+	Server  names.BackendServer
+	Account names.ClientAccount
+	Left    time.Duration
 	// Prioritized tells that the server orders requests by Priority; zero goes
 	// first.
 	Prioritized bool
-	Priority int
+	Priority    int
 	// Resume is the last event that the caller has; empty means from the start.
 	Resume string
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -23,6 +23,8 @@
 	loadPause     = 1500 * time.Millisecond
 	fullPause     = 500 * time.Millisecond
 	notReadyPause = time.Second
+	// elsewherePause is when callers should try another instance.
+	elsewherePause = 50 * time.Millisecond
 	// leastTime is the time without which a request is not worth sending.
 	leastTime = 20 * time.Millisecond
 )
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -6,6 +6,7 @@
 // Reasons of refusals; the request has not run.
 const (
 	ReasonNotReady   Reason = "notReady"
+	ReasonStopping   Reason = "stopping"
 	ReasonNoRoute    Reason = "noRoute"
 	ReasonUnknownKey Reason = "unknownKey"
 	ReasonBadRequest Reason = "badRequest"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,7 @@
 	budget   *budget
 	snapshot atomic.Pointer[policy.Snapshot]
 	stopping atomic.Bool
+	refusing atomic.Bool
 	active   atomic.Int64
 }
 
@@ -74,6 +75,9 @@
 // Stop has every further answer close its connection.
 func (relay *Relay) Stop() { relay.stopping.Store(true) }
 
+// Refuse has further requests refused: they might not be finished in time.
+func (relay *Relay) Refuse() { relay.refusing.Store(true) }
+
 // Active counts the requests that are under way.
 func (relay *Relay) Active() int64 { return relay.active.Load() }
 
@@ -102,6 +106,9 @@
 func (passage *passage) admit() *refusal {
 	relay := passage.relay
 	snapshot := relay.snapshot.Load()
+	if relay.refusing.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, after: elsewherePause}
+	}
 	if snapshot == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNotReady, after: notReadyPause}
 	}
--- a/setup/host.go
+++ b/setup/host.go
@@ -43,6 +43,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Fenced tells that model engines refuse orders of former coordinators.
+	Fenced bool
 	// OrderLease is the least time between orders of two coordinators to one engine.
 	OrderLease time.Duration
 	// LoadWindow and LoadExcess bound loads from the weight store: in LoadWindow
--- a/share/divider.go
+++ b/share/divider.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
@@ -10,8 +11,8 @@
 	// evenPart is the part of an account's limits that is divided evenly, so that an
 	// entry whose callers begin to use an account is not empty-handed.
 	evenPart = 0.3
-	// smallestMove is the least change of a share that is worth a message.
-	smallestMove = 0.04
+	// smallestMove is the least change of a share that is worth a write.
+	smallestMove = 0.05
 	// whole is what the shares of an account add up to; the rest guards against
 	// rounding.
 	whole = 0.999
@@ -29,14 +30,15 @@
 	// Term is the coordinator's.
 	Term int64
 	Now  time.Time
-	// Known lists the instances that may hold shares of former terms.
-	Known []names.Instance
+	// Record is what the platform's service holds.
+	Record Record
 }
 
 // Divider divides limits between entries for one term of a coordinator. It is
 // not safe for concurrent use.
 type Divider struct {
 	config  DividerConfig
+	record  Record
 	holders map[names.Instance]*holding
 	version int64
 }
@@ -52,78 +54,117 @@
 	usage    Set
 }
 
-// NewDivider returns a divider that knows nothing of what is held.
+// NewDivider returns a divider that knows only the record.
 func NewDivider(config DividerConfig) *Divider {
-	divider := &Divider{config: config, holders: map[names.Instance]*holding{}}
-	for _, instance := range config.Known {
-		divider.holders[instance] = &holding{}
+	divider := &Divider{config: config, record: config.Record.clone(), holders: map[names.Instance]*holding{}}
+	for instance, set := range divider.record {
+		divider.holders[instance] = &holding{assigned: maps.Clone(set), possible: maps.Clone(set)}
 	}
 	return divider
 }
 
 // Report takes over what an entry says and returns what it is to hold.
-func (divider *Divider) Report(instance names.Instance, held Held, accounts []names.ClientAccount, now time.Time) Assigned {
+func (divider *Divider) Report(instance names.Instance, held Held, now time.Time) Assigned {
 	known, found := divider.holders[instance]
 	if !found {
-		known = &holding{}
+		known = &holding{assigned: Set{}, possible: Set{}}
 		divider.holders[instance] = known
 	}
 	known.heard = now
 	known.usage = held.Usage
-	if known.assigned == nil {
-		known.assigned = held.Shares
-	}
 	if held.Term == divider.config.Term && held.Version == known.version {
-		known.possible = known.assigned
-	} else {
-		known.possible = larger(known.assigned, held.Shares)
+		known.possible = maps.Clone(known.assigned)
 	}
-	divider.assign(known, accounts, now)
-	return Assigned{Term: divider.config.Term, Version: known.version, Shares: known.assigned}
+	return Assigned{Term: divider.config.Term, Version: known.version, Shares: maps.Clone(known.assigned)}
 }
 
-// assign moves the set of one holder towards its target as far as the others
-// leave room.
-func (divider *Divider) assign(known *holding, accounts []names.ClientAccount, now time.Time) {
-	next := Set{}
-	changed := false
+// Propose lowers shares that are above their target, and returns the record that
+// has to be kept before others can be raised, and whether there are any.
+func (divider *Divider) Propose(accounts []names.ClientAccount, now time.Time) (Record, bool) {
+	next := Record{}
+	raised := false
+	for instance, known := range divider.holders {
+		if divider.silent(known, now) {
+			delete(divider.holders, instance)
+		}
+	}
+	for instance, known := range divider.holders {
+		next[instance] = Set{}
+		for _, account := range accounts {
+			next[instance][account] = max(known.possible[account], known.assigned[account])
+		}
+	}
 	for _, account := range accounts {
-		old := known.assigned[account]
-		wanted := divider.target(known, account, now)
-		if wanted > old {
-			wanted = max(old, min(wanted, divider.room(known, account, now)))
+		raised = divider.lower(account, now) || raised
+		left := whole
+		for instance := range next {
+			left -= next[instance][account]
 		}
-		if wanted > old-smallestMove && wanted < old+smallestMove {
-			wanted = old
+		raised = divider.raise(next, account, left, now) || raised
+	}
+	return next, raised
+}
+
+// lower assigns less to entries that hold more than they should. It changes
+// nothing that has to be kept, and returns false.
+func (divider *Divider) lower(account names.ClientAccount, now time.Time) bool {
+	for _, known := range divider.holders {
+		if known.heard.IsZero() {
+			continue
+		}
+		target := divider.target(known, account, now)
+		if known.assigned[account] > target+smallestMove {
+			known.assigned[account] = target
+			divider.version++
+			known.version = divider.version
+		}
+	}
+	return false
+}
+
+// raise adds to entries that hold less than they should, as far as there is
+// something left.
+func (divider *Divider) raise(next Record, account names.ClientAccount, left float64, now time.Time) bool {
+	missing := 0.0
+	for _, known := range divider.holders {
+		if !known.heard.IsZero() {
+			missing += max(divider.target(known, account, now)-known.assigned[account], 0)
 		}
-		next[account] = wanted
-		changed = changed || wanted != old
 	}
-	if !changed {
-		return
+	if missing <= 0 || left <= 0 {
+		return false
 	}
-	divider.version++
-	known.version = divider.version
-	known.possible = larger(known.possible, next)
-	known.assigned = next
+	raised := false
+	for instance, known := range divider.holders {
+		if known.heard.IsZero() {
+			continue
+		}
+		add := max(divider.target(known, account, now)-known.assigned[account], 0) * min(left/missing, 1)
+		if add > smallestMove {
+			next[instance][account] = max(next[instance][account], known.assigned[account]+add)
+			raised = true
+		}
+	}
+	return raised
 }
 
-// room is what an entry may hold of an account so that all together hold no more
-// than the whole.
-func (divider *Divider) room(holder *holding, account names.ClientAccount, now time.Time) float64 {
-	left := whole
-	for _, other := range divider.holders {
-		switch {
-		case other == holder:
-		case divider.silent(other, now):
-		case other.heard.IsZero():
-			// It may hold all of it.
-			return 0
-		default:
-			left -= max(other.possible[account], other.assigned[account])
+// Commit tells that a proposed record is kept; shares rise to it.
+func (divider *Divider) Commit(record Record) {
+	divider.record = record.clone()
+	for instance, known := range divider.holders {
+		if known.heard.IsZero() {
+			continue
+		}
+		for account, part := range record[instance] {
+			// What was lowered and is not yet confirmed stays lowered.
+			if part > known.possible[account] {
+				known.assigned[account] = part
+				known.possible[account] = part
+				divider.version++
+				known.version = divider.version
+			}
 		}
 	}
-	return max(left, 0)
 }
 
 // silent tells whether whatever an entry held has ended by its own clock.
@@ -132,32 +173,24 @@
 	if last.IsZero() {
 		last = divider.config.Now
 	}
-	return now.Sub(last) > Lifetime
+	return now.Sub(last) > Lifetime+StartLifetime
 }
 
 // target is the share of an account that an entry should have.
 func (divider *Divider) target(holder *holding, account names.ClientAccount, now time.Time) float64 {
 	total, count := 0.0, 0.0
 	for _, other := range divider.holders {
-		if other.heard.IsZero() || divider.silent(other, now) {
+		if other.heard.IsZero() || now.Sub(other.heard) > Lifetime {
 			continue
 		}
 		count++
 		total += other.usage[account]
 	}
+	if count == 0 {
+		return 0
+	}
 	if total <= 0 {
 		return whole / count
 	}
 	return whole * (evenPart/count + (1-evenPart)*holder.usage[account]/total)
 }
-
-func larger(a, b Set) Set {
-	result := Set{}
-	for account, share := range a {
-		result[account] = share
-	}
-	for account, share := range b {
-		result[account] = max(result[account], share)
-	}
-	return result
-}
--- a/share/holder.go
+++ b/share/holder.go
@@ -12,7 +12,13 @@
 const (
 	// Lifetime is how long a share lasts without contact with a coordinator. It
 	// outlasts the outages of the platform's service that are usual.
-	Lifetime = 12 * time.Second
+	Lifetime = 10 * time.Second
+	// StartLifetime is how long a restarted entry uses what the record grants it
+	// before a coordinator has answered.
+	StartLifetime = 5 * time.Second
+	// startLevel is how full a restarted entry's buckets are: what its predecessor
+	// used is not known, and an empty bucket refuses all for a moment.
+	startLevel = 0.4
 	// lifetimeMargin is how much earlier the holder stops than the coordinator
 	// reckons: clocks run at nearly the same rate.
 	lifetimeMargin = 500 * time.Millisecond
@@ -34,6 +40,7 @@
 	term    int64
 	version int64
 	expires time.Time
+	started bool
 }
 
 // NewHolder returns a holder without shares.
@@ -82,6 +89,25 @@
 	}
 }
 
+// Start puts in force what the record grants to this instance, until a
+// coordinator answers. Only the first call of a process has an effect, and only
+// before [Holder.Apply].
+func (holder *Holder) Start(recorded Set, limits *policy.Snapshot, now time.Time) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	if holder.started || limits == nil {
+		return
+	}
+	holder.started = true
+	holder.expires = now.Add(StartLifetime - lifetimeMargin)
+	for _, account := range limits.Accounts() {
+		part := recorded[account.Name]
+		holder.buckets[account.Name] = &bucket{
+			share: part, rate: account.Rate, burst: account.Burst, level: startLevel * part * account.Burst, at: now,
+		}
+	}
+}
+
 // Held returns what is in force, for the coordinator.
 func (holder *Holder) Held(now time.Time) Held {
 	holder.mutex.Lock()
@@ -116,13 +142,14 @@
 	if assigned.Term < holder.term || (assigned.Term == holder.term && assigned.Version < holder.version) {
 		return
 	}
-	lapsed := !asked.Before(holder.expires)
+	lapsed := holder.started && !asked.Before(holder.expires)
+	holder.started = true
 	holder.term, holder.version = assigned.Term, assigned.Version
 	holder.expires = asked.Add(Lifetime - lifetimeMargin)
 	for _, account := range limits.Accounts() {
 		held, found := holder.buckets[account.Name]
 		if !found {
-			held = &bucket{at: asked}
+			held = &bucket{at: asked, fresh: true}
 			holder.buckets[account.Name] = held
 		}
 		held.rate, held.burst = account.Rate, account.Burst
@@ -132,6 +159,9 @@
 		}
 		held.refill(maxTime(held.at, asked))
 		held.share = assigned.Shares[account.Name]
+		if held.fresh && held.share > 0 {
+			held.fresh, held.level = false, startLevel*held.burst*held.share
+		}
 		held.level = min(held.level, held.burst*held.share)
 	}
 }
