Orders only on a known state of an engine

An engine now gets orders once it has reported, in this term and without an order under way, what it holds; an order that meets another count is given up and planned anew. Adapters avoid engines that carry out an order, and are asked for at another engine where one does not take them.

--- a/coord/codec.go
+++ b/coord/codec.go
@@ -62,7 +62,7 @@
 		message.Shares = append(message.Shares, &wire.CoordShare{Account: string(account), Share: part})
 	}
 	for _, holding := range reply.Holdings {
-		encoded := &wire.CoordHolding{Server: string(holding.Server)}
+		encoded := &wire.CoordHolding{Server: string(holding.Server), Busy: holding.Busy}
 		for _, model := range holding.Models {
 			encoded.Models = append(encoded.Models, string(model))
 		}
@@ -85,7 +85,7 @@
 		reply.Assigned.Shares[names.ClientAccount(each.GetAccount())] = each.GetShare()
 	}
 	for _, each := range message.GetHoldings() {
-		holding := pool.Holding{Server: names.BackendServer(each.GetServer())}
+		holding := pool.Holding{Server: names.BackendServer(each.GetServer()), Busy: each.GetBusy()}
 		for _, model := range each.GetModels() {
 			holding.Models = append(holding.Models, names.Model(model))
 		}
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -297,6 +297,7 @@
 		if service.Engine == nil {
 			continue
 		}
+		current.keeper.Learn(ctx, service.Name)
 		input := copies.Input{Engine: service.Engine, Engines: current.keeper.States(service.Name), Now: now}
 		desk.mutex.Lock()
 		input.Demand = current.demandOf(service, now)
--- a/copies/keeper.go
+++ b/copies/keeper.go
@@ -24,6 +24,8 @@
 	adapterTries = 5
 	// retireWait is how long requests may still be sent for a model that makes way:
 	// two exchanges of every entry.
+	// askPause is the least time between two reports of an engine.
+	askPause   = 300 * time.Millisecond
 	retireWait = 500 * time.Millisecond
 	// loadMargin is by how much a load may take longer than its usual time.
 	loadMargin = 1.05
@@ -79,6 +81,52 @@
 	}
 }
 
+// Learn asks the engines of a service whose state is not known for it.
+func (keeper *Keeper) Learn(ctx context.Context, service names.Service) {
+	for _, ledger := range keeper.of(service) {
+		if !ledger.beginAsking() {
+			continue
+		}
+		keeper.running.Go(func() {
+			defer ledger.endAsking()
+			ledger.sending.Lock()
+			defer ledger.sending.Unlock()
+			if ledger.isKnown() {
+				return
+			}
+			keeper.ask(ctx, ledger)
+			if !ledger.isKnown() {
+				select {
+				case <-ctx.Done():
+				case <-keeper.config.Clock.After(askPause):
+				}
+			}
+		})
+	}
+}
+
+func (ledger *Ledger) beginAsking() bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if ledger.known || ledger.asking || ledger.fenced || ledger.server.Draining {
+		return false
+	}
+	ledger.asking = true
+	return true
+}
+
+func (ledger *Ledger) endAsking() {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.asking = false
+}
+
+func (ledger *Ledger) isKnown() bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return ledger.known
+}
+
 // States returns what the planner needs of the engines of a service.
 func (keeper *Keeper) States(service names.Service) []EngineState {
 	var states []EngineState
@@ -152,10 +200,18 @@
 	}
 	ledger.sending.Lock()
 	defer ledger.sending.Unlock()
+	if !ledger.isKnown() {
+		return false
+	}
 	for _, model := range step.Unload {
 		if !keeper.send(ctx, ledger, Order{Unload: true, Model: model}, modelTries) {
 			return false
 		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-keeper.config.Clock.After(orderPause):
+		}
 	}
 	if !keeper.send(ctx, ledger, Order{Model: step.Load}, modelTries) {
 		return false
@@ -196,6 +252,9 @@
 	}
 	ledger.sending.Lock()
 	defer ledger.sending.Unlock()
+	if !ledger.isKnown() {
+		keeper.ask(ctx, ledger)
+	}
 	for {
 		victim, full, present := ledger.adapterPlace(adapter, engine.AdapterSlots)
 		if present {
@@ -232,12 +291,13 @@
 }
 
 // send sends an order until the engine has taken it, refuses it or the tries are
-// used up, and tells whether it is carried out. It is called with the ledger's
-// sending held.
+// used up, and tells whether it is carried out. It gives up where the engine
+// turns out to be in another state than the order was meant for. It is called
+// with the ledger's sending held.
 func (keeper *Keeper) send(ctx context.Context, ledger *Ledger, order Order, tries int) bool {
 	conflicts := 0
 	for range tries {
-		sending, certain := ledger.sendingOf(order)
+		sending, known := ledger.sendingOf(order)
 		sending.Holder, sending.Term = keeper.config.Holder, keeper.config.Term()
 		if sending.Term == 0 || ctx.Err() != nil {
 			return false
@@ -246,18 +306,21 @@
 		keeper.note(sending, verdict, err)
 		switch verdict {
 		case VerdictTaken, VerdictHolds:
-			ledger.took(order, verdict, keeper.config.Clock.Now())
+			ledger.took(order, verdict)
 			return true
 		case VerdictFenced, VerdictInvalid:
 			ledger.stop(verdict == VerdictFenced)
 			return false
+		case VerdictUnsent:
+			return false
 		case VerdictConflict:
 			conflicts++
-			if !certain || conflicts%freeConflicts == 0 {
-				keeper.ask(ctx, ledger)
-				if ledger.satisfied(order) {
-					return true
-				}
+			if known && conflicts%freeConflicts != 0 {
+				break
+			}
+			keeper.ask(ctx, ledger)
+			if after, _ := ledger.sendingOf(order); after.Accepted != sending.Accepted {
+				return ledger.satisfied(order)
 			}
 		case VerdictUnknown:
 			ledger.doubt()
@@ -277,7 +340,7 @@
 		"unload": sending.Unload, "accepted": sending.Accepted, "term": sending.Term, "verdict": verdict.String(),
 	}
 	switch {
-	case verdict == VerdictUnknown:
+	case err != nil:
 		fields["cause"] = err.Error()
 		event.OrderUnclear.Log(keeper.config.Log, fields)
 	case verdict == VerdictFenced:
@@ -303,7 +366,7 @@
 func (ledger *Ledger) sendingOf(order Order) (Sending, bool) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	return Sending{Order: order, Server: ledger.server.ID, Address: ledger.server.Address, Accepted: ledger.accepted}, ledger.certain
+	return Sending{Order: order, Server: ledger.server.ID, Address: ledger.server.Address, Accepted: ledger.accepted}, ledger.known
 }
 
 // doubt notes an order without an answer: it may be carried out, or be carried
@@ -311,7 +374,7 @@
 func (ledger *Ledger) doubt() {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	ledger.certain = false
+	ledger.known = false
 }
 
 // stop notes that the engine takes no orders of this coordinator, or that its
@@ -319,7 +382,7 @@
 func (ledger *Ledger) stop(fenced bool) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	ledger.certain = false
+	ledger.known = false
 	ledger.fenced = ledger.fenced || fenced
 }
 
--- a/copies/ledger.go
+++ b/copies/ledger.go
@@ -17,9 +17,11 @@
 	mutex    sync.Mutex
 	server   *pool.Server
 	accepted int64
-	// certain tells that accepted is exact: an order was taken in this term and
-	// none has been without an answer since.
-	certain  bool
+	// known tells that models, adapters and accepted belong together: the engine
+	// reported them in this term while it carried out no order, and every order
+	// since has had an answer.
+	known    bool
+	asking   bool
 	models   []names.Model
 	adapters []pool.Adapter
 	inMemory []names.Model
@@ -32,8 +34,6 @@
 	leaving []names.Model
 	fixed   bool
 	fenced  bool
-	// touched is when the last order was taken.
-	touched time.Time
 }
 
 func newLedger(server *pool.Server) *Ledger {
@@ -42,10 +42,6 @@
 	return ledger
 }
 
-// registryLag is how long an entry of the registry may be older than an order's
-// effect: a server reports about once a second, and the registry lags.
-const registryLag = 3 * time.Second
-
 // adopt takes the registry's entry for the whole truth. The count of accepted
 // orders is not in it: a new server has accepted none, and a conflict tells of a
 // count that is wrong.
@@ -64,7 +60,7 @@
 		return
 	}
 	if ledger.server.Born != server.Born || ledger.server.Address != server.Address {
-		ledger.certain, ledger.loading, ledger.leaving, ledger.accepted = false, "", nil, 0
+		ledger.known, ledger.loading, ledger.leaving, ledger.accepted = false, "", nil, 0
 		ledger.since = map[names.Model]time.Time{}
 		ledger.adopt(server)
 		return
@@ -74,7 +70,7 @@
 	if ledger.loading != "" && server.Holds(ledger.loading) {
 		ledger.loaded(now)
 	}
-	if !ledger.fixed && now.Sub(ledger.touched) > registryLag {
+	if !ledger.fixed && !ledger.known {
 		ledger.adopt(server)
 	}
 }
@@ -84,6 +80,7 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	ledger.accepted = report.Accepted
+	ledger.known = !report.Busy
 	ledger.models = slices.Clone(report.Models)
 	ledger.adapters = slices.Clone(report.Adapters)
 	if report.InMemory != nil || report.OnDisk != nil {
@@ -100,7 +97,6 @@
 		ledger.models = append(ledger.models, ledger.loading)
 	}
 	ledger.since[ledger.loading] = now
-	ledger.touched = now
 	ledger.loading, ledger.readyAt = "", time.Time{}
 }
 
@@ -124,7 +120,7 @@
 		InMemory: ledger.inMemory,
 		OnDisk:   ledger.onDisk,
 		Since:    ledger.sinceNow(),
-		Fixed:    ledger.fixed || ledger.fenced || ledger.loading != "",
+		Fixed:    ledger.fixed || ledger.fenced || !ledger.known || ledger.loading != "",
 		Leaving:  ledger.server.Draining,
 	}
 }
@@ -144,18 +140,19 @@
 	models := slices.DeleteFunc(slices.Clone(ledger.models), func(model names.Model) bool {
 		return slices.Contains(ledger.leaving, model)
 	})
-	return pool.Holding{Server: ledger.server.ID, Models: models, Adapters: slices.Clone(ledger.adapters)}
+	return pool.Holding{
+		Server: ledger.server.ID, Models: models, Adapters: slices.Clone(ledger.adapters),
+		Busy: ledger.fixed || ledger.loading != "" || ledger.fenced,
+	}
 }
 
 // took notes an order that the engine carries out or finds done.
-func (ledger *Ledger) took(order Order, verdict Verdict, now time.Time) {
+func (ledger *Ledger) took(order Order, verdict Verdict) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	ledger.touched = now
 	counted := verdict == VerdictTaken || (order.Adapter != "" && order.Unload)
 	if counted {
 		ledger.accepted++
-		ledger.certain = true
 	}
 	adapter := pool.Adapter{Model: order.Model, Name: order.Adapter}
 	switch {
--- a/copies/order.go
+++ b/copies/order.go
@@ -34,6 +34,8 @@
 const (
 	// VerdictUnknown means that there was no answer.
 	VerdictUnknown Verdict = iota
+	// VerdictUnsent means that the order certainly did not reach the engine.
+	VerdictUnsent
 	// VerdictTaken means that the engine carries the order out.
 	VerdictTaken
 	// VerdictHolds means that what was ordered is so already.
@@ -50,7 +52,7 @@
 
 // String implements fmt.Stringer.
 func (verdict Verdict) String() string {
-	texts := []string{"unknown", "taken", "holds", "conflict", "fenced", "invalid"}
+	texts := []string{"unknown", "unsent", "taken", "holds", "conflict", "fenced", "invalid"}
 	if int(verdict) >= len(texts) {
 		return "unknown"
 	}
@@ -69,7 +71,7 @@
 
 // Engine sends calls to model engines.
 type Engine interface {
-	// Order sends an order. The error tells why the verdict is unknown.
+	// Order sends an order. The error tells why it got no answer.
 	Order(ctx context.Context, sending Sending) (Verdict, error)
 	// Report asks an engine for its state.
 	Report(ctx context.Context, address string, server names.BackendServer) (Report, error)
--- a/pool/member.go
+++ b/pool/member.go
@@ -38,6 +38,8 @@
 	Server   names.BackendServer
 	Models   []names.Model
 	Adapters []Adapter
+	// Busy engines carry out an order and take no others.
+	Busy bool
 }
 
 func (member *member) slots() float64 { return float64(max(member.server.Slots, 1)) }
@@ -61,4 +63,8 @@
 	return member.server.HoldsAdapter(adapter)
 }
 
+func (member *member) busy(now time.Time) bool {
+	return member.holding != nil && now.Before(member.holdingUntil) && member.holding.Busy
+}
+
 func (member *member) ejected(now time.Time) bool { return now.Before(member.ejectedUntil) }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -17,7 +17,7 @@
 		}
 		return NoServer{}
 	}
-	best, bestScore := pool.best(candidates, query, now, nil)
+	best, _ := pool.best(candidates, query, now, func(*member) bool { return true })
 	full := float64(fullPlain)
 	if query.Model != "" {
 		full = fullEngine
@@ -25,10 +25,15 @@
 	chosen := Chosen{Others: len(candidates) - 1}
 	if query.Adapter != "" {
 		adapter := Adapter{Model: query.Model, Name: query.Adapter}
-		with, withScore := pool.best(candidates, query, now, &adapter)
-		chosen.AdapterMissing = with == nil || withScore > bestScore+adapterSlack
-		if !chosen.AdapterMissing {
+		with, withScore := pool.best(candidates, query, now, func(member *member) bool { return member.holdsAdapter(adapter, now) })
+		idle, idleScore := pool.best(candidates, query, now, func(member *member) bool { return !member.busy(now) })
+		switch {
+		case with != nil && withScore <= idleScore+adapterSlack:
 			best = with
+		case idle != nil:
+			best, chosen.AdapterMissing = idle, true
+		default:
+			chosen.AdapterMissing = true
 		}
 	}
 	if best.load() >= full {
@@ -67,13 +72,12 @@
 	return good, listed
 }
 
-// best returns the member with the least score, of those with an adapter where
-// one is given, or nil.
-func (pool *Pool) best(candidates []*member, query Query, now time.Time, adapter *Adapter) (*member, float64) {
+// best returns the member with the least score of those that are fit, or nil.
+func (pool *Pool) best(candidates []*member, query Query, now time.Time, fit func(*member) bool) (*member, float64) {
 	var best *member
 	bestScore := math.Inf(1)
 	for _, member := range candidates {
-		if adapter != nil && !member.holdsAdapter(*adapter, now) {
+		if !fit(member) {
 			continue
 		}
 		score := member.load() + float64(member.slow)*slowPenalty +
--- a/relay/place.go
+++ b/relay/place.go
@@ -16,6 +16,8 @@
 	lookAgain = 100 * time.Millisecond
 	// adapterTimeout bounds the order of an adapter, which takes milliseconds.
 	adapterTimeout = 700 * time.Millisecond
+	// adapterServers is how many servers are asked to load an adapter.
+	adapterServers = 3
 	// adapterTime is the loading time of an adapter.
 	adapterTime = 8 * time.Millisecond
 	// loadPause, fullPause and notReadyPause are when callers should come back: a
@@ -43,7 +45,7 @@
 // model is being loaded.
 func (passage *passage) place(ctx context.Context) (*pool.Server, *refusal) {
 	began := passage.now()
-	needed := false
+	needed, adapters := false, 0
 	defer func() {
 		if needed {
 			passage.relay.config.Coordinator.Need(passage.service, passage.call.Model, -1)
@@ -56,7 +58,17 @@
 		switch choice := passage.pick().(type) {
 		case pool.Chosen:
 			passage.lastLoad = choice.Load
-			return passage.withAdapter(ctx, choice)
+			server, found := passage.withAdapter(ctx, choice)
+			if found {
+				return server, nil
+			}
+			passage.tried = append(passage.tried, choice.Server.ID)
+			adapters++
+			if adapters >= adapterServers || choice.Others == 0 {
+				refusal.reason, refusal.after = ReasonNoAdapter, fullPause
+				return nil, refusal
+			}
+			continue
 		case pool.Full:
 			refusal.reason, refusal.after, refusal.load = ReasonFull, fullPause, choice.Load
 			return nil, refusal
@@ -90,21 +102,22 @@
 		now.Sub(began) < longestLoadWait && passage.limit.Sub(now) > leastTime
 }
 
-// withAdapter has the adapter loaded where the server lacks it.
-func (passage *passage) withAdapter(ctx context.Context, choice pool.Chosen) (*pool.Server, *refusal) {
+// withAdapter has the adapter loaded where the server lacks it. It returns false
+// where that failed.
+func (passage *passage) withAdapter(ctx context.Context, choice pool.Chosen) (*pool.Server, bool) {
 	if !choice.AdapterMissing {
-		return choice.Server, nil
+		return choice.Server, true
 	}
 	callCtx, cancel := context.WithTimeout(ctx, adapterTimeout)
 	defer cancel()
 	adapter := pool.Adapter{Model: passage.call.Model, Name: passage.call.Adapter}
 	if err := passage.relay.config.Coordinator.Adapter(callCtx, choice.Server, adapter); err != nil {
 		passage.cause = err
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoAdapter, after: fullPause}
+		return nil, false
 	}
 	select {
 	case <-ctx.Done():
 	case <-passage.relay.config.Clock.After(adapterTime):
 	}
-	return choice.Server, nil
+	return choice.Server, true
 }
