Limits are lent by the coordinator, shares serve without one

Change: the coordinator holds the limits and lends ahead what reports tell will be used, and by a call what is missing; an entry without a coordinator uses its kept share.

--- a/coord/client.go
+++ b/coord/client.go
@@ -28,6 +28,8 @@
 	// exchangeTimeout bounds a report: links take 5 ms one way, a slow instance
 	// some tens of milliseconds.
 	exchangeTimeout = 600 * time.Millisecond
+	// borrowTimeout bounds a loan, for which a request waits.
+	borrowTimeout = 150 * time.Millisecond
 	// holdingLifetime is how long the coordinator's view of engines goes before the
 	// registry's.
 	holdingLifetime = 1500 * time.Millisecond
@@ -134,6 +136,26 @@
 	return client.config.Clock.Now().Sub(client.answered) < reachableFor
 }
 
+// Borrow implements [relay.Coordinator].
+func (client *Client) Borrow(ctx context.Context, account names.ClientAccount, cost float64) (time.Duration, bool, error) {
+	client.mutex.Lock()
+	conn, leader := client.conn, client.leader
+	client.mutex.Unlock()
+	if leader == client.config.Self && leader != "" {
+		return client.config.Desk.Borrow(account, cost)
+	}
+	if conn == nil {
+		return 0, false, &NoCoordinatorError{}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	reply, err := wire.NewCoordinationClient(conn).Borrow(callCtx, &wire.CoordBorrowRequest{Account: string(account), Cost: cost})
+	if err != nil {
+		return 0, false, err
+	}
+	return time.Duration(reply.GetWaitMilliseconds()) * time.Millisecond, reply.GetLent(), nil
+}
+
 // Adapter implements [relay.Coordinator].
 func (client *Client) Adapter(ctx context.Context, server *pool.Server, adapter pool.Adapter) error {
 	client.mutex.Lock()
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -22,9 +22,13 @@
 	for account := range report.Held.Usage {
 		accounts[account] = true
 	}
+	for account := range report.Held.Loans {
+		accounts[account] = true
+	}
 	for account := range accounts {
 		message.Shares = append(message.Shares, &wire.CoordShare{
 			Account: string(account), Share: report.Held.Shares[account], UsagePerSecond: report.Held.Usage[account],
+			Loan: report.Held.Loans[account],
 		})
 	}
 	for target, demand := range report.Demands {
@@ -39,7 +43,7 @@
 	report := Report{
 		Instance: names.Instance(message.GetInstance()),
 		Held: share.Held{
-			Term: message.GetShareTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Usage: share.Set{},
+			Term: message.GetShareTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Usage: share.Set{}, Loans: share.Set{},
 		},
 		Loads:   decodeLoads(message.GetLoads()),
 		Demands: map[Target]Demand{},
@@ -48,6 +52,7 @@
 		account := names.ClientAccount(each.GetAccount())
 		report.Held.Shares[account] = each.GetShare()
 		report.Held.Usage[account] = each.GetUsagePerSecond()
+		report.Held.Loans[account] = each.GetLoan()
 	}
 	for _, each := range message.GetDemands() {
 		target := Target{Service: names.Service(each.GetService()), Model: names.Model(each.GetModel())}
@@ -58,8 +63,13 @@
 
 func encodeReply(reply Reply) *wire.CoordExchangeReply {
 	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
+	for account := range reply.Assigned.Lent {
+		if _, found := reply.Assigned.Shares[account]; !found {
+			reply.Assigned.Shares[account] = 0
+		}
+	}
 	for account, part := range reply.Assigned.Shares {
-		message.Shares = append(message.Shares, &wire.CoordShare{Account: string(account), Share: part})
+		message.Shares = append(message.Shares, &wire.CoordShare{Account: string(account), Share: part, Loan: reply.Assigned.Lent[account]})
 	}
 	for _, holding := range reply.Holdings {
 		encoded := &wire.CoordHolding{Server: string(holding.Server), Busy: holding.Busy}
@@ -77,12 +87,14 @@
 func decodeReply(message *wire.CoordExchangeReply) Reply {
 	reply := Reply{
 		Term:     message.GetTerm(),
-		Assigned: share.Assigned{Term: message.GetTerm(), Version: message.GetShareVersion(), Shares: share.Set{}},
+		Assigned: share.Assigned{Term: message.GetTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Lent: share.Set{}},
 		Loads:    decodeLoads(message.GetLoads()),
 		Revision: store.Revision(message.GetRevision()),
 	}
 	for _, each := range message.GetShares() {
-		reply.Assigned.Shares[names.ClientAccount(each.GetAccount())] = each.GetShare()
+		account := names.ClientAccount(each.GetAccount())
+		reply.Assigned.Shares[account] = each.GetShare()
+		reply.Assigned.Lent[account] = each.GetLoan()
 	}
 	for _, each := range message.GetHoldings() {
 		holding := pool.Holding{Server: names.BackendServer(each.GetServer()), Busy: each.GetBusy()}
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -94,6 +94,7 @@
 	keeper  *copies.Keeper
 	planner map[names.Service]*copies.Planner
 	divider *share.Divider
+	bank    *share.Bank
 	began   time.Time
 	reports map[names.Instance]received
 	demand  map[Target]*rate.Meter
@@ -112,6 +113,7 @@
 func (desk *Desk) Elected(ctx context.Context, number int64) {
 	now := desk.config.Clock.Now()
 	termCtx, cancel := context.WithCancel(ctx)
+	divider := share.NewDivider(share.DividerConfig{Term: number, Now: now, Record: desk.config.Shares.Recorded()})
 	begun := &term{
 		number: number,
 		cancel: cancel,
@@ -120,7 +122,8 @@
 			Term: func() int64 { return desk.acting(number) },
 		}),
 		planner: map[names.Service]*copies.Planner{},
-		divider: share.NewDivider(share.DividerConfig{Term: number, Now: now, Record: desk.config.Shares.Recorded()}),
+		divider: divider,
+		bank:    share.NewBank(divider),
 		began:   now,
 		reports: map[names.Instance]received{},
 		demand:  map[Target]*rate.Meter{},
@@ -238,6 +241,7 @@
 	current.reports[report.Instance] = entry
 	reply := Reply{Term: current.number, Loads: map[names.BackendServer]int{}, Revision: desk.revision}
 	reply.Assigned = current.divider.Report(report.Instance, report.Held, now)
+	reply.Assigned.Lent = current.bank.Settle(report.Instance, report.Held, snapshot, now)
 	for instance, other := range current.reports {
 		if instance == report.Instance || now.Sub(other.at) > reportLifetime {
 			continue
@@ -265,6 +269,26 @@
 	return accounts
 }
 
+// Borrow takes cost of an account's limits. It fails with a
+// *[NotCoordinatingError]; where nothing is left it returns how long.
+func (desk *Desk) Borrow(name names.ClientAccount, cost float64) (time.Duration, bool, error) {
+	now := desk.config.Clock.Now()
+	snapshot := desk.config.Policy()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	current := desk.term
+	if current == nil || snapshot == nil || (desk.config.Term() != current.number && desk.config.Doubtful() != current.number) {
+		return 0, false, &NotCoordinatingError{Instance: desk.config.Instance}
+	}
+	for _, account := range snapshot.Accounts() {
+		if account.Name == name {
+			wait, lent := current.bank.Lend(account, cost, now)
+			return wait, lent, nil
+		}
+	}
+	return 0, false, &UnknownAccountError{Account: name}
+}
+
 // Adapter has an adapter loaded. It fails with a *[NotCoordinatingError] or an
 // error of [copies].
 func (desk *Desk) Adapter(ctx context.Context, server names.BackendServer, adapter pool.Adapter) error {
--- a/coord/errors.go
+++ b/coord/errors.go
@@ -21,3 +21,13 @@
 
 // Error implements error.
 func (*NoCoordinatorError) Error() string { return "no coordinator is known" }
+
+// UnknownAccountError reports an account that the policy in force lacks.
+type UnknownAccountError struct {
+	Account names.ClientAccount
+}
+
+// Error implements error.
+func (unknownAccountError *UnknownAccountError) Error() string {
+	return fmt.Sprintf("client account %q is not in the policy in force", unknownAccountError.Account)
+}
--- a/coord/server.go
+++ b/coord/server.go
@@ -45,6 +45,15 @@
 	return &wire.CoordAdapterReply{}, nil
 }
 
+// Borrow implements the service.
+func (server *Server) Borrow(_ context.Context, message *wire.CoordBorrowRequest) (*wire.CoordBorrowReply, error) {
+	wait, lent, err := server.desk.Borrow(names.ClientAccount(message.GetAccount()), message.GetCost())
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return &wire.CoordBorrowReply{Lent: lent, WaitMilliseconds: wait.Milliseconds()}, nil
+}
+
 func encodeError(err error) error {
 	var notCoordinatingError *NotCoordinatingError
 	if errors.As(err, &notCoordinatingError) {
--- a/relay/place.go
+++ b/relay/place.go
@@ -27,6 +27,8 @@
 	notReadyPause = time.Second
 	// elsewherePause is when callers should try another instance.
 	elsewherePause = 50 * time.Millisecond
+	// unlentPause is when callers should come back while loans get no answer.
+	unlentPause = 300 * time.Millisecond
 	// leastTime is the time without which a request is not worth sending.
 	leastTime = 20 * time.Millisecond
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,9 @@
 	Need(service names.Service, model names.Model, delta int)
 	// Adapter has an adapter loaded and returns once that is under way.
 	Adapter(ctx context.Context, server *pool.Server, adapter pool.Adapter) error
+	// Borrow takes cost of an account's limits; where nothing is left it returns
+	// how long.
+	Borrow(ctx context.Context, account names.ClientAccount, cost float64) (time.Duration, bool, error)
 	// Demand counts a request's work for a model, in seconds of an engine.
 	Demand(service names.Service, model names.Model, work float64)
 	// Reachable tells whether the coordinator has answered lately.
@@ -139,19 +142,41 @@
 	return passage.charge()
 }
 
+// charge takes the cost of the request from its account's limits.
 func (passage *passage) charge() *refusal {
 	if passage.account == nil {
 		return nil
 	}
-	passage.cost = passage.account.Cost(passage.call.Tokens())
-	wait, taken := passage.relay.config.Shares.Take(passage.account, passage.cost, passage.relay.config.Clock.Now())
+	shares := passage.relay.config.Shares
+	cost := passage.account.Cost(passage.call.Tokens())
+	wait, taken := shares.Take(passage.account, cost, passage.now())
+	if !taken && shares.Lends(passage.now()) {
+		wait, taken = passage.borrow(cost)
+	}
 	if !taken {
-		passage.cost = 0
 		return &refusal{status: http.StatusTooManyRequests, reason: ReasonQuota, after: wait}
 	}
+	passage.cost = cost
 	return nil
 }
 
+// borrow asks the coordinator, unless it has just said that nothing is left.
+func (passage *passage) borrow(cost float64) (time.Duration, bool) {
+	shares := passage.relay.config.Shares
+	if wait := shares.Dry(passage.account.Name, passage.now()); wait > 0 {
+		return wait, false
+	}
+	wait, lent, err := passage.relay.config.Coordinator.Borrow(passage.request.Context(), passage.account.Name, cost)
+	if err != nil {
+		passage.cause = err
+		return unlentPause, false
+	}
+	if !lent {
+		shares.SetDry(passage.account.Name, wait, passage.now())
+	}
+	return wait, lent
+}
+
 // Use sets the coordinator that is asked; it is called before the first request.
 func (relay *Relay) Use(coordinator Coordinator) { relay.config.Coordinator = coordinator }
 
--- /dev/null
+++ b/share/bank.go
@@ -0,0 +1,91 @@
+package share
+
+import (
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+)
+
+const (
+	// silentAfter is how long after an entry's last report the bank reckons that it
+	// uses its share on its own; entries begin that later, after aloneAfter.
+	silentAfter = 1000 * time.Millisecond
+	aloneAfter  = 1600 * time.Millisecond
+	// lendAhead is how much of an entry's use is lent ahead, two exchanges.
+	lendAhead = 600 * time.Millisecond
+	// ampleLevel is the part of the burst above which tokens are lent ahead.
+	ampleLevel = 0.3
+)
+
+// Bank holds the limits of client accounts for one term of a coordinator, and
+// lends from them to the entries that report to it. It holds the parts of all
+// entries but those that may be using their shares on their own. It is not safe
+// for concurrent use.
+type Bank struct {
+	divider *Divider
+	buckets map[names.ClientAccount]*bucket
+	lent    map[names.Instance]Set
+}
+
+// NewBank returns a bank for the entries of a divider.
+func NewBank(divider *Divider) *Bank {
+	return &Bank{divider: divider, buckets: map[names.ClientAccount]*bucket{}, lent: map[names.Instance]Set{}}
+}
+
+// Settle takes in what an entry has left of its loans, and lends it ahead what it
+// is expected to use until its next reports. The entry adds what is returned.
+func (bank *Bank) Settle(instance names.Instance, held Held, limits *policy.Snapshot, now time.Time) Set {
+	bank.lent[instance] = Set{}
+	added := Set{}
+	for _, account := range limits.Accounts() {
+		if account.Rate <= 0 {
+			continue
+		}
+		left := held.Loans[account.Name]
+		bank.lent[instance][account.Name] = left
+		bucket := bank.bucket(account, now)
+		wanted := held.Usage[account.Name]*lendAhead.Seconds() - left
+		ample := ampleLevel * account.Burst
+		if wanted <= 0 || bucket.level <= ample {
+			continue
+		}
+		granted := min(wanted, bucket.level-ample)
+		bucket.level -= granted
+		bank.lent[instance][account.Name] += granted
+		added[account.Name] = granted
+	}
+	return added
+}
+
+// Lend lends cost of an account's limits. A request may use more than there is,
+// so that large ones are served as often as small ones; the account is in debt
+// until its rate has paid for it. Where nothing is left it returns how long until
+// there is.
+func (bank *Bank) Lend(account *policy.Account, cost float64, now time.Time) (time.Duration, bool) {
+	bucket := bank.bucket(account, now)
+	if bucket.level <= 0 {
+		return bucket.wait(0), false
+	}
+	bucket.level -= cost
+	return 0, true
+}
+
+// bucket returns an account's bucket at now, with the parts that the bank holds
+// and a level that leaves room for what is lent.
+func (bank *Bank) bucket(account *policy.Account, now time.Time) *bucket {
+	held, found := bank.buckets[account.Name]
+	part := bank.divider.reporting(account.Name, now)
+	if !found {
+		held = &bucket{at: now, level: startLevel * part * account.Burst}
+		bank.buckets[account.Name] = held
+	}
+	held.rate, held.burst, held.share = account.Rate, account.Burst, part
+	held.refill(now)
+	lent := 0.0
+	for _, set := range bank.lent {
+		lent += set[account.Name]
+	}
+	held.level = min(held.level, account.Burst*part-lent)
+	return held
+}
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -12,8 +12,6 @@
 	burst float64
 	level float64
 	at    time.Time
-	// fresh buckets have never had a share.
-	fresh bool
 }
 
 // refill brings the level up to now.
--- a/share/divider.go
+++ b/share/divider.go
@@ -11,8 +11,9 @@
 	// evenPart is the part of an account's limits that is divided evenly, so that an
 	// entry whose callers begin to use an account is not empty-handed.
 	evenPart = 0.3
-	// smallestMove is the least change of a share that is worth a write.
-	smallestMove = 0.05
+	// smallestMove is the least change of a share that is worth a write, as a part of
+	// an even share. Shares are used only without a coordinator.
+	smallestMove = 0.5
 	// whole is what the shares of an account add up to; the rest guards against
 	// rounding.
 	whole = 0.999
@@ -23,6 +24,8 @@
 	Term    int64
 	Version int64
 	Shares  Set
+	// Lent is added to what the entry has left of former loans.
+	Lent Set
 }
 
 // DividerConfig carries what a [Divider] is built from.
@@ -113,7 +116,7 @@
 			continue
 		}
 		target := divider.target(known, account, now)
-		if known.assigned[account] > target+smallestMove {
+		if known.assigned[account] > target+divider.move() {
 			known.assigned[account] = target
 			divider.version++
 			known.version = divider.version
@@ -140,7 +143,7 @@
 			continue
 		}
 		add := max(divider.target(known, account, now)-known.assigned[account], 0) * min(left/missing, 1)
-		if add > smallestMove {
+		if add > divider.move() {
 			next[instance][account] = max(next[instance][account], known.assigned[account]+add)
 			raised = true
 		}
@@ -167,6 +170,20 @@
 	}
 }
 
+// move is the least change of a share that is made.
+func (divider *Divider) move() float64 { return smallestMove / float64(max(len(divider.holders), 1)) }
+
+// reporting is the part of an account's limits that no entry uses on its own.
+func (divider *Divider) reporting(account names.ClientAccount, now time.Time) float64 {
+	part := whole
+	for _, known := range divider.holders {
+		if known.heard.IsZero() || now.Sub(known.heard) > silentAfter {
+			part -= max(known.possible[account], known.assigned[account])
+		}
+	}
+	return max(part, 0)
+}
+
 // silent tells whether whatever an entry held has ended by its own clock.
 func (divider *Divider) silent(holder *holding, now time.Time) bool {
 	last := holder.heard
--- a/share/holder.go
+++ b/share/holder.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +23,9 @@
 	// lifetimeMargin is how much earlier the holder stops than the coordinator
 	// reckons: clocks run at nearly the same rate.
 	lifetimeMargin = 500 * time.Millisecond
+	// longestDry is how long the word of a coordinator that an account has nothing
+	// left is taken for true.
+	longestDry = 100 * time.Millisecond
 	// usageHalfLife smooths the use that shares follow.
 	usageHalfLife = 2 * time.Second
 )
@@ -41,15 +45,25 @@
 	version int64
 	expires time.Time
 	started bool
+	// loans is what a coordinator lent and is not used; heard is when the last
+	// message that it answered was sent.
+	loans map[names.ClientAccount]float64
+	heard time.Time
+	// dry is until when an account has nothing left.
+	dry map[names.ClientAccount]time.Time
 }
 
 // NewHolder returns a holder without shares.
 func NewHolder() *Holder {
-	return &Holder{buckets: map[names.ClientAccount]*bucket{}, usage: map[names.ClientAccount]*rate.Meter{}}
+	return &Holder{
+		buckets: map[names.ClientAccount]*bucket{}, usage: map[names.ClientAccount]*rate.Meter{},
+		loans: map[names.ClientAccount]float64{}, dry: map[names.ClientAccount]time.Time{},
+	}
 }
 
-// Take uses cost of an account's share. Where there is not enough it returns
-// false and how long until there is.
+// Take uses cost of an account's limits, from what was lent to this entry or,
+// without a coordinator, from its share. Where that is not enough it returns
+// false; [Holder.Lends] tells whether more can be borrowed.
 func (holder *Holder) Take(account *policy.Account, cost float64, now time.Time) (time.Duration, bool) {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
@@ -62,30 +76,63 @@
 		holder.usage[account.Name] = used
 	}
 	used.Add(cost, now)
+	if holder.loans[account.Name] >= cost {
+		holder.loans[account.Name] -= cost
+		return 0, true
+	}
+	if holder.lends(now) {
+		return 0, false
+	}
+	return holder.alone(account, cost, now)
+}
+
+// alone uses this entry's share. It is called with the mutex held.
+func (holder *Holder) alone(account *policy.Account, cost float64, now time.Time) (time.Duration, bool) {
 	held, found := holder.buckets[account.Name]
 	if !found || !now.Before(holder.expires) {
 		return time.Second, false
 	}
 	held.rate, held.burst = account.Rate, account.Burst
 	held.refill(now)
-	if held.level < cost && cost <= held.burst*held.share {
-		return held.wait(cost), false
-	}
-	if cost > held.burst*held.share && held.level < held.burst*held.share {
+	if most := held.burst * held.share; held.level < min(cost, most) {
 		// A request above the burst of this share waits for a full bucket, and is
 		// paid for afterwards.
-		return held.wait(held.burst * held.share), false
+		return held.wait(min(cost, most)), false
 	}
 	held.level -= cost
 	return 0, true
 }
 
+// Lends tells whether a coordinator answers, from which more can be borrowed.
+func (holder *Holder) Lends(now time.Time) bool {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return holder.lends(now)
+}
+
+func (holder *Holder) lends(now time.Time) bool { return now.Sub(holder.heard) < aloneAfter }
+
+// Dry returns how long nothing can be borrowed of an account, as a coordinator
+// said, or zero.
+func (holder *Holder) Dry(account names.ClientAccount, now time.Time) time.Duration {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return max(holder.dry[account].Sub(now), 0)
+}
+
+// SetDry notes that nothing can be borrowed of an account for a while.
+func (holder *Holder) SetDry(account names.ClientAccount, wait time.Duration, now time.Time) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	holder.dry[account] = now.Add(min(wait, longestDry))
+}
+
 // Return gives back what a request that did not run had taken.
 func (holder *Holder) Return(account *policy.Account, cost float64) {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
-	if held, found := holder.buckets[account.Name]; found {
-		held.level = min(held.level+cost, held.burst*held.share)
+	if account.Rate > 0 {
+		holder.loans[account.Name] += cost
 	}
 }
 
@@ -112,7 +159,7 @@
 func (holder *Holder) Held(now time.Time) Held {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
-	held := Held{Term: holder.term, Version: holder.version, Shares: Set{}, Usage: Set{}}
+	held := Held{Term: holder.term, Version: holder.version, Shares: Set{}, Usage: Set{}, Loans: maps.Clone(holder.loans)}
 	if now.Before(holder.expires) {
 		for account, bucket := range holder.buckets {
 			held.Shares[account] = bucket.share
@@ -132,9 +179,11 @@
 	Shares  Set
 	// Usage is what callers asked for of each account, in its unit a second.
 	Usage Set
+	// Loans are what is left of what was lent.
+	Loans Set
 }
 
-// Apply takes over the set that a coordinator assigned in answer to a message
+// Apply takes over the set and the loans that a coordinator assigned in answer to a message
 // sent at asked. Sets of former terms and versions are passed over.
 func (holder *Holder) Apply(assigned Assigned, limits *policy.Snapshot, asked time.Time) {
 	holder.mutex.Lock()
@@ -142,6 +191,12 @@
 	if assigned.Term < holder.term || (assigned.Term == holder.term && assigned.Version < holder.version) {
 		return
 	}
+	if asked.After(holder.heard) {
+		holder.heard = asked
+	}
+	for account, loan := range assigned.Lent {
+		holder.loans[account] += loan
+	}
 	lapsed := holder.started && !asked.Before(holder.expires)
 	holder.started = true
 	holder.term, holder.version = assigned.Term, assigned.Version
@@ -149,7 +204,7 @@
 	for _, account := range limits.Accounts() {
 		held, found := holder.buckets[account.Name]
 		if !found {
-			held = &bucket{at: asked, fresh: true}
+			held = &bucket{at: asked}
 			holder.buckets[account.Name] = held
 		}
 		held.rate, held.burst = account.Rate, account.Burst
@@ -157,11 +212,12 @@
 			// What was held before may have been given to others meanwhile.
 			held.level, held.at = 0, asked
 		}
+		if holder.lends(asked) {
+			// The coordinator holds this share while it lends.
+			held.level, held.at = 0, asked
+		}
 		held.refill(maxTime(held.at, asked))
 		held.share = assigned.Shares[account.Name]
-		if held.fresh && held.share > 0 {
-			held.fresh, held.level = false, startLevel*held.burst*held.share
-		}
 		held.level = min(held.level, held.burst*held.share)
 	}
 }
