--- a/relay/answer.go
+++ b/relay/answer.go
@@ -98,6 +98,7 @@
 		header.Del("Content-Length")
 		passage.closeWhenStopping(header)
 		passage.writer.WriteHeader(response.Status)
+		passage.firstAt = passage.now()
 		passage.first()
 	}
 	events := &eventBuffer{whole: passage.route.Resumable}
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -51,6 +51,8 @@
 	// resume is the last event that the caller has been sent.
 	resume string
 	begun  bool
+	// firstAt is when a stream's first byte went to the caller.
+	firstAt time.Time
 }
 
 func (passage *passage) readBody(most int64) *refusal {
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -117,6 +117,9 @@
 		fields["load"] = passage.lastLoad
 		fields["sends"] = passage.sends
 	}
+	if !passage.firstAt.IsZero() {
+		fields["firstMs"] = passage.firstAt.Sub(passage.started).Milliseconds()
+	}
 	if passage.waited > time.Millisecond {
 		fields["waitedMs"] = passage.waited.Milliseconds()
 	}
