Fewer loads, and prompts not yet read count as load

Pauses come with prompts read at once on one engine, and with loads and unloads there (11 % of the streams beside one, 4 % otherwise). Ruled out: entries' processor time (0.02 of 0.3 cores), batch size (mean load 0.2). Change: an engine's unread prompts count as load; a copy is added only where the engines of a model are above the mean and another copy relieves enough; demand is taken with its trend.

--- a/coord/desk.go
+++ b/coord/desk.go
@@ -22,8 +22,11 @@
 	// planPeriod is the time between two plans: a load takes 0.3 to 2 s, and demand
 	// moves within 4 to 6 s.
 	planPeriod = 200 * time.Millisecond
-	// demandHalfLife smooths demand: a few dozen requests for a busy model.
-	demandHalfLife = 1200 * time.Millisecond
+	// fastHalfLife and slowHalfLife smooth demand: over a few dozen requests for a
+	// busy model, and over the time in which demand moves. Their difference tells
+	// where it is going.
+	fastHalfLife = 700 * time.Millisecond
+	slowHalfLife = 2 * time.Second
 	// reportLifetime is how long an entry's report counts.
 	reportLifetime = 2 * time.Second
 	// dividePeriod is the least time between two moves of shares; each is a write.
@@ -97,9 +100,25 @@
 	bank    *share.Bank
 	began   time.Time
 	reports map[names.Instance]received
-	demand  map[Target]*rate.Meter
+	demand  map[Target]*trend
 }
 
+// trend is demand for a model.
+type trend struct {
+	fast *rate.Meter
+	slow *rate.Meter
+}
+
+// ahead is the demand that is to be expected when a load ordered now is done.
+func (trend *trend) ahead(now time.Time) float64 {
+	fast := trend.fast.PerSecond(now)
+	return max(fast+trendPart*(fast-trend.slow.PerSecond(now)), 0)
+}
+
+// trendPart is how much of the difference between fast and slow demand is added:
+// it is noise as well.
+const trendPart = 0.7
+
 type received struct {
 	at      time.Time
 	loads   map[names.BackendServer]int
@@ -126,7 +145,7 @@
 		bank:    share.NewBank(divider),
 		began:   now,
 		reports: map[names.Instance]received{},
-		demand:  map[Target]*rate.Meter{},
+		demand:  map[Target]*trend{},
 	}
 	desk.mutex.Lock()
 	desk.term = begun
@@ -230,12 +249,13 @@
 	}
 	entry := received{at: now, loads: report.Loads, waiting: map[Target]int{}}
 	for target, demand := range report.Demands {
-		meter, found := current.demand[target]
+		known, found := current.demand[target]
 		if !found {
-			meter = rate.NewMeter(demandHalfLife)
-			current.demand[target] = meter
+			known = &trend{fast: rate.NewMeter(fastHalfLife), slow: rate.NewMeter(slowHalfLife)}
+			current.demand[target] = known
 		}
-		meter.Add(demand.Work, now)
+		known.fast.Add(demand.Work, now)
+		known.slow.Add(demand.Work, now)
 		entry.waiting[target] = demand.Waiting
 	}
 	current.reports[report.Instance] = entry
@@ -354,8 +374,8 @@
 	for name := range service.Engine.Models {
 		target := Target{Service: service.Name, Model: name}
 		demand := copies.Demand{}
-		if meter, found := term.demand[target]; found {
-			demand.Work = meter.PerSecond(now)
+		if known, found := term.demand[target]; found {
+			demand.Work = known.ahead(now)
 		}
 		if demand.Work < negligibleWork {
 			demand.Work = 0
--- a/copies/planner.go
+++ b/copies/planner.go
@@ -10,18 +10,18 @@
 )
 
 const (
-	// hotFactor is how far above the mean load of engines the engines of a model
-	// have to be before it gets another copy.
-	hotFactor = 1.25
-	// hotLoad is the load of an engine, as a part of its capacity, below which no
-	// copy is added: its requests are served in time.
-	hotLoad = 0.35
+	// leastGain is the part of all work by which another copy has to relieve the
+	// copies that there are; below that a load costs more than it gives.
+	leastGain = 0.01
+	// hotFactor is how far above the mean load of engines those of a model have to
+	// be before it gets another copy.
+	hotFactor = 1.1
 	// leastStay is how long a copy stays at least, so that copies do not alternate
 	// within the time of a load.
-	leastStay = 3 * time.Second
-	// gainFactor is how much higher a model's load has to be than that of a copy
-	// that makes way for it.
-	gainFactor = 1.5
+	leastStay = 2500 * time.Millisecond
+	// gainFactor is how much more a copy has to relieve others than those that make
+	// way for it do.
+	gainFactor = 1.6
 	// loadsAtOnce is how many loads run at once for each load a second that the
 	// weight store allows; beyond that each takes longer.
 	loadsAtOnce = 1.2
--- a/copies/view.go
+++ b/copies/view.go
@@ -16,8 +16,8 @@
 	// its requests are, in engines.
 	copies     map[names.Model]int
 	work       map[names.Model]float64
-	mean       float64
 	total      float64
+	mean       float64
 	storeLoads int
 	largest    float64
 }
@@ -83,9 +83,21 @@
 	return load / max(count, 1)
 }
 
+// gain is by how much another copy relieves each copy of a model.
+func (view *view) gain(model names.Model) float64 {
+	count := float64(view.copies[model])
+	return view.work[model] / (count * (count + 1))
+}
+
+// loss is by how much each copy of a model is burdened when one goes.
+func (view *view) loss(model names.Model) float64 {
+	count := float64(view.copies[model])
+	return view.work[model] / (count * (count - 1))
+}
+
 // urgent lists the models that need a copy: first those that nobody holds, by
-// how many wait, then those whose engines are far above the mean, then those
-// that nobody holds or asks for.
+// how many wait, then those that another copy relieves most, then those that
+// nobody holds or asks for.
 func (view *view) urgent() []names.Model {
 	type need struct {
 		model names.Model
@@ -101,8 +113,8 @@
 		case view.copies[name] == 0 && view.total > 0:
 			needs = append(needs, need{model: name, rank: 2})
 		case view.work[name] > 0:
-			if load := view.modelLoad(name); load > hotLoad && load > view.mean*hotFactor && view.copyLoad(name) > view.mean/2 {
-				needs = append(needs, need{model: name, rank: 1, value: load})
+			if gain := view.gain(name); gain > leastGain*view.total && view.modelLoad(name) > hotFactor*view.mean {
+				needs = append(needs, need{model: name, rank: 1, value: gain})
 			}
 		}
 	}
@@ -163,7 +175,7 @@
 	if view.copies[model] <= 1 {
 		return lastCopyLoss + view.work[model]
 	}
-	return view.copyLoad(model)
+	return view.loss(model)
 }
 
 // lastCopyLoss keeps the last copy of a model that nobody asks for behind every
@@ -185,7 +197,7 @@
 	if view.copies[model] == 0 {
 		return wanted || view.work[victim] == 0
 	}
-	return view.copyLoad(victim)*gainFactor < view.copyLoad(model)
+	return view.loss(victim)*gainFactor < view.gain(model)
 }
 
 // adapterRoom is the memory that an engine's adapters may take.
--- a/pool/member.go
+++ b/pool/member.go
@@ -14,6 +14,9 @@
 	// have under way there.
 	own    int
 	others int
+	// unread counts the tokens of this instance's prompts that the server has not
+	// answered yet.
+	unread int64
 	// holding is what the coordinator knows that the server holds; it is newer
 	// than the registry until the time given.
 	holding      *Holding
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -6,12 +6,23 @@
 	"github.com/basilkeel/basilkeel/names"
 )
 
-// Begin counts a request that is about to be sent to a server.
-func (pool *Pool) Begin(id names.BackendServer) {
+// Begin counts a request that is about to be sent to a server, with the tokens
+// of its prompt.
+func (pool *Pool) Begin(id names.BackendServer, tokens int64) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if member, found := pool.members[id]; found {
 		member.own++
+		member.unread += tokens
+	}
+}
+
+// Read tells that a server has read a prompt, or no longer will.
+func (pool *Pool) Read(id names.BackendServer, tokens int64) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if member, found := pool.members[id]; found {
+		member.unread = max(member.unread-tokens, 0)
 	}
 }
 
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -82,6 +82,7 @@
 		}
 		score := member.load() + float64(member.slow)*slowPenalty +
 			max(member.errors-toleratedErrors, 0)*errorPenalty + pool.config.Draw()/member.slots()
+		score += float64(member.unread) / promptChunk * promptPenalty
 		if member.server.Domain != query.Domain {
 			score += distancePenalty
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -32,6 +32,10 @@
 	errorPenalty = 3
 	// slowPenalty is the load that a request without a first byte counts as.
 	slowPenalty = 0.5
+	// promptPenalty is the load that a chunk of unread prompt counts as: each delays
+	// every stream of the engine by 50 ms, and pauses over 250 ms are late.
+	promptPenalty = 0.06
+	promptChunk   = 2048
 	// distancePenalty is the load that another failure domain counts as: its bytes
 	// are dear and each way takes 5 ms.
 	distancePenalty = 0.12
@@ -93,7 +97,7 @@
 	if !found || known.server.Born != server.Born || known.server.Address != server.Address {
 		fresh := &member{server: server, absent: map[names.Model]time.Time{}}
 		if found {
-			fresh.own = known.own
+			fresh.own, fresh.unread = known.own, known.unread
 		}
 		pool.members[server.ID] = fresh
 	} else {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -133,8 +133,12 @@
 	controller := http.NewResponseController(passage.writer)
 	buffer := make([]byte, chunkBytes)
 	total := int64(0)
+	last := passage.now()
 	for {
 		count, err := response.Read(buffer)
+		now := passage.now()
+		passage.longestGap = max(passage.longestGap, now.Sub(last))
+		last = now
 		ready := events.add(buffer[:count])
 		if len(ready) > 0 {
 			total += int64(len(ready))
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -53,6 +53,8 @@
 	begun  bool
 	// firstAt is when a stream's first byte went to the caller.
 	firstAt time.Time
+	// longestGap is the longest pause between two reads of a stream.
+	longestGap time.Duration
 }
 
 func (passage *passage) readBody(most int64) *refusal {
@@ -150,11 +152,13 @@
 	relay := passage.relay
 	passage.server = server
 	passage.sends++
-	relay.config.Pool.Begin(server.ID)
+	prompt := max(passage.call.PromptTokens, 0)
+	relay.config.Pool.Begin(server.ID, prompt)
 	defer relay.config.Pool.End(server.ID)
 	attemptCtx, cancel := passage.attemptContext(ctx)
 	defer cancel()
 	response, err := passage.send(attemptCtx, server)
+	relay.config.Pool.Read(server.ID, prompt)
 	if err != nil {
 		passage.note(ctx, server, err)
 		return false
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -119,6 +119,7 @@
 	}
 	if !passage.firstAt.IsZero() {
 		fields["firstMs"] = passage.firstAt.Sub(passage.started).Milliseconds()
+		fields["longestGapMs"] = passage.longestGap.Milliseconds()
 	}
 	if passage.waited > time.Millisecond {
 		fields["waitedMs"] = passage.waited.Milliseconds()
--- a/share/bank.go
+++ b/share/bank.go
@@ -77,7 +77,8 @@
 	held, found := bank.buckets[account.Name]
 	part := bank.divider.reporting(account.Name, now)
 	if !found {
-		held = &bucket{at: now, level: startLevel * part * account.Burst}
+		// What the former coordinator lent just now is not known.
+		held = &bucket{at: now}
 		bank.buckets[account.Name] = held
 	}
 	held.rate, held.burst, held.share = account.Rate, account.Burst, part
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -18,8 +18,8 @@
 func (bucket *bucket) refill(now time.Time) {
 	if now.After(bucket.at) {
 		bucket.level += now.Sub(bucket.at).Seconds() * bucket.rate * bucket.share
+		bucket.at = now
 	}
-	bucket.at = now
 	bucket.level = min(bucket.level, bucket.burst*bucket.share)
 }
 
--- a/share/holder.go
+++ b/share/holder.go
@@ -19,7 +19,7 @@
 	StartLifetime = 5 * time.Second
 	// startLevel is how full a restarted entry's buckets are: what its predecessor
 	// used is not known, and an empty bucket refuses all for a moment.
-	startLevel = 0.4
+	startLevel = 0.2
 	// lifetimeMargin is how much earlier the holder stops than the coordinator
 	// reckons: clocks run at nearly the same rate.
 	lifetimeMargin = 500 * time.Millisecond
@@ -214,7 +214,7 @@
 		}
 		if holder.lends(asked) {
 			// The coordinator holds this share while it lends.
-			held.level, held.at = 0, asked
+			held.level, held.at = 0, asked.Add(silentAfter)
 		}
 		held.refill(maxTime(held.at, asked))
 		held.share = assigned.Shares[account.Name]
