One watch serves all entries

Change: the coordinator's mirror feeds the others with each report; without a fresh coordinator each entry watches by itself.

--- a/coord/client.go
+++ b/coord/client.go
@@ -48,9 +48,9 @@
 	Pool   *pool.Pool
 	Shares *share.Holder
 	Policy func() *policy.Snapshot
-	// Verify is told a revision that the platform's service has reached, and Head
-	// asks for it where no coordinator does.
-	Verify func(revision store.Revision)
+	// Mirror follows the platform's keys. Head asks how far the service has come,
+	// where no coordinator tells it.
+	Mirror Mirror
 	Head   func(ctx context.Context) (store.Revision, error)
 	// Connections lead to other entries.
 	Connections *conns.Pool
@@ -198,7 +198,7 @@
 		return
 	}
 	asked := client.config.Clock.Now()
-	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own()}
+	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own(), Revision: client.config.Mirror.Revision()}
 	client.mutex.Lock()
 	conn, leader := client.conn, client.leader
 	report.Demands = maps.Clone(client.demands)
@@ -209,12 +209,23 @@
 		client.look(ctx, asked)
 		return
 	}
-	client.config.Verify(reply.Revision)
+	client.follow(reply)
 	client.settle(report)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.Inform(reply.Holdings, reply.Loads, asked.Add(holdingLifetime))
 }
 
+// follow takes the coordinator's view of the platform's keys, so that one watch
+// serves all entries.
+func (client *Client) follow(reply Reply) {
+	if reply.Fresh {
+		client.config.Mirror.Feed(reply.Changes, reply.ChangesTo, reply.Whole)
+	} else {
+		client.config.Mirror.Unfeed()
+	}
+	client.config.Mirror.Verify(reply.Revision)
+}
+
 // look reads how far the platform's service has come, while there is no
 // coordinator to tell it.
 func (client *Client) look(ctx context.Context, now time.Time) {
@@ -229,7 +240,7 @@
 		event.RevisionUnread.Log(client.config.Log, logrus.Fields{"cause": err.Error()})
 		return
 	}
-	client.config.Verify(revision)
+	client.config.Mirror.Verify(revision)
 }
 
 func (client *Client) call(ctx context.Context, conn *grpc.ClientConn, leader string, report Report) (Reply, error) {
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -14,6 +14,7 @@
 		ShareTerm:    report.Held.Term,
 		ShareVersion: report.Held.Version,
 		Loads:        encodeLoads(report.Loads),
+		Revision:     int64(report.Revision),
 	}
 	accounts := map[names.ClientAccount]bool{}
 	for account := range report.Held.Shares {
@@ -45,8 +46,9 @@
 		Held: share.Held{
 			Term: message.GetShareTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Usage: share.Set{}, Loans: share.Set{},
 		},
-		Loads:   decodeLoads(message.GetLoads()),
-		Demands: map[Target]Demand{},
+		Loads:    decodeLoads(message.GetLoads()),
+		Demands:  map[Target]Demand{},
+		Revision: store.Revision(message.GetRevision()),
 	}
 	for _, each := range message.GetShares() {
 		account := names.ClientAccount(each.GetAccount())
@@ -63,6 +65,12 @@
 
 func encodeReply(reply Reply) *wire.CoordExchangeReply {
 	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
+	message.ChangesTo, message.Whole, message.Fresh = int64(reply.ChangesTo), reply.Whole, reply.Fresh
+	for _, entry := range reply.Changes {
+		message.Changes = append(message.Changes, &wire.CoordChange{
+			Key: entry.Key(), Value: entry.Value(), Revision: int64(entry.Revision()), Deleted: entry.Deleted(),
+		})
+	}
 	for account := range reply.Assigned.Lent {
 		if _, found := reply.Assigned.Shares[account]; !found {
 			reply.Assigned.Shares[account] = 0
@@ -89,7 +97,13 @@
 		Term:     message.GetTerm(),
 		Assigned: share.Assigned{Term: message.GetTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Lent: share.Set{}},
 		Loads:    decodeLoads(message.GetLoads()),
-		Revision: store.Revision(message.GetRevision()),
+		Revision: store.Revision(message.GetRevision()), ChangesTo: store.Revision(message.GetChangesTo()),
+		Whole: message.GetWhole(), Fresh: message.GetFresh(),
+	}
+	for _, each := range message.GetChanges() {
+		reply.Changes = append(reply.Changes, store.NewEntry(store.EntryConfig{
+			Key: each.GetKey(), Value: each.GetValue(), Revision: store.Revision(each.GetRevision()), Deleted: each.GetDeleted(),
+		}))
 	}
 	for _, each := range message.GetShares() {
 		account := names.ClientAccount(each.GetAccount())
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -37,7 +37,7 @@
 	// headPeriod is the time between two looks at how far the platform's service has
 	// come. A watch that hears nothing has to be found within half of the time in
 	// which a new version of the policy has to be in force.
-	headPeriod = 700 * time.Millisecond
+	headPeriod = 500 * time.Millisecond
 	// freshReport is the age up to which a report shows that an entry follows this
 	// coordinator; memberLifetime that up to which the entry counts at all.
 	freshReport    = 700 * time.Millisecond
@@ -66,6 +66,8 @@
 	Fenced bool
 	// Shares keeps the record of shares.
 	Shares ShareKeeper
+	// Mirror follows the platform's keys.
+	Mirror Mirror
 	// Head returns the revision that the platform's service has reached.
 	Head func(ctx context.Context) (store.Revision, error)
 	// LoadWindow is the span over which loads from the weight store are bounded.
@@ -80,6 +82,23 @@
 	Keep(ctx context.Context, record share.Record) error
 }
 
+// Mirror is a local copy of the platform's keys.
+type Mirror interface {
+	// Revision is how far the copy has come.
+	Revision() store.Revision
+	// Verify tells how far the service has come.
+	Verify(revision store.Revision)
+	// Since returns changes for another copy, and false where this one may be out
+	// of date.
+	Since(after store.Revision) (entries []store.Entry, to store.Revision, whole, fresh bool)
+	// Feed takes changes of another copy.
+	Feed(entries []store.Entry, to store.Revision, whole bool)
+	// Unfeed tells that the copy that fed this one may be out of date.
+	Unfeed()
+	// Doubt tells that the service did not answer.
+	Doubt()
+}
+
 // Desk coordinates while its entry is elected. It is safe for concurrent use.
 type Desk struct {
 	config DeskConfig
@@ -219,9 +238,11 @@
 	defer cancel()
 	revision, err := desk.config.Head(callCtx)
 	if err != nil {
+		desk.config.Mirror.Doubt()
 		event.RevisionUnread.Log(desk.config.Log, logrus.Fields{"cause": err.Error()})
 		return
 	}
+	desk.config.Mirror.Verify(revision)
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	desk.revision = max(desk.revision, revision)
@@ -260,7 +281,11 @@
 	}
 	current.reports[report.Instance] = entry
 	reply := Reply{Term: current.number, Loads: map[names.BackendServer]int{}, Revision: desk.revision}
+	if report.Instance != desk.config.Instance {
+		reply.Changes, reply.ChangesTo, reply.Whole, reply.Fresh = desk.config.Mirror.Since(report.Revision)
+	}
 	reply.Assigned = current.divider.Report(report.Instance, report.Held, now)
+	current.bank.Hold(desk.config.Term() == current.number)
 	reply.Assigned.Lent = current.bank.Settle(report.Instance, report.Held, snapshot, now)
 	for instance, other := range current.reports {
 		if instance == report.Instance || now.Sub(other.at) > reportLifetime {
@@ -302,6 +327,7 @@
 	}
 	for _, account := range snapshot.Accounts() {
 		if account.Name == name {
+			current.bank.Hold(desk.config.Term() == current.number)
 			wait, lent := current.bank.Lend(account, cost, now)
 			return wait, lent, nil
 		}
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -25,6 +25,8 @@
 	Held     share.Held
 	Loads    map[names.BackendServer]int
 	Demands  map[Target]Demand
+	// Revision up to which the entry knows the platform's keys.
+	Revision store.Revision
 }
 
 // Reply is what the coordinator answers.
@@ -36,4 +38,10 @@
 	Holdings []pool.Holding
 	// Revision is what the platform's service is known to have reached.
 	Revision store.Revision
+	// Changes lead from the entry's revision to ChangesTo; they are all entries
+	// where Whole is set. Without Fresh the coordinator may be out of date.
+	Changes   []store.Entry
+	ChangesTo store.Revision
+	Whole     bool
+	Fresh     bool
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,13 @@
 	// The registry has to be current within two seconds of an outage's end.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
+	// freshFor is how long after the service confirmed it a mirror counts as up to
+	// date: a look of the coordinator each half second, and its answer.
+	freshFor = 800 * time.Millisecond
+	// feedLifetime is how long after another mirror's last changes a watch is taken
+	// up again, and feedPoll the time between looks at that.
+	feedLifetime = 700 * time.Millisecond
+	feedPoll     = 50 * time.Millisecond
 	// deafAfter is how long a watch may lag behind the service; it answers within
 	// milliseconds, and within a quarter of a second when slow.
 	deafAfter = 350 * time.Millisecond
@@ -40,7 +48,7 @@
 	Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Entry, store.Revision, error)
 }
 
-// Owner is told what a mirror sees. Calls come from one goroutine.
+// Owner is told what a mirror sees. Calls do not overlap.
 type Owner interface {
 	// Replaced gives the whole content: entries that are not in it are gone.
 	Replaced(entries []store.Entry)
@@ -64,21 +72,119 @@
 // Mirror follows one prefix.
 type Mirror struct {
 	config Config
-	loaded bool
 	lost   bool
 	pause  time.Duration
+	// owning serialises calls of the owner.
+	owning sync.Mutex
 	// mutex guards all below.
 	mutex    sync.Mutex
+	loaded   bool
 	revision store.Revision
 	// behind is when a revision was first seen that this mirror has not reached.
 	behind time.Time
 	// interrupt ends the watch that is under way.
 	interrupt context.CancelFunc
 	deaf      bool
+	// latest holds the last change of each key, deletions too; what was deleted up
+	// to horizon may be missing.
+	latest  map[string]store.Entry
+	horizon store.Revision
+	// fedUntil is until when another mirror's changes are taken instead of a watch.
+	fedUntil time.Time
+	// confirmed is when the service last showed that this mirror is up to date.
+	confirmed time.Time
 }
 
 // New returns a mirror that has read nothing.
-func New(config Config) *Mirror { return &Mirror{config: config, pause: firstPause} }
+func New(config Config) *Mirror {
+	return &Mirror{config: config, pause: firstPause, latest: map[string]store.Entry{}}
+}
+
+// Since returns the changes after a revision and the revision that they lead to;
+// whole tells that they are all entries instead. It returns false where the
+// service has not confirmed lately that this mirror is up to date.
+func (mirror *Mirror) Since(after store.Revision) (entries []store.Entry, to store.Revision, whole, fresh bool) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if mirror.config.Clock.Now().Sub(mirror.confirmed) > freshFor {
+		return nil, 0, false, false
+	}
+	whole = after < mirror.horizon
+	for _, entry := range mirror.latest {
+		if entry.Revision() > after || (whole && !entry.Deleted()) {
+			entries = append(entries, entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b store.Entry) int { return int(a.Revision() - b.Revision()) })
+	return entries, mirror.revision, whole, true
+}
+
+// Feed takes another mirror's changes after this one's revision, and has no watch
+// of its own while more come.
+func (mirror *Mirror) Feed(entries []store.Entry, to store.Revision, whole bool) {
+	mirror.mutex.Lock()
+	if !mirror.loaded || to < mirror.revision {
+		mirror.mutex.Unlock()
+		return
+	}
+	mirror.fedUntil = mirror.config.Clock.Now().Add(feedLifetime)
+	if mirror.interrupt != nil {
+		mirror.interrupt()
+	}
+	fresh := entries[:0:0]
+	for _, entry := range entries {
+		if whole || entry.Revision() > mirror.revision {
+			fresh = append(fresh, entry)
+		}
+	}
+	mirror.keep(fresh, to, whole)
+	mirror.mutex.Unlock()
+	mirror.owning.Lock()
+	defer mirror.owning.Unlock()
+	switch {
+	case whole:
+		mirror.config.Owner.Replaced(live(fresh))
+	case len(fresh) > 0:
+		mirror.config.Owner.Changed(fresh)
+	}
+}
+
+// Unfeed has this mirror watch by itself: the other one may be out of date.
+func (mirror *Mirror) Unfeed() {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.fedUntil = time.Time{}
+}
+
+// Doubt tells that the service did not answer, so that this mirror may be out of
+// date.
+func (mirror *Mirror) Doubt() {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.confirmed = time.Time{}
+}
+
+func live(entries []store.Entry) []store.Entry {
+	return slices.DeleteFunc(slices.Clone(entries), store.Entry.Deleted)
+}
+
+// keep notes changes up to a revision. It is called with the mutex held.
+func (mirror *Mirror) keep(entries []store.Entry, to store.Revision, whole bool) {
+	if whole {
+		mirror.latest, mirror.horizon = map[string]store.Entry{}, to
+	}
+	for _, entry := range entries {
+		mirror.latest[entry.Key()] = entry
+	}
+	mirror.revision = max(mirror.revision, to)
+}
+
+// fed tells whether another mirror's changes come in.
+func (mirror *Mirror) fed() bool {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return mirror.loaded && mirror.config.Clock.Now().Before(mirror.fedUntil)
+}
 
 // Revision returns the revision up to which changes are known.
 func (mirror *Mirror) Revision() store.Revision {
@@ -97,6 +203,9 @@
 	switch {
 	case revision <= mirror.revision:
 		mirror.behind = time.Time{}
+		if revision > 0 {
+			mirror.confirmed = now
+		}
 	case mirror.behind.IsZero():
 		mirror.behind = now
 	case now.Sub(mirror.behind) > deafAfter && mirror.interrupt != nil:
@@ -108,6 +217,14 @@
 // Run follows the prefix until ctx ends.
 func (mirror *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if mirror.fed() {
+			mirror.regain()
+			select {
+			case <-ctx.Done():
+			case <-mirror.config.Clock.After(feedPoll):
+			}
+			continue
+		}
 		err := mirror.step(ctx)
 		if err == nil {
 			mirror.regain()
@@ -115,15 +232,18 @@
 		}
 		var historyError *store.HistoryError
 		if errors.As(err, &historyError) {
-			mirror.loaded = false
+			mirror.reload()
 			event.MirrorReset.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "cause": err.Error()})
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		if mirror.fed() {
+			continue
+		}
 		if mirror.wasDeaf() {
-			mirror.loaded = false
+			mirror.reload()
 			event.MirrorReset.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "cause": "the watch does not tell of changes"})
 			continue
 		}
@@ -137,15 +257,19 @@
 }
 
 func (mirror *Mirror) step(ctx context.Context) error {
-	if !mirror.loaded {
+	if !mirror.isLoaded() {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		entries, revision, err := mirror.config.Source.Snapshot(callCtx, mirror.config.Prefix)
 		if err != nil {
 			return err
 		}
+		mirror.mutex.Lock()
 		mirror.loaded = true
-		mirror.reach(revision)
+		mirror.keep(entries, revision, true)
+		mirror.mutex.Unlock()
+		mirror.owning.Lock()
+		defer mirror.owning.Unlock()
 		mirror.config.Owner.Replaced(entries)
 		return nil
 	}
@@ -164,18 +288,29 @@
 	if err != nil {
 		return err
 	}
-	mirror.reach(revision)
+	mirror.mutex.Lock()
+	mirror.interrupt = nil
+	mirror.keep(entries, revision, false)
+	mirror.mutex.Unlock()
+	mirror.owning.Lock()
+	defer mirror.owning.Unlock()
 	if len(entries) > 0 {
 		mirror.config.Owner.Changed(entries)
 	}
 	return nil
 }
 
-// reach notes that changes up to revision are known.
-func (mirror *Mirror) reach(revision store.Revision) {
+func (mirror *Mirror) isLoaded() bool {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return mirror.loaded
+}
+
+// reload has everything read again.
+func (mirror *Mirror) reload() {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	mirror.revision = max(mirror.revision, revision)
+	mirror.loaded = false
 }
 
 func (mirror *Mirror) wasDeaf() bool {
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -40,6 +40,7 @@
 	Host    *setup.Host
 	Self    *relaySelf
 	Store   *platform.Store
+	Mirror  *mirror.Mirror
 	Trunk   *trunk.Trunk
 	Pool    *pool.Pool
 	Relay   *relay.Relay
@@ -54,6 +55,7 @@
 		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, Shares: parts.Members, Fenced: parts.Host.Bounds.Fenced,
 		Term:       func() int64 { return int64(parts.Members.elector.Term()) },
 		Doubtful:   func() int64 { return int64(parts.Members.elector.Doubtful()) },
+		Mirror:     parts.Mirror,
 		Head:       headOf(parts.Store),
 		LoadWindow: parts.Host.Bounds.LoadWindow,
 	})
@@ -83,7 +85,7 @@
 	client := coord.NewClient(coord.ClientConfig{
 		Instance: parts.Self.instance, Self: parts.Self.value, Desk: parts.Desk, Pool: parts.Pool, Shares: parts.Shares,
 		Policy: parts.Relay.Policy, Connections: parts.Connections, Clock: parts.Clock, Log: parts.Log,
-		Verify: parts.Mirror.Verify, Head: headOf(parts.Store),
+		Mirror: parts.Mirror, Head: headOf(parts.Store),
 	})
 	parts.Relay.Use(client)
 	return client
--- a/share/bank.go
+++ b/share/bank.go
@@ -26,13 +26,18 @@
 	divider *Divider
 	buckets map[names.ClientAccount]*bucket
 	lent    map[names.Instance]Set
+	// exclusive tells that no other coordinator can have been elected.
+	exclusive bool
 }
 
 // NewBank returns a bank for the entries of a divider.
 func NewBank(divider *Divider) *Bank {
-	return &Bank{divider: divider, buckets: map[names.ClientAccount]*bucket{}, lent: map[names.Instance]Set{}}
+	return &Bank{divider: divider, buckets: map[names.ClientAccount]*bucket{}, lent: map[names.Instance]Set{}, exclusive: true}
 }
 
+// Hold tells whether this coordinator certainly is the only one.
+func (bank *Bank) Hold(exclusive bool) { bank.exclusive = exclusive }
+
 // Settle takes in what an entry has left of its loans, and lends it ahead what it
 // is expected to use until its next reports. The entry adds what is returned.
 func (bank *Bank) Settle(instance names.Instance, held Held, limits *policy.Snapshot, now time.Time) Set {
@@ -75,7 +80,7 @@
 // and a level that leaves room for what is lent.
 func (bank *Bank) bucket(account *policy.Account, now time.Time) *bucket {
 	held, found := bank.buckets[account.Name]
-	part := bank.divider.reporting(account.Name, now)
+	part := bank.divider.reporting(account.Name, bank.exclusive, now)
 	if !found {
 		// What the former coordinator lent just now is not known.
 		held = &bucket{at: now}
--- a/share/divider.go
+++ b/share/divider.go
@@ -174,13 +174,20 @@
 func (divider *Divider) move() float64 { return smallestMove / float64(max(len(divider.holders), 1)) }
 
 // reporting is the part of an account's limits that no entry uses on its own.
-func (divider *Divider) reporting(account names.ClientAccount, now time.Time) float64 {
-	part := whole
-	for _, known := range divider.holders {
+// Without exclusive right, as another coordinator may have been elected, it is
+// only what the record grants to the entries that report here.
+func (divider *Divider) reporting(account names.ClientAccount, exclusive bool, now time.Time) float64 {
+	part, granted := whole, 0.0
+	for instance, known := range divider.holders {
 		if known.heard.IsZero() || now.Sub(known.heard) > silentAfter {
 			part -= max(known.possible[account], known.assigned[account])
+		} else {
+			granted += divider.record[instance][account]
 		}
 	}
+	if !exclusive {
+		return min(max(part, 0), granted)
+	}
 	return max(part, 0)
 }
 
