--- /dev/null
+++ b/copies/fakeengine_test.go
@@ -0,0 +1,152 @@
+package copies_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/basilkeel/basilkeel/copies"
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// fakeEngine is a model engine that checks what it is ordered to hold.
+type fakeEngine struct {
+	spec *policy.Engine
+	// mutex guards all below.
+	mutex    sync.Mutex
+	accepted int64
+	fence    int64
+	models   []names.Model
+	adapters []pool.Adapter
+	loading  names.Model
+	// late are orders that have had no answer and may be carried out later.
+	late []copies.Sending
+	// broken lists what an engine must never be ordered.
+	broken []string
+	// fate decides what becomes of the next order.
+	fate    func() fate
+	reports int
+}
+
+// fate is what becomes of an order.
+type fate int
+
+const (
+	fateAnswered fate = iota
+	fateAnswerLost
+	fateLate
+	fateLost
+)
+
+func newFakeEngine(models ...names.Model) *fakeEngine {
+	return &fakeEngine{spec: engineSpec(), models: models, fate: func() fate { return fateAnswered }}
+}
+
+// Order implements [copies.Engine].
+func (engine *fakeEngine) Order(_ context.Context, sending copies.Sending) (copies.Verdict, error) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	switch engine.fate() {
+	case fateAnswerLost:
+		engine.take(sending)
+		return copies.VerdictUnknown, errNoAnswer
+	case fateLate:
+		engine.late = append(engine.late, sending)
+		return copies.VerdictUnknown, errNoAnswer
+	case fateLost:
+		return copies.VerdictUnknown, errNoAnswer
+	default:
+		return engine.take(sending), nil
+	}
+}
+
+// take is called with the mutex held.
+func (engine *fakeEngine) take(sending copies.Sending) copies.Verdict {
+	if sending.Term < engine.fence {
+		return copies.VerdictFenced
+	}
+	if sending.Accepted != engine.accepted || engine.loading != "" {
+		return copies.VerdictConflict
+	}
+	engine.fence = sending.Term
+	adapter := pool.Adapter{Model: sending.Model, Name: sending.Adapter}
+	switch {
+	case sending.Adapter != "" && sending.Unload:
+		engine.adapters = slices.DeleteFunc(engine.adapters, func(other pool.Adapter) bool { return other == adapter })
+		engine.accepted++
+		return copies.VerdictHolds
+	case sending.Adapter != "":
+		if slices.Contains(engine.adapters, adapter) {
+			return copies.VerdictHolds
+		}
+		if len(engine.adapters) >= engine.spec.AdapterSlots {
+			engine.broken = append(engine.broken, "an adapter beyond the places")
+		}
+		engine.adapters = append(engine.adapters, adapter)
+	case sending.Unload:
+		engine.models = slices.DeleteFunc(engine.models, func(other names.Model) bool { return other == sending.Model })
+		engine.adapters = slices.DeleteFunc(engine.adapters, func(other pool.Adapter) bool { return other.Model == sending.Model })
+	default:
+		if slices.Contains(engine.models, sending.Model) {
+			return copies.VerdictHolds
+		}
+		engine.loading = sending.Model
+		total := engine.spec.Models[sending.Model].WeightsMB
+		for _, model := range engine.models {
+			total += engine.spec.Models[model].WeightsMB
+		}
+		if total > engine.spec.WeightsMB {
+			engine.broken = append(engine.broken, "a model beyond the memory: "+string(sending.Model))
+		}
+	}
+	engine.accepted++
+	return copies.VerdictTaken
+}
+
+// finish ends the load that is under way.
+func (engine *fakeEngine) finish() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.loading != "" {
+		engine.models = append(engine.models, engine.loading)
+		engine.loading = ""
+	}
+}
+
+// deliver carries out an order that was late.
+func (engine *fakeEngine) deliver() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if len(engine.late) > 0 {
+		engine.take(engine.late[0])
+		engine.late = engine.late[1:]
+	}
+}
+
+// Report implements [copies.Engine].
+func (engine *fakeEngine) Report(context.Context, string, names.BackendServer) (copies.Report, error) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.reports++
+	return copies.Report{
+		Busy: engine.loading != "", Accepted: engine.accepted,
+		Models: slices.Clone(engine.models), Adapters: slices.Clone(engine.adapters),
+	}, nil
+}
+
+func (engine *fakeEngine) faults() []string {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return slices.Clone(engine.broken)
+}
+
+func (engine *fakeEngine) held() []names.Model {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return slices.Clone(engine.models)
+}
--- /dev/null
+++ b/copies/keeper_test.go
@@ -0,0 +1,156 @@
+package copies_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/copies"
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+// quickClock passes pauses at once, so that a test does not wait.
+type quickClock struct{ clockwork.Clock }
+
+func (quickClock) After(time.Duration) <-chan time.Time {
+	passed := make(chan time.Time, 1)
+	passed <- epoch
+	return passed
+}
+
+func quiet() logrus.FieldLogger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
+func newKeeper(engine copies.Engine, term int64) *copies.Keeper {
+	return copies.NewKeeper(copies.KeeperConfig{
+		Engine: engine, Clock: clock.NewService(clock.ServiceConfig{Clock: quickClock{clockwork.NewRealClock()}}),
+		Log: quiet(), Holder: "entry", Term: func() int64 { return term },
+	})
+}
+
+const engineID = names.BackendServer("engine-1")
+
+func listed(models ...names.Model) []*pool.Server {
+	return []*pool.Server{{ID: engineID, Service: "notes", Address: "127.0.0.1:1", Slots: 48, Models: models, Born: 1}}
+}
+
+// known returns a keeper that has asked its engine.
+func known(engine *fakeEngine, term int64, models ...names.Model) *copies.Keeper {
+	keeper := newKeeper(engine, term)
+	keeper.Sync(listed(models...), epoch)
+	keeper.Learn(context.Background(), "notes")
+	keeper.Wait()
+	return keeper
+}
+
+func TestNoOrdersBeforeTheEngineIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	engine := newFakeEngine("a")
+	// The former coordinator's load is under way and not in the registry yet.
+	engine.take(copies.Sending{Order: copies.Order{Model: "b"}, Term: 1})
+	keeper := known(engine, 2, "a")
+	g.Expect(keeper.States("notes")[0].Fixed).To(BeTrue())
+	keeper.Begin(context.Background(), copies.Step{Server: engineID, Load: "c"}, engineSpec())
+	keeper.Wait()
+	engine.finish()
+	g.Expect(engine.faults()).To(BeEmpty())
+	g.Expect(engine.held()).To(ConsistOf(names.Model("a"), names.Model("b")))
+	keeper.Learn(context.Background(), "notes")
+	keeper.Wait()
+	state := keeper.States("notes")[0]
+	g.Expect(state.Fixed).To(BeFalse())
+	g.Expect(state.Models).To(ConsistOf(names.Model("a"), names.Model("b")))
+}
+
+func TestAnOlderCoordinatorStopsAtTheFence(t *testing.T) {
+	g := NewWithT(t)
+	engine := newFakeEngine("a")
+	old := known(engine, 1, "a")
+	fresh := known(engine, 2, "a")
+	fresh.Begin(context.Background(), copies.Step{Server: engineID, Load: "b"}, engineSpec())
+	fresh.Wait()
+	engine.finish()
+	// The count that the old one knows is out of date; it has to ask, and is fenced.
+	old.Learn(context.Background(), "notes")
+	g.Expect(old.Adapter(context.Background(), engineID, pool.Adapter{Model: "a", Name: "a1"}, engineSpec())).NotTo(Succeed())
+	g.Expect(old.States("notes")[0].Fixed).To(BeTrue())
+}
+
+func TestAdaptersMakeWayInOrder(t *testing.T) {
+	g := NewWithT(t)
+	engine := newFakeEngine("a")
+	keeper := known(engine, 1, "a")
+	for _, name := range []names.Adapter{"a1", "a2", "a3", "a3", "a1"} {
+		g.Expect(keeper.Adapter(context.Background(), engineID, pool.Adapter{Model: "a", Name: name}, engineSpec())).To(Succeed())
+	}
+	g.Expect(engine.faults()).To(BeEmpty())
+	g.Expect(engine.adapters).To(ConsistOf(pool.Adapter{Model: "a", Name: "a3"}, pool.Adapter{Model: "a", Name: "a1"}))
+}
+
+// TestMemoryIsNeverOvercommitted lets orders and answers be lost or late, loads
+// end at any time, and coordinators follow each other.
+func TestMemoryIsNeverOvercommitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engine := newFakeEngine("a")
+		var drawing sync.Mutex
+		fates := rapid.SliceOfN(rapid.SampledFrom([]fate{fateAnswered, fateAnswered, fateAnswered, fateAnswerLost, fateLate, fateLost}), 400, 400).Draw(t, "fates")
+		next := 0
+		engine.fate = func() fate {
+			drawing.Lock()
+			defer drawing.Unlock()
+			next++
+			return fates[next%len(fates)]
+		}
+		term := int64(1)
+		keeper := known(engine, term, "a")
+		for range rapid.IntRange(10, 40).Draw(t, "actions") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0:
+				engine.finish()
+			case 1:
+				engine.deliver()
+			case 2:
+				term++
+				keeper = known(engine, term, engine.held()...)
+			case 3:
+				keeper.Learn(context.Background(), "notes")
+				keeper.Wait()
+			case 4:
+				adapter := rapid.SampledFrom([]names.Adapter{"a1", "a2", "a3", "a4"}).Draw(t, "adapter")
+				// A failure is allowed: the request goes to another engine.
+				_ = keeper.Adapter(context.Background(), engineID, pool.Adapter{Model: "a", Name: adapter}, engineSpec())
+			default:
+				planned(t, keeper)
+			}
+			if faults := engine.faults(); len(faults) > 0 {
+				t.Fatalf("ordered %v", faults)
+			}
+		}
+	})
+}
+
+// planned has a random model loaded the way that the planner would.
+func planned(t *rapid.T, keeper *copies.Keeper) {
+	model := rapid.SampledFrom([]names.Model{"b", "c", "d", "x", "y"}).Draw(t, "model")
+	planner := copies.NewPlanner(copies.PlannerConfig{Window: 5 * time.Second, Now: epoch})
+	steps := planner.Plan(copies.Input{
+		Engine: engineSpec(), Engines: keeper.States("notes"), Now: epoch.Add(time.Hour),
+		Demand: map[names.Model]copies.Demand{model: {Work: 1, Waiting: 1}},
+	})
+	for _, step := range steps {
+		keeper.Begin(context.Background(), step, engineSpec())
+	}
+	keeper.Wait()
+}
--- /dev/null
+++ b/copies/planner_test.go
@@ -0,0 +1,230 @@
+package copies_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/copies"
+	"github.com/basilkeel/basilkeel/names"
+)
+
+func newPlanner() *copies.Planner {
+	return copies.NewPlanner(copies.PlannerConfig{Window: 5 * time.Second, Now: epoch})
+}
+
+// stock returns engines that hold what is listed, one an entry.
+func stock(held ...[]names.Model) []copies.EngineState {
+	var engines []copies.EngineState
+	for index, models := range held {
+		engines = append(engines, copies.EngineState{Server: names.BackendServer(fmt.Sprintf("engine-%d", index)), Models: models})
+	}
+	return engines
+}
+
+func TestPlannerCases(t *testing.T) {
+	full := []names.Model{"a", "b"}
+	cases := []struct {
+		name    string
+		engines []copies.EngineState
+		demand  map[names.Model]copies.Demand
+		check   func(g *WithT, steps []copies.Step)
+	}{
+		{
+			name:    "a model that somebody waits for is loaded where there is room",
+			engines: stock(full, []names.Model{"a"}),
+			demand:  map[names.Model]copies.Demand{"c": {Work: 0.1, Waiting: 1}, "a": {Work: 1}},
+			check: func(g *WithT, steps []copies.Step) {
+				g.Expect(steps).NotTo(BeEmpty())
+				g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-1", Load: "c", FromStore: true}))
+			},
+		},
+		{
+			name:    "the last copy of a model that is asked for stays",
+			engines: stock([]names.Model{"a", "b"}),
+			demand:  map[names.Model]copies.Demand{"a": {Work: 0.1}, "b": {Work: 0.1}, "c": {Work: 5, Waiting: 9}},
+			check:   func(g *WithT, steps []copies.Step) { g.Expect(steps).To(BeEmpty()) },
+		},
+		{
+			name:    "the last copy of a model that nobody asks for makes way",
+			engines: stock([]names.Model{"a", "b"}),
+			demand:  map[names.Model]copies.Demand{"a": {Work: 0.1}, "c": {Work: 0.2, Waiting: 1}},
+			check: func(g *WithT, steps []copies.Step) {
+				g.Expect(steps).To(HaveLen(1))
+				g.Expect(steps[0].Unload).To(Equal([]names.Model{"b"}))
+			},
+		},
+		{
+			name:    "nothing is loaded before anything is asked for",
+			engines: stock([]names.Model{"a"}, []names.Model{"b"}),
+			check:   func(g *WithT, steps []copies.Step) { g.Expect(steps).To(BeEmpty()) },
+		},
+		{
+			name: "an engine that has the weights at hand goes first",
+			engines: func() []copies.EngineState {
+				engines := stock([]names.Model{"a"}, []names.Model{"a"})
+				engines[1].OnDisk = []names.Model{"c"}
+				return engines
+			}(),
+			demand: map[names.Model]copies.Demand{"c": {Work: 0.2, Waiting: 1}, "a": {Work: 0.1}},
+			check: func(g *WithT, steps []copies.Step) {
+				g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-1", Load: "c"}))
+			},
+		},
+		{
+			name: "engines that leave or carry out an order are left alone",
+			engines: func() []copies.EngineState {
+				engines := stock([]names.Model{"a"}, []names.Model{"a"})
+				engines[0].Leaving, engines[1].Fixed = true, true
+				return engines
+			}(),
+			demand: map[names.Model]copies.Demand{"c": {Work: 0.2, Waiting: 1}},
+			check:  func(g *WithT, steps []copies.Step) { g.Expect(steps).To(BeEmpty()) },
+		},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			steps := newPlanner().Plan(copies.Input{Engine: engineSpec(), Engines: each.engines, Demand: each.demand, Now: epoch.Add(time.Minute)})
+			each.check(g, steps)
+		})
+	}
+}
+
+// TestPlannerKeepsTheStoresRate asks for more than the weight store gives.
+func TestPlannerKeepsTheStoresRate(t *testing.T) {
+	g := NewWithT(t)
+	planner := newPlanner()
+	spec := engineSpec()
+	var begins []time.Duration
+	for tick := time.Duration(0); tick < 20*time.Second; tick += 200 * time.Millisecond {
+		// Every engine is always empty, and everything is asked for.
+		input := copies.Input{Engine: spec, Engines: stock(nil, nil, nil, nil, nil, nil), Now: epoch.Add(tick), Demand: map[names.Model]copies.Demand{}}
+		for name := range spec.Models {
+			input.Demand[name] = copies.Demand{Work: 1, Waiting: 1}
+		}
+		for _, step := range planner.Plan(input) {
+			if step.FromStore {
+				begins = append(begins, tick)
+			}
+		}
+	}
+	for _, first := range begins {
+		count := 0
+		for _, begin := range begins {
+			if begin >= first && begin < first+5*time.Second {
+				count++
+			}
+		}
+		g.Expect(count).To(BeNumerically("<=", 2*5*1.1+3))
+	}
+	g.Expect(len(begins)).To(BeNumerically(">=", 40), "the rate is used")
+}
+
+// TestPlannerFollowsAShift plays a load that moves within six seconds, as on the
+// heaviest days: the busiest model falls silent, the second takes its place and a
+// third comes in. The engines' worst load is what callers feel.
+func TestPlannerFollowsAShift(t *testing.T) {
+	g := NewWithT(t)
+	spec := engineSpec()
+	world := newShiftWorld(spec)
+	for tick := time.Duration(0); tick < 14*time.Second; tick += 200 * time.Millisecond {
+		world.step(tick)
+	}
+	g.Expect(world.mean(8*time.Second, 14*time.Second)).To(BeNumerically("<", 1.5), "two seconds after the shift no copy carries much more than the mean")
+	g.Expect(world.loads).To(BeNumerically("<=", 16), "each load delays the streams beside it")
+}
+
+// shiftWorld is twelve engines and a demand that moves.
+type shiftWorld struct {
+	planner *copies.Planner
+	engines []copies.EngineState
+	ready   map[names.BackendServer]time.Duration
+	worst   map[time.Duration]float64
+	input   copies.Input
+	loads   int
+}
+
+func newShiftWorld(spec interface{}) *shiftWorld {
+	world := &shiftWorld{planner: newPlanner(), ready: map[names.BackendServer]time.Duration{}, worst: map[time.Duration]float64{}}
+	for index := range 12 {
+		models := []names.Model{"a", "b"}
+		switch {
+		case index >= 10:
+			models = []names.Model{"a", "x", "y"}
+		case index >= 8:
+			models = []names.Model{"a", "c"}
+		}
+		world.engines = append(world.engines, copies.EngineState{
+			Server: names.BackendServer(fmt.Sprintf("engine-%02d", index)), Models: models, Since: map[names.Model]time.Time{},
+		})
+	}
+	world.input.Engine = engineSpec()
+	return world
+}
+
+func (world *shiftWorld) demand(tick time.Duration) map[names.Model]float64 {
+	moved := min(max(tick.Seconds()/6, 0), 1)
+	return map[names.Model]float64{"a": 7 * (1 - moved), "b": 2.5 + 4.5*moved, "c": 2.5 * moved, "x": 0.2, "y": 0.2}
+}
+
+func (world *shiftWorld) step(tick time.Duration) {
+	now := epoch.Add(tick)
+	for index := range world.engines {
+		engine := &world.engines[index]
+		if engine.Loading != "" && tick >= world.ready[engine.Server] {
+			engine.Models = append(engine.Models, engine.Loading)
+			engine.Since[engine.Loading] = now
+			engine.Loading, engine.Fixed = "", false
+		}
+	}
+	demand := world.demand(tick)
+	world.input.Engines, world.input.Now, world.input.Demand = slices.Clone(world.engines), now, map[names.Model]copies.Demand{}
+	for model, work := range demand {
+		world.input.Demand[model] = copies.Demand{Work: work}
+	}
+	for _, step := range world.planner.Plan(world.input) {
+		world.loads++
+		for index := range world.engines {
+			engine := &world.engines[index]
+			if engine.Server != step.Server {
+				continue
+			}
+			engine.Models = slices.DeleteFunc(slices.Clone(engine.Models), func(model names.Model) bool { return slices.Contains(step.Unload, model) })
+			engine.Loading, engine.Fixed = step.Load, true
+			world.ready[engine.Server] = tick + 1700*time.Millisecond
+		}
+	}
+	world.worst[tick] = world.imbalance(demand)
+}
+
+// imbalance is the load of the busiest copy beside that of an even spread over
+// all engines.
+func (world *shiftWorld) imbalance(demand map[names.Model]float64) float64 {
+	total, worst := 0.0, 0.0
+	for model, work := range demand {
+		total += work
+		count := 0.0
+		for _, engine := range world.engines {
+			if slices.Contains(engine.Models, model) {
+				count++
+			}
+		}
+		worst = max(worst, work/max(count, 0.01))
+	}
+	return worst / (total / float64(len(world.engines)))
+}
+
+func (world *shiftWorld) mean(from, to time.Duration) float64 {
+	sum, count := 0.0, 0.0
+	for tick, worst := range world.worst {
+		if tick >= from && tick < to {
+			sum += worst
+			count++
+		}
+	}
+	return sum / count
+}
--- /dev/null
+++ b/elect/elector_test.go
@@ -0,0 +1,157 @@
+package elect_test
+
+import (
+	"context"
+	"io"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/elect"
+	"github.com/basilkeel/basilkeel/proof"
+	"github.com/basilkeel/basilkeel/store"
+)
+
+func TestMain(m *testing.M) { os.Exit(proof.Main(m)) }
+
+const (
+	key = "own/coordinator"
+	ttl = 400 * time.Millisecond
+)
+
+// standing is an elector with what it told.
+type standing struct {
+	*elect.Elector
+	// mutex guards all below.
+	mutex   sync.Mutex
+	awake   time.Duration
+	elected []store.Revision
+	ended   int
+}
+
+func (standing *standing) sleep(span time.Duration) {
+	standing.mutex.Lock()
+	defer standing.mutex.Unlock()
+	standing.awake += span
+}
+
+func (standing *standing) ends() int {
+	standing.mutex.Lock()
+	defer standing.mutex.Unlock()
+	return standing.ended
+}
+
+func stand(t *testing.T, memory store.Store, value string) *standing {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	result := &standing{}
+	began := time.Now()
+	result.Elector = elect.New(elect.Config{
+		Store: memory, Key: key, Value: value, TTL: ttl, Clock: clock.NewService(clock.ServiceConfig{}), Log: log,
+		Awake: func() time.Duration {
+			result.mutex.Lock()
+			defer result.mutex.Unlock()
+			return time.Since(began) + result.awake
+		},
+		Elected: func(term store.Revision) {
+			result.mutex.Lock()
+			defer result.mutex.Unlock()
+			result.elected = append(result.elected, term)
+		},
+		Ended: func() {
+			result.mutex.Lock()
+			defer result.mutex.Unlock()
+			result.ended++
+		},
+		Leader: func(elect.Leader) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	result.Run(ctx)
+	return result
+}
+
+func TestOneIsElected(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	first, second := stand(t, memory, "first"), stand(t, memory, "second")
+	first.Seen(elect.Leader{})
+	g.Eventually(first.Term).ShouldNot(BeZero())
+	second.Seen(elect.Leader{})
+	g.Consistently(second.Term, ttl).Should(BeZero())
+}
+
+func TestElectionWithALostAnswerIsReadBack(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	first := stand(t, memory, "first")
+	lost := false
+	memory.Before(func(operation, _ string) {
+		if operation == "swap" && !lost {
+			lost = true
+			memory.LoseAnswers(1)
+		}
+	})
+	first.Seen(elect.Leader{})
+	g.Eventually(first.Term).ShouldNot(BeZero())
+	entries := memory.Entries()
+	g.Expect(entries).To(HaveLen(1))
+	g.Expect(first.Term()).To(Equal(entries[0].Revision()))
+}
+
+func TestOutageLeavesATermInDoubt(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	first := stand(t, memory, "first")
+	first.Seen(elect.Leader{})
+	g.Eventually(first.Term).ShouldNot(BeZero())
+	term := first.Term()
+	memory.SetDown(true)
+	g.Eventually(first.Term, 4*ttl).Should(BeZero())
+	g.Expect(first.Doubtful()).To(Equal(term))
+	g.Expect(first.ends()).To(BeZero())
+	memory.SetDown(false)
+	g.Eventually(first.Term, 4*ttl).Should(Equal(term), "the lease was paused with the service")
+}
+
+func TestAnotherLeaderEndsADoubtfulTerm(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	first := stand(t, memory, "first")
+	first.Seen(elect.Leader{})
+	g.Eventually(first.Term).ShouldNot(BeZero())
+	memory.SetDown(true)
+	g.Eventually(first.Term, 4*ttl).Should(BeZero())
+	first.Seen(elect.Leader{Term: first.Doubtful() + 10, Value: "second"})
+	g.Expect(first.Doubtful()).To(BeZero())
+	g.Expect(first.ends()).To(Equal(1))
+}
+
+func TestSuspensionEndsALease(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	first := stand(t, memory, "first")
+	first.Seen(elect.Leader{})
+	g.Eventually(first.Term).ShouldNot(BeZero())
+	memory.SetDown(true)
+	first.sleep(ttl)
+	g.Expect(first.Term()).To(BeZero(), "the machine was suspended for longer than the lease")
+}
+
+func TestRetiredEntryStandsNoMore(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	first := stand(t, memory, "first")
+	first.Seen(elect.Leader{})
+	g.Eventually(first.Term).ShouldNot(BeZero())
+	first.Retire(context.Background())
+	g.Expect(memory.Entries()).To(BeEmpty(), "the key goes with the lease")
+	first.Seen(elect.Leader{})
+	g.Consistently(first.Term, 2*ttl).Should(BeZero())
+}
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,123 @@
+package share_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/share"
+)
+
+// settled returns a fleet in which every entry reports to the first coordinator.
+func settled() *fleet {
+	fleet := newFleet()
+	fleet.used = []float64{0}
+	fleet.elect(nil)
+	for range 100 {
+		fleet.advance()
+		for index, entry := range fleet.entries {
+			if (fleet.step+index)%exchangeSteps == 0 {
+				fleet.exchange(entry)
+			}
+		}
+		if fleet.step%10 == 0 {
+			fleet.divide()
+		}
+	}
+	return fleet
+}
+
+func TestOneEntryGetsAWholeAccountsBurst(t *testing.T) {
+	g := NewWithT(t)
+	fleet := settled()
+	before := fleet.used[fleet.step]
+	for range 9 {
+		fleet.admit(fleet.entries[0], 100)
+	}
+	g.Expect(fleet.used[fleet.step]-before).To(Equal(900.0), "requests of one entry use what the others do not")
+}
+
+func TestLargeRequestsAreNotStarved(t *testing.T) {
+	g := NewWithT(t)
+	fleet := settled()
+	large, small := 0, 0
+	for range 400 {
+		fleet.advance()
+		for index, entry := range fleet.entries {
+			if (fleet.step+index)%exchangeSteps == 0 {
+				fleet.exchange(entry)
+			}
+			before := fleet.used[fleet.step]
+			fleet.admit(entry, 600)
+			if fleet.used[fleet.step] > before {
+				large++
+			}
+			before = fleet.used[fleet.step]
+			fleet.admit(entry, 60)
+			if fleet.used[fleet.step] > before {
+				small++
+			}
+		}
+	}
+	g.Expect(float64(large)).To(BeNumerically(">=", 0.5*float64(small)))
+}
+
+func TestShareServesWithoutCoordinator(t *testing.T) {
+	g := NewWithT(t)
+	fleet := settled()
+	fleet.terms[0].dead = true
+	fleet.terms[0].exclusive = false
+	served := 0.0
+	for range 160 {
+		fleet.advance()
+		for _, entry := range fleet.entries {
+			before := fleet.used[fleet.step]
+			fleet.admit(entry, 20)
+			served += fleet.used[fleet.step] - before
+		}
+	}
+	// Eight seconds at 1000 a second, less the 1.6 s until entries are on their own.
+	g.Expect(served).To(BeNumerically(">", 4500))
+	g.Expect(fleet.excess(8 * time.Second)).To(BeNumerically("<=", 0))
+}
+
+func TestSharesAreGivenToManyEntries(t *testing.T) {
+	g := NewWithT(t)
+	divider := share.NewDivider(share.DividerConfig{Term: 1, Now: epoch})
+	for index := range 24 {
+		divider.Report(names.Instance(string(rune('a'+index))), share.Held{}, epoch)
+	}
+	record, raised := divider.Propose([]names.ClientAccount{notes}, epoch)
+	g.Expect(raised).To(BeTrue(), "an even share of 24 is above the least move")
+	total := 0.0
+	for _, set := range record {
+		g.Expect(set[notes]).To(BeNumerically(">", 0.03))
+		total += set[notes]
+	}
+	g.Expect(total).To(BeNumerically("<=", 1))
+}
+
+func TestRestartedEntryUsesItsRecordedShare(t *testing.T) {
+	g := NewWithT(t)
+	holder := share.NewHolder()
+	holder.Start(share.Set{notes: 0.25}, limits(), epoch)
+	_, taken := holder.Take(account(limits()), 40, epoch)
+	g.Expect(taken).To(BeTrue())
+	_, taken = holder.Take(account(limits()), 40, epoch.Add(share.StartLifetime))
+	g.Expect(taken).To(BeFalse(), "the coordinator may have given it to others by then")
+}
+
+func TestRecordSurvivesItsCodec(t *testing.T) {
+	g := NewWithT(t)
+	record := share.Record{"entry-1": share.Set{notes: 0.5}}
+	data, err := record.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded, err := share.DecodeRecord(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(decoded).To(Equal(record))
+	_, err = share.DecodeRecord([]byte("{"))
+	var recordError *share.RecordError
+	g.Expect(err).To(BeAssignableToTypeOf(recordError))
+}
--- /dev/null
+++ b/trunk/trunk_test.go
@@ -0,0 +1,241 @@
+package trunk_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/trunk"
+)
+
+// serve answers each connection with script, which reads requests itself.
+func serve(t *testing.T, script func(conn net.Conn, reader *bufio.Reader)) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	var connections atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer conn.Close()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String(), &connections
+}
+
+func newTrunk() *trunk.Trunk {
+	return trunk.New(trunk.Config{Clock: clock.NewService(clock.ServiceConfig{})})
+}
+
+func get(id string) *trunk.Request {
+	return &trunk.Request{
+		Method: http.MethodGet, Target: "/a?b=c", Host: "notes", Header: http.Header{"X-Id": {id}},
+		Answers: func(header http.Header) bool { return header.Get("X-Id") == id },
+	}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// fetch sends a request and reads the whole answer.
+func fetch(carrier *trunk.Trunk, address, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	response, err := carrier.Do(ctx, address, get(id))
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response)
+	return string(body), err
+}
+
+func readRequest(reader *bufio.Reader) string {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request.Header.Get("X-Id")
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			fmt.Fprint(conn, answer(id, "body of "+id))
+		}
+	})
+	carrier := newTrunk()
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := fetch(carrier, address, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("body of " + id))
+	}
+	g.Expect(connections.Load()).To(Equal(int64(1)))
+}
+
+func TestAnswersOfOthersArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		id := readRequest(reader)
+		fmt.Fprint(conn, answer("another", "stray")+answer(id, "mine"))
+		readRequest(reader)
+	})
+	body, err := fetch(newTrunk(), address, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("mine"))
+}
+
+func TestExtraBytesEndAConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			fmt.Fprint(conn, answer(id, "body")+answer(id, "extra"))
+		}
+	})
+	carrier := newTrunk()
+	for _, id := range []string{"1", "1", "1"} {
+		body, err := fetch(carrier, address, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("body"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(connections.Load()).To(Equal(int64(3)))
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	cases := []struct {
+		name string
+		sent string
+	}{
+		{"nothing", ""},
+		{"no answer of the protocol", "garbage\r\n\r\n"},
+		{"a body that is cut", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 100\r\n\r\nshort"},
+		{"chunks that are cut", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				fmt.Fprint(conn, each.sent)
+			})
+			_, err := fetch(newTrunk(), address, "1")
+			var brokenError *trunk.BrokenError
+			g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
+		})
+	}
+}
+
+func TestRefusedConnectionIsUnsent(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	listener.Close()
+	_, err = fetch(newTrunk(), address, "1")
+	var unsentError *trunk.UnsentError
+	g.Expect(errors.As(err, &unsentError)).To(BeTrue(), "%v", err)
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		fmt.Fprint(conn, answer(readRequest(reader), "body"))
+	})
+	carrier := newTrunk()
+	for _, id := range []string{"1", "2"} {
+		_, err := fetch(carrier, address, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.Expect(connections.Load()).To(Equal(int64(2)))
+}
+
+func TestAnswerBeforeALongBodyIsRead(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		line, _ := reader.ReadString('\n')
+		if !strings.HasPrefix(line, "POST") {
+			return
+		}
+		fmt.Fprint(conn, "HTTP/1.1 413 Too Large\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(100 * time.Millisecond)
+	})
+	carrier := newTrunk()
+	for range 2 {
+		request := get("1")
+		request.Method, request.Body = http.MethodPost, make([]byte, 8<<20)
+		response, err := carrier.Do(context.Background(), address, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.Status).To(Equal(http.StatusRequestEntityTooLarge))
+		_, err = io.ReadAll(response)
+		g.Expect(err).NotTo(HaveOccurred())
+		response.Close()
+	}
+	g.Expect(connections.Load()).To(Equal(int64(2)), "the rest of a body is never followed by another request")
+}
+
+func TestLeavingCallerClosesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := newTrunk().Do(ctx, address, get("1"))
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(closed, 500*time.Millisecond).Should(BeClosed())
+}
+
+func TestUnframedBodyEndsWithItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it")
+	})
+	body, err := fetch(newTrunk(), address, "1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("all of it"))
+}
+
+func TestResetUnframedBodyIsNotWhole(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart")
+		time.Sleep(50 * time.Millisecond)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	})
+	_, err := fetch(newTrunk(), address, "1")
+	var brokenError *trunk.BrokenError
+	g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
+}
