--- a/coord/client.go
+++ b/coord/client.go
@@ -209,7 +209,7 @@
 		client.look(ctx, asked)
 		return
 	}
-	client.follow(reply)
+	client.follow(ctx, reply, asked)
 	client.settle(report)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.Inform(reply.Holdings, reply.Loads, asked.Add(holdingLifetime))
@@ -217,15 +217,25 @@
 
 // follow takes the coordinator's view of the platform's keys, so that one watch
 // serves all entries.
-func (client *Client) follow(reply Reply) {
+func (client *Client) follow(ctx context.Context, reply Reply, now time.Time) {
 	if reply.Fresh {
 		client.config.Mirror.Feed(reply.Changes, reply.ChangesTo, reply.Whole)
 	} else {
 		client.config.Mirror.Unfeed()
+		if client.config.Self != client.coordinator() {
+			client.look(ctx, now)
+		}
 	}
 	client.config.Mirror.Verify(reply.Revision)
 }
 
+// coordinator returns the coordinator's value.
+func (client *Client) coordinator() string {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	return client.leader
+}
+
 // look reads how far the platform's service has come, while there is no
 // coordinator to tell it.
 func (client *Client) look(ctx context.Context, now time.Time) {
@@ -240,7 +250,7 @@
 		event.RevisionUnread.Log(client.config.Log, logrus.Fields{"cause": err.Error()})
 		return
 	}
-	client.config.Mirror.Verify(revision)
+	client.config.Mirror.Confirm(revision)
 }
 
 func (client *Client) call(ctx context.Context, conn *grpc.ClientConn, leader string, report Report) (Reply, error) {
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -88,6 +88,8 @@
 	Revision() store.Revision
 	// Verify tells how far the service has come.
 	Verify(revision store.Revision)
+	// Confirm is Verify with a revision that the service told just now.
+	Confirm(revision store.Revision)
 	// Since returns changes for another copy, and false where this one may be out
 	// of date.
 	Since(after store.Revision) (entries []store.Entry, to store.Revision, whole, fresh bool)
@@ -242,7 +244,7 @@
 		event.RevisionUnread.Log(desk.config.Log, logrus.Fields{"cause": err.Error()})
 		return
 	}
-	desk.config.Mirror.Verify(revision)
+	desk.config.Mirror.Confirm(revision)
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	desk.revision = max(desk.revision, revision)
--- a/elect/elector_test.go
+++ b/elect/elector_test.go
@@ -151,7 +151,8 @@
 	first.Seen(elect.Leader{})
 	g.Eventually(first.Term).ShouldNot(BeZero())
 	first.Retire(context.Background())
-	g.Expect(memory.Entries()).To(BeEmpty(), "the key goes with the lease")
+	g.Expect(memory.Calls()["revoke"]).To(Equal(1), "the key goes with the lease")
+	g.Expect(first.ends()).To(Equal(1))
 	first.Seen(elect.Leader{})
 	g.Consistently(first.Term, 2*ttl).Should(BeZero())
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -199,13 +199,25 @@
 func (mirror *Mirror) Verify(revision store.Revision) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
+	mirror.verify(revision)
+}
+
+// Confirm is [Mirror.Verify] with a revision that the service told just now.
+func (mirror *Mirror) Confirm(revision store.Revision) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.verify(revision)
+	if revision <= mirror.revision {
+		mirror.confirmed = mirror.config.Clock.Now()
+	}
+}
+
+// verify is called with the mutex held.
+func (mirror *Mirror) verify(revision store.Revision) {
 	now := mirror.config.Clock.Now()
 	switch {
 	case revision <= mirror.revision:
 		mirror.behind = time.Time{}
-		if revision > 0 {
-			mirror.confirmed = now
-		}
 	case mirror.behind.IsZero():
 		mirror.behind = now
 	case now.Sub(mirror.behind) > deafAfter && mirror.interrupt != nil:
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -263,7 +263,7 @@
 	g.Eventually(first.Revision, patience).Should(Equal(store.Revision(2)))
 	g.Eventually(second.Revision, patience).Should(Equal(store.Revision(2)))
 	feed := func() bool {
-		first.Verify(first.Revision())
+		first.Confirm(first.Revision())
 		entries, to, whole, fresh := first.Since(second.Revision())
 		if fresh {
 			second.Feed(entries, to, whole)
@@ -280,8 +280,9 @@
 	_, after := service.counts()
 	g.Expect(after-before).To(BeNumerically("<=", 1), "only the first mirror watches")
 	first.Doubt()
+	first.Verify(first.Revision())
 	_, _, _, fresh := first.Since(second.Revision())
-	g.Expect(fresh).To(BeFalse())
+	g.Expect(fresh).To(BeFalse(), "a revision told earlier shows nothing of now")
 	second.Unfeed()
 	service.put("a", "3", false)
 	g.Eventually(func() string { return followed.value("a") }, patience).Should(Equal("3"), "it watches by itself again")
@@ -295,7 +296,7 @@
 	service.put("a", "1", false)
 	first, _ := follow(t, service)
 	g.Eventually(first.Revision, patience).Should(Equal(store.Revision(4)))
-	first.Verify(4)
+	first.Confirm(4)
 	entries, to, whole, fresh := first.Since(old)
 	g.Expect(fresh).To(BeTrue())
 	g.Expect(whole).To(BeTrue())
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,302 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+func stringBody(body string) io.Reader { return strings.NewReader(body) }
+
+func ok(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "fine") }
+
+func TestAdmission(t *testing.T) {
+	open := route("open", policy.KindSafe, "desk")
+	open.Open = true
+	cases := []struct {
+		name   string
+		path   string
+		body   string
+		header map[string]string
+		status int
+		runs   int
+	}{
+		{name: "a key that is known", path: "/look/1?a=b", status: http.StatusOK, runs: 1},
+		{name: "a key that is not known", path: "/look/1", header: map[string]string{"Key": "other"}, status: http.StatusUnauthorized},
+		{name: "no route", path: "/nowhere/1", status: http.StatusNotFound},
+		{name: "an open route needs no key", path: "/open/1", header: map[string]string{"Key": ""}, status: http.StatusOK, runs: 1},
+		{name: "a body beyond the limit", path: "/order/1", body: strings.Repeat("x", 1001), status: http.StatusRequestEntityTooLarge},
+		{name: "a body within the limit", path: "/order/1", body: strings.Repeat("x", 1000), status: http.StatusOK, runs: 1},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			world := newWorld(t, route("look", policy.KindSafe, "desk"), route("order", policy.KindUnsafe, "desk"), open)
+			seen := world.server("desk-1", "desk", ok)
+			method := http.MethodGet
+			if each.body != "" {
+				method = http.MethodPost
+			}
+			result := world.call(method, each.path, each.body, each.header)
+			g.Expect(result.err).NotTo(HaveOccurred())
+			g.Expect(result.status).To(Equal(each.status))
+			g.Expect(seen.count()).To(Equal(each.runs))
+			if each.runs > 0 {
+				g.Expect(seen.targets[0]).To(Equal(each.path), "the target is passed on as it came")
+				g.Expect(seen.bodies[0]).To(Equal(each.body))
+				g.Expect(seen.headers[0].Get("Server")).To(Equal("desk-1"))
+				g.Expect(seen.headers[0].Get("Key")).To(BeEmpty(), "no server sees a key")
+			}
+		})
+	}
+}
+
+func TestNoPolicyNoPromise(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t)
+	world.relay.Adopt(nil)
+	result := world.call(http.MethodGet, "/look/1", "", nil)
+	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable), "no route is known to be missing yet")
+	g.Expect(result.header.Get("Retry-After")).NotTo(BeEmpty())
+}
+
+// TestWhatMayHaveRun tells a caller the truth for each way that a server fails.
+func TestWhatMayHaveRun(t *testing.T) {
+	reset := func(writer http.ResponseWriter, _ *http.Request) { hijack(writer).Close() }
+	full := func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Not-Run", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+	failed := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusInternalServerError) }
+	short := func(writer http.ResponseWriter, _ *http.Request) {
+		conn := hijack(writer)
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nContent-Length: 100\r\n\r\nshort")
+		conn.Close()
+	}
+	cases := []struct {
+		name   string
+		path   string
+		handle http.HandlerFunc
+		// status is what the caller gets from two servers that are alike, visits how
+		// many of them see the request.
+		status int
+		visits int
+	}{
+		{"an order whose answer is lost is not sent again", "/order/1", reset, http.StatusBadGateway, 1},
+		{"an order whose answer is cut is not sent again", "/order/1", short, http.StatusBadGateway, 1},
+		{"an order that failed is not sent again", "/order/1", failed, http.StatusInternalServerError, 1},
+		{"an order that no server ran is refused", "/order/1", full, http.StatusServiceUnavailable, 2},
+		{"a lookup whose answer is lost is sent again", "/look/1", reset, http.StatusBadGateway, 2},
+		{"a lookup that failed is sent again", "/look/1", failed, http.StatusInternalServerError, 2},
+		{"a lookup whose answer is cut is sent again", "/look/1", short, http.StatusBadGateway, 2},
+		{"a stream whose answer is lost is not sent again", "/draft/1", reset, http.StatusBadGateway, 1},
+		{"a resumable stream whose answer is lost is sent again", "/later/1", reset, http.StatusBadGateway, 2},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			later := route("later", policy.KindStream, "desk")
+			later.Resumable = true
+			world := newWorld(t, route("look", policy.KindSafe, "desk"), route("order", policy.KindUnsafe, "desk"),
+				route("draft", policy.KindStream, "desk"), later)
+			first, second := world.server("desk-1", "desk", each.handle), world.server("desk-2", "desk", each.handle)
+			result := world.call(http.MethodGet, each.path, "", nil)
+			g.Expect(result.err).NotTo(HaveOccurred())
+			g.Expect(result.status).To(Equal(each.status))
+			g.Expect(first.count() + second.count()).To(Equal(each.visits))
+		})
+	}
+}
+
+func TestUnsentOrderGoesElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("order", policy.KindUnsafe, "desk"))
+	world.pool.Put(&pool.Server{ID: "desk-0", Service: "desk", Address: "127.0.0.1:1", Domain: "a", Slots: 400})
+	seen := world.server("desk-1", "desk", ok)
+	for range 3 {
+		result := world.call(http.MethodPost, "/order/1", "", nil)
+		g.Expect(result.status).To(Equal(http.StatusOK))
+	}
+	g.Expect(seen.count()).To(Equal(3))
+}
+
+func TestLookupLeavesASilentServer(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("look", policy.KindSafe, "desk"))
+	silent := make(chan struct{})
+	var once sync.Once
+	handle := func(writer http.ResponseWriter, request *http.Request) {
+		first := false
+		once.Do(func() { first = true })
+		if first {
+			select {
+			case <-silent:
+			case <-request.Context().Done():
+			}
+			return
+		}
+		ok(writer, request)
+	}
+	world.server("desk-1", "desk", handle)
+	world.server("desk-2", "desk", handle)
+	defer close(silent)
+	began := time.Now()
+	result := world.call(http.MethodGet, "/look/1", "", nil)
+	g.Expect(result.status).To(Equal(http.StatusOK))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond), "three objectives of 100 ms, and room for a busy machine")
+}
+
+func TestTimeoutIsAFinalAnswer(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("order", policy.KindUnsafe, "desk"))
+	world.server("desk-1", "desk", func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+	began := time.Now()
+	result := world.call(http.MethodPost, "/order/1", "", map[string]string{"Wait": "300ms"})
+	g.Expect(result.status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 800*time.Millisecond))
+}
+
+func TestStreamIsResumedAfterItsLastEvent(t *testing.T) {
+	g := NewWithT(t)
+	later := route("later", policy.KindStream, "notes")
+	later.Resumable = true
+	world := newWorld(t, later)
+	handle := func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("Resume") == "" {
+			conn := hijack(writer)
+			text := events(1, 2) + "id: 3\ndata: pie"
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+			time.Sleep(50 * time.Millisecond)
+			conn.Close()
+			return
+		}
+		fmt.Fprint(writer, events(3, 4))
+	}
+	first, second := world.server("notes-1", "notes", handle), world.server("notes-2", "notes", handle)
+	result := world.call(http.MethodPost, "/later/1", "prompt", map[string]string{"Model": "notes"})
+	g.Expect(result.err).NotTo(HaveOccurred())
+	g.Expect(result.body).To(Equal(events(1, 4)))
+	g.Expect(first.count() + second.count()).To(Equal(2))
+}
+
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("draft", policy.KindStream, "notes"))
+	world.server("notes-1", "notes", func(writer http.ResponseWriter, _ *http.Request) {
+		conn := hijack(writer)
+		text := events(1, 2)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+		time.Sleep(50 * time.Millisecond)
+		conn.Close()
+	})
+	result := world.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Model": "notes"})
+	g.Expect(result.err).To(HaveOccurred())
+	g.Expect(result.body).To(Equal(events(1, 2)))
+}
+
+func TestRequestWaitsForItsModel(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("draft", policy.KindStream, "notes"))
+	seen := world.server("notes-1", "notes", ok)
+	world.coordinator.needs = func(model names.Model) {
+		world.pool.Inform([]pool.Holding{{Server: "notes-1", Models: []names.Model{model}}}, nil, time.Now().Add(time.Minute))
+	}
+	result := world.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Model": "rare"})
+	g.Expect(result.status).To(Equal(http.StatusOK))
+	g.Expect(seen.count()).To(Equal(1))
+	g.Expect(world.coordinator.needed).To(Equal([]names.Model{"rare"}))
+}
+
+func TestWithoutCoordinatorNothingIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("draft", policy.KindStream, "notes"))
+	world.server("notes-1", "notes", ok)
+	world.coordinator.away = true
+	began := time.Now()
+	result := world.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Model": "rare"})
+	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(result.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+}
+
+func TestAdapterIsLoadedFirst(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("draft", policy.KindStream, "notes"))
+	world.server("notes-1", "notes", ok)
+	result := world.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Model": "notes", "Adapter": "a1"})
+	g.Expect(result.status).To(Equal(http.StatusOK))
+	g.Expect(world.coordinator.adapters).To(Equal([]pool.Adapter{{Model: "notes", Name: "a1"}}))
+}
+
+func TestMisplacedModelIsAskedForElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("draft", policy.KindStream, "notes"))
+	var once sync.Once
+	handle := func(writer http.ResponseWriter, request *http.Request) {
+		first := false
+		once.Do(func() { first = true })
+		if first {
+			writer.Header().Set("Not-Run", "1")
+			writer.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		ok(writer, request)
+	}
+	world.server("notes-1", "notes", handle)
+	world.server("notes-2", "notes", handle)
+	result := world.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Model": "notes"})
+	g.Expect(result.status).To(Equal(http.StatusOK))
+}
+
+func TestLeavingCallerStopsTheServer(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("draft", policy.KindStream, "notes"))
+	stopped := make(chan struct{})
+	started := make(chan struct{})
+	world.server("notes-1", "notes", func(_ http.ResponseWriter, request *http.Request) {
+		close(started)
+		<-request.Context().Done()
+		close(stopped)
+	})
+	go world.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Model": "notes", "Wait": "1500ms"})
+	<-started
+	world.front.CloseClientConnections()
+	g.Eventually(stopped, 500*time.Millisecond).Should(BeClosed())
+}
+
+func TestStoppingEntryRefusesAndCloses(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("look", policy.KindSafe, "desk"))
+	seen := world.server("desk-1", "desk", ok)
+	world.relay.Stop()
+	result := world.call(http.MethodGet, "/look/1", "", nil)
+	g.Expect(result.status).To(Equal(http.StatusOK), "what is read is served")
+	world.relay.Refuse()
+	result = world.call(http.MethodGet, "/look/1", "", nil)
+	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(seen.count()).To(Equal(1))
+}
+
+func TestEachOutcomeIsLoggedWithItsCause(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("look", policy.KindSafe, "desk"))
+	world.server("desk-1", "desk", ok)
+	world.call(http.MethodGet, "/look/1", "", nil)
+	world.call(http.MethodGet, "/nowhere/1", "", nil)
+	var lines []string
+	for _, entry := range world.logs.AllEntries() {
+		lines = append(lines, fmt.Sprint(entry.Message, " ", entry.Data["request"], " ", entry.Data["reason"], " ", entry.Data["policy"]))
+		g.Expect(fmt.Sprint(entry.Data)).NotTo(ContainSubstring("secret"))
+	}
+	g.Expect(lines).To(Equal([]string{"requestDone call-1 <nil> 3", "requestRefused call-1 noRoute 3"}))
+}
