--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,254 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(offset time.Duration) time.Time { return epoch.Add(offset) }
+
+func newPool(servers ...*pool.Server) *pool.Pool {
+	result := pool.New(pool.Config{RegistryPeriod: time.Second, Draw: func() float64 { return 0.5 }})
+	for _, server := range servers {
+		result.Put(server)
+	}
+	return result
+}
+
+func engine(id names.BackendServer, models ...names.Model) *pool.Server {
+	return &pool.Server{ID: id, Service: "notes", Address: "10.0.0.1:80", Domain: "a", Slots: 10, Models: models, Born: 1}
+}
+
+var query = pool.Query{Service: "notes", Model: "m", Domain: "a"}
+
+// picked returns the server that a query gets, or what kind of choice it was.
+func picked(from *pool.Pool, query pool.Query, now time.Time) string {
+	switch choice := from.Pick(query, now).(type) {
+	case pool.Chosen:
+		return string(choice.Server.ID)
+	case pool.NoServer:
+		return "no server"
+	case pool.NoCopy:
+		return "no copy"
+	case pool.Full:
+		return "full"
+	default:
+		return "unknown"
+	}
+}
+
+func TestChoices(t *testing.T) {
+	draining := engine("e1", "m")
+	draining.Draining = true
+	far := engine("e2", "m")
+	far.Domain = "b"
+	cases := []struct {
+		name    string
+		servers []*pool.Server
+		before  func(*pool.Pool)
+		want    string
+	}{
+		{name: "nothing listed", want: "no server"},
+		{name: "the model is held nowhere", servers: []*pool.Server{engine("e1", "other")}, want: "no copy"},
+		{name: "a leaving server gets nothing", servers: []*pool.Server{draining}, want: "no server"},
+		{name: "the nearer of two that are alike", servers: []*pool.Server{engine("e1", "m"), far}, want: "e1"},
+		{
+			name: "the farther where the nearer has much to do", servers: []*pool.Server{engine("e1", "m"), far},
+			before: func(pool *pool.Pool) {
+				for range 4 {
+					pool.Begin("e1", 0)
+				}
+			},
+			want: "e2",
+		},
+		{
+			name: "the one without unread prompts", servers: []*pool.Server{engine("e1", "m"), engine("e2", "m")},
+			before: func(pool *pool.Pool) {
+				pool.Begin("e1", 8192)
+				pool.Begin("e2", 10)
+				pool.Read("e2", 10)
+			},
+			want: "e2",
+		},
+		{
+			name: "what other entries send counts", servers: []*pool.Server{engine("e1", "m"), engine("e2", "m")},
+			before: func(from *pool.Pool) {
+				from.Inform(nil, map[names.BackendServer]int{"e1": 5}, at(time.Minute))
+			},
+			want: "e2",
+		},
+		{
+			name: "nobody beyond what is served in time", servers: []*pool.Server{engine("e1", "m")},
+			before: func(pool *pool.Pool) {
+				for range 13 {
+					pool.Begin("e1", 0)
+				}
+			},
+			want: "full",
+		},
+		{
+			name: "an ejected server gets nothing", servers: []*pool.Server{engine("e1", "m"), far},
+			before: func(pool *pool.Pool) { pool.Failed("e1", true, epoch) },
+			want:   "e2",
+		},
+		{
+			name: "an ejected server is better than none", servers: []*pool.Server{engine("e1", "m")},
+			before: func(pool *pool.Pool) { pool.Failed("e1", true, epoch) },
+			want:   "e1",
+		},
+		{
+			name: "a server that keeps a first byte waiting", servers: []*pool.Server{engine("e1", "m"), engine("e2", "m")},
+			before: func(pool *pool.Pool) { pool.Slow("e1", 1) },
+			want:   "e2",
+		},
+		{
+			name: "a server whose answers are errors", servers: []*pool.Server{engine("e1", "m"), engine("e2", "m")},
+			before: func(pool *pool.Pool) {
+				for range 20 {
+					pool.Answered("e1", true)
+				}
+			},
+			want: "e2",
+		},
+		{
+			name: "a server that said it lacks the model", servers: []*pool.Server{engine("e1", "m"), far},
+			before: func(pool *pool.Pool) { pool.Lacks("e1", "m", epoch) },
+			want:   "e2",
+		},
+		{
+			name: "the coordinator's view goes before the registry", servers: []*pool.Server{engine("e1", "m"), engine("e2")},
+			before: func(from *pool.Pool) {
+				from.Inform([]pool.Holding{{Server: "e1"}, {Server: "e2", Models: []names.Model{"m"}}}, nil, at(time.Minute))
+			},
+			want: "e2",
+		},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			from := newPool(each.servers...)
+			if each.before != nil {
+				each.before(from)
+			}
+			g.Expect(picked(from, query, epoch)).To(Equal(each.want))
+		})
+	}
+}
+
+func TestAdaptersStayUnlessTheirServerIsBusy(t *testing.T) {
+	g := NewWithT(t)
+	holder := engine("e1", "m")
+	holder.Adapters = []pool.Adapter{{Model: "m", Name: "a1"}}
+	from := newPool(holder, engine("e2", "m"))
+	wanted := query
+	wanted.Adapter = "a1"
+	from.Begin("e1", 0)
+	choice := from.Pick(wanted, epoch)
+	g.Expect(choice).To(HaveField("AdapterMissing", false))
+	g.Expect(picked(from, wanted, epoch)).To(Equal("e1"))
+	for range 5 {
+		from.Begin("e1", 0)
+	}
+	g.Expect(from.Pick(wanted, epoch)).To(HaveField("AdapterMissing", true))
+	g.Expect(picked(from, wanted, epoch)).To(Equal("e2"))
+}
+
+func TestAdaptersAreNotAskedOfABusyEngine(t *testing.T) {
+	g := NewWithT(t)
+	from := newPool(engine("e1", "m"), engine("e2", "m"))
+	from.Begin("e2", 0)
+	from.Inform([]pool.Holding{
+		{Server: "e1", Models: []names.Model{"m"}, Busy: true}, {Server: "e2", Models: []names.Model{"m"}},
+	}, nil, at(time.Minute))
+	wanted := query
+	wanted.Adapter = "a1"
+	g.Expect(picked(from, wanted, epoch)).To(Equal("e2"))
+}
+
+// TestLapsedEntries plays entries that vanish around an outage of the registry.
+func TestLapsedEntries(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(from *pool.Pool)
+		at   time.Duration
+		want string
+	}{
+		{
+			name: "an entry that goes in calm times is gone at once",
+			play: func(from *pool.Pool) { from.Remove("e1", at(time.Second)) },
+			at:   time.Second, want: "no server",
+		},
+		{
+			name: "during an outage the last view holds",
+			play: func(from *pool.Pool) { from.Lost(at(time.Second)) },
+			at:   20 * time.Second, want: "e1",
+		},
+		{
+			name: "an entry that lapsed in an outage is kept for two seconds",
+			play: func(from *pool.Pool) {
+				from.Lost(at(time.Second))
+				from.Regained(at(9 * time.Second))
+				from.Remove("e1", at(9*time.Second))
+			},
+			at: 10 * time.Second, want: "e1",
+		},
+		{
+			name: "one that is still missing then is gone",
+			play: func(from *pool.Pool) {
+				from.Lost(at(time.Second))
+				from.Regained(at(9 * time.Second))
+				from.Remove("e1", at(9*time.Second))
+			},
+			at: 11*time.Second + time.Millisecond, want: "no server",
+		},
+		{
+			name: "one that came back stays",
+			play: func(from *pool.Pool) {
+				from.Lost(at(time.Second))
+				from.Regained(at(9 * time.Second))
+				from.Remove("e1", at(9*time.Second))
+				from.Put(engine("e1", "m"))
+			},
+			at: 15 * time.Second, want: "e1",
+		},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			from := newPool(engine("e1", "m"))
+			each.play(from)
+			g.Expect(picked(from, query, at(each.at))).To(Equal(each.want))
+		})
+	}
+}
+
+func TestRebornServerStartsAnew(t *testing.T) {
+	g := NewWithT(t)
+	from := newPool(engine("e1", "m"))
+	from.Failed("e1", true, epoch)
+	from.Inform([]pool.Holding{{Server: "e1", Models: []names.Model{"m"}}}, nil, at(time.Minute))
+	old := engine("e1", "m")
+	reborn := engine("e1")
+	reborn.Born = 2
+	from.Put(reborn)
+	g.Expect(picked(from, query, epoch)).To(Equal("no copy"), "it holds nothing of before")
+	g.Expect(from.Usable(old, epoch)).To(BeFalse())
+	g.Expect(from.Usable(reborn, epoch)).To(BeTrue())
+}
+
+func TestEjectionGrowsAndEnds(t *testing.T) {
+	g := NewWithT(t)
+	from := newPool(engine("e1", "m"))
+	g.Expect(from.Failed("e1", false, epoch)).To(BeZero(), "one failure may be the request's own")
+	g.Expect(from.Failed("e1", false, epoch)).To(Equal(at(time.Second)))
+	g.Expect(from.Failed("e1", true, at(2*time.Second))).To(Equal(at(4 * time.Second)))
+	g.Expect(from.Answered("e1", false)).To(BeTrue())
+	g.Expect(from.Failed("e1", true, at(5*time.Second))).To(Equal(at(6 * time.Second)))
+}
