--- a/copies/keeper.go
+++ b/copies/keeper.go
@@ -129,8 +129,9 @@
 
 // States returns what the planner needs of the engines of a service.
 func (keeper *Keeper) States(service names.Service) []EngineState {
-	var states []EngineState
-	for _, ledger := range keeper.of(service) {
+	ledgers := keeper.of(service)
+	states := make([]EngineState, 0, len(ledgers))
+	for _, ledger := range ledgers {
 		states = append(states, ledger.state())
 	}
 	return states
@@ -138,8 +139,9 @@
 
 // Holdings returns what the engines of a service hold.
 func (keeper *Keeper) Holdings(service names.Service) []pool.Holding {
-	var holdings []pool.Holding
-	for _, ledger := range keeper.of(service) {
+	ledgers := keeper.of(service)
+	holdings := make([]pool.Holding, 0, len(ledgers))
+	for _, ledger := range ledgers {
 		holdings = append(holdings, ledger.holding())
 	}
 	return holdings
--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -143,7 +143,6 @@
 	mutex    sync.Mutex
 	record   share.Record
 	revision store.Revision
-	read     bool
 }
 
 var (
--- a/trunk/line.go
+++ b/trunk/line.go
@@ -23,8 +23,6 @@
 	mostStrayBytes = 1 << 20
 )
 
-var errLateBytes = errors.New("the server sent bytes that no request asked for")
-
 // line is one connection. It is used by one request at a time.
 type line struct {
 	address string
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -77,7 +77,7 @@
 	} else {
 		written <- request.write(line.writer)
 	}
-	answer, err := line.receive(request)
+	answer, err := line.receive(request) //nolint:bodyclose // closed with the connection, or read to its end by Response
 	if err != nil {
 		release()
 		line.conn.Close()
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -85,7 +85,7 @@
 	g := NewWithT(t)
 	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 		for id := readRequest(reader); id != ""; id = readRequest(reader) {
-			fmt.Fprint(conn, answer(id, "body of "+id))
+			_, _ = fmt.Fprint(conn, answer(id, "body of "+id))
 		}
 	})
 	carrier := newTrunk()
@@ -101,7 +101,7 @@
 	g := NewWithT(t)
 	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 		id := readRequest(reader)
-		fmt.Fprint(conn, answer("another", "stray")+answer(id, "mine"))
+		_, _ = fmt.Fprint(conn, answer("another", "stray")+answer(id, "mine"))
 		readRequest(reader)
 	})
 	body, err := fetch(newTrunk(), address, "1")
@@ -113,7 +113,7 @@
 	g := NewWithT(t)
 	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 		for id := readRequest(reader); id != ""; id = readRequest(reader) {
-			fmt.Fprint(conn, answer(id, "body")+answer(id, "extra"))
+			_, _ = fmt.Fprint(conn, answer(id, "body")+answer(id, "extra"))
 		}
 	})
 	carrier := newTrunk()
@@ -141,7 +141,7 @@
 			g := NewWithT(t)
 			address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 				readRequest(reader)
-				fmt.Fprint(conn, each.sent)
+				_, _ = fmt.Fprint(conn, each.sent)
 			})
 			_, err := fetch(newTrunk(), address, "1")
 			var brokenError *trunk.BrokenError
@@ -164,7 +164,7 @@
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	g := NewWithT(t)
 	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
-		fmt.Fprint(conn, answer(readRequest(reader), "body"))
+		_, _ = fmt.Fprint(conn, answer(readRequest(reader), "body"))
 	})
 	carrier := newTrunk()
 	for _, id := range []string{"1", "2"} {
@@ -182,7 +182,7 @@
 		if !strings.HasPrefix(line, "POST") {
 			return
 		}
-		fmt.Fprint(conn, "HTTP/1.1 413 Too Large\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 413 Too Large\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
 		time.Sleep(100 * time.Millisecond)
 	})
 	carrier := newTrunk()
@@ -218,7 +218,7 @@
 	g := NewWithT(t)
 	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 		readRequest(reader)
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it")
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it")
 	})
 	body, err := fetch(newTrunk(), address, "1")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -229,7 +229,7 @@
 	g := NewWithT(t)
 	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 		readRequest(reader)
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart")
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart")
 		time.Sleep(50 * time.Millisecond)
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
