Servers that go silent, and unread prompts weighed as streams feel them

A chunk of unread prompt now weighs 0.15 of an engine, more than another failure domain. A server that sends nothing for half a second with requests under way is avoided before it is known to be down.

--- a/pool/member.go
+++ b/pool/member.go
@@ -17,6 +17,9 @@
 	// unread counts the tokens of this instance's prompts that the server has not
 	// answered yet.
 	unread int64
+	// heardAt is when bytes of any answer last came, or when the first of the
+	// requests under way was sent.
+	heardAt time.Time
 	// holding is what the coordinator knows that the server holds; it is newer
 	// than the registry until the time given.
 	holding      *Holding
@@ -70,4 +73,9 @@
 	return member.holding != nil && now.Before(member.holdingUntil) && member.holding.Busy
 }
 
+// silent tells whether no byte has come for long while requests are under way.
+func (member *member) silent(now time.Time) bool {
+	return member.own > 0 && now.Sub(member.heardAt) > silentAfter
+}
+
 func (member *member) ejected(now time.Time) bool { return now.Before(member.ejectedUntil) }
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -8,10 +8,13 @@
 
 // Begin counts a request that is about to be sent to a server, with the tokens
 // of its prompt.
-func (pool *Pool) Begin(id names.BackendServer, tokens int64) {
+func (pool *Pool) Begin(id names.BackendServer, tokens int64, now time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if member, found := pool.members[id]; found {
+		if member.own == 0 {
+			member.heardAt = now
+		}
 		member.own++
 		member.unread += tokens
 	}
@@ -26,6 +29,15 @@
 	}
 }
 
+// Heard tells that bytes of an answer came from a server.
+func (pool *Pool) Heard(id names.BackendServer, now time.Time) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if member, found := pool.members[id]; found {
+		member.heardAt = now
+	}
+}
+
 // End counts a request that is no longer at a server.
 func (pool *Pool) End(id names.BackendServer) {
 	pool.mutex.Lock()
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -17,7 +17,7 @@
 		}
 		return NoServer{}
 	}
-	best, _ := pool.best(candidates, query, func(*member) bool { return true })
+	best, _ := pool.best(candidates, query, now, func(*member) bool { return true })
 	full := float64(fullPlain)
 	if query.Model != "" {
 		full = fullEngine
@@ -25,8 +25,8 @@
 	chosen := Chosen{Others: len(candidates) - 1}
 	if query.Adapter != "" {
 		adapter := Adapter{Model: query.Model, Name: query.Adapter}
-		with, withScore := pool.best(candidates, query, func(member *member) bool { return member.holdsAdapter(adapter, now) })
-		idle, idleScore := pool.best(candidates, query, func(member *member) bool { return !member.busy(now) })
+		with, withScore := pool.best(candidates, query, now, func(member *member) bool { return member.holdsAdapter(adapter, now) })
+		idle, idleScore := pool.best(candidates, query, now, func(member *member) bool { return !member.busy(now) })
 		switch {
 		case with != nil && withScore <= idleScore+adapterSlack:
 			best = with
@@ -73,7 +73,7 @@
 }
 
 // best returns the member with the least score of those that are fit, or nil.
-func (pool *Pool) best(candidates []*member, query Query, fit func(*member) bool) (*member, float64) {
+func (pool *Pool) best(candidates []*member, query Query, now time.Time, fit func(*member) bool) (*member, float64) {
 	var best *member
 	bestScore := math.Inf(1)
 	for _, member := range candidates {
@@ -83,6 +83,9 @@
 		score := member.load() + float64(member.slow)*slowPenalty +
 			max(member.errors-toleratedErrors, 0)*errorPenalty + pool.config.Draw()/member.slots()
 		score += float64(member.unread) / promptChunk * promptPenalty
+		if member.silent(now) {
+			score += silentPenalty
+		}
 		if member.server.Domain != query.Domain {
 			score += distancePenalty
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -34,8 +34,13 @@
 	slowPenalty = 0.5
 	// promptPenalty is the load that a chunk of unread prompt counts as: each delays
 	// every stream of the engine by 50 ms, and pauses over 250 ms are late.
-	promptPenalty = 0.06
+	promptPenalty = 0.15
 	promptChunk   = 2048
+	// silentAfter is how long a server with requests under way may send nothing: an
+	// engine sends events each 50 ms, and plain servers answer within 110 ms.
+	silentAfter = 500 * time.Millisecond
+	// silentPenalty is the load that such silence counts as.
+	silentPenalty = 1
 	// distancePenalty is the load that another failure domain counts as: its bytes
 	// are dear and each way takes 5 ms.
 	distancePenalty = 0.12
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -63,7 +63,7 @@
 			name: "the farther where the nearer has much to do", servers: []*pool.Server{engine("e1", "m"), far},
 			before: func(pool *pool.Pool) {
 				for range 4 {
-					pool.Begin("e1", 0)
+					pool.Begin("e1", 0, epoch)
 				}
 			},
 			want: "e2",
@@ -71,8 +71,8 @@
 		{
 			name: "the one without unread prompts", servers: []*pool.Server{engine("e1", "m"), engine("e2", "m")},
 			before: func(pool *pool.Pool) {
-				pool.Begin("e1", 8192)
-				pool.Begin("e2", 10)
+				pool.Begin("e1", 8192, epoch)
+				pool.Begin("e2", 10, epoch)
 				pool.Read("e2", 10)
 			},
 			want: "e2",
@@ -88,7 +88,7 @@
 			name: "nobody beyond what is served in time", servers: []*pool.Server{engine("e1", "m")},
 			before: func(pool *pool.Pool) {
 				for range 13 {
-					pool.Begin("e1", 0)
+					pool.Begin("e1", 0, epoch)
 				}
 			},
 			want: "full",
@@ -117,6 +117,11 @@
 			},
 			want: "e2",
 		},
+		{
+			name: "a server that has gone silent with a request under way", servers: []*pool.Server{engine("e1", "m"), far},
+			before: func(pool *pool.Pool) { pool.Begin("e1", 0, at(-time.Second)) },
+			want:   "e2",
+		},
 		{
 			name: "a server that said it lacks the model", servers: []*pool.Server{engine("e1", "m"), far},
 			before: func(pool *pool.Pool) { pool.Lacks("e1", "m", epoch) },
@@ -149,12 +154,12 @@
 	from := newPool(holder, engine("e2", "m"))
 	wanted := query
 	wanted.Adapter = "a1"
-	from.Begin("e1", 0)
+	from.Begin("e1", 0, epoch)
 	choice := from.Pick(wanted, epoch)
 	g.Expect(choice).To(HaveField("AdapterMissing", false))
 	g.Expect(picked(from, wanted, epoch)).To(Equal("e1"))
 	for range 5 {
-		from.Begin("e1", 0)
+		from.Begin("e1", 0, epoch)
 	}
 	g.Expect(from.Pick(wanted, epoch)).To(HaveField("AdapterMissing", true))
 	g.Expect(picked(from, wanted, epoch)).To(Equal("e2"))
@@ -163,7 +168,7 @@
 func TestAdaptersAreNotAskedOfABusyEngine(t *testing.T) {
 	g := NewWithT(t)
 	from := newPool(engine("e1", "m"), engine("e2", "m"))
-	from.Begin("e2", 0)
+	from.Begin("e2", 0, epoch)
 	from.Inform([]pool.Holding{
 		{Server: "e1", Models: []names.Model{"m"}, Busy: true}, {Server: "e2", Models: []names.Model{"m"}},
 	}, nil, at(time.Minute))
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -139,6 +139,7 @@
 		now := passage.now()
 		passage.longestGap = max(passage.longestGap, now.Sub(last))
 		last = now
+		passage.relay.config.Pool.Heard(passage.server.ID, now)
 		ready := events.add(buffer[:count])
 		if len(ready) > 0 {
 			total += int64(len(ready))
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -153,7 +153,7 @@
 	passage.server = server
 	passage.sends++
 	prompt := max(passage.call.PromptTokens, 0)
-	relay.config.Pool.Begin(server.ID, prompt)
+	relay.config.Pool.Begin(server.ID, prompt, passage.now())
 	defer relay.config.Pool.End(server.ID)
 	attemptCtx, cancel := passage.attemptContext(ctx)
 	defer cancel()
@@ -165,6 +165,7 @@
 	}
 	defer response.Close()
 	answer := relay.config.Codec.ReadAnswer(response.Header)
+	relay.config.Pool.Heard(server.ID, passage.now())
 	if answer.NotRun {
 		passage.notRun(server, response.Status)
 		return false
