Engines are known once their count has settled

A coordinator that read both at once took the models of before an order for those after it. A fake engine whose report lags that way fails the fuzz test without the change (an adapter beyond the places). Change: what a report says counts once its count has stayed for 400 ms; an order that meets another count is given up. A coordinator that is cut off no longer counts itself as most of the entries after 8 s.

--- a/coord/desk.go
+++ b/coord/desk.go
@@ -39,9 +39,10 @@
 	// which a new version of the policy has to be in force.
 	headPeriod = 500 * time.Millisecond
 	// freshReport is the age up to which a report shows that an entry follows this
-	// coordinator; memberLifetime that up to which the entry counts at all.
+	// coordinator; memberLifetime that up to which the entry counts at all, longer
+	// than a cut lasts: a coordinator that is cut off must not count itself as most.
 	freshReport    = 700 * time.Millisecond
-	memberLifetime = 8 * time.Second
+	memberLifetime = time.Minute
 	// negligibleWork is the demand, in engines, that counts as none.
 	negligibleWork = 0.0005
 )
--- a/copies/fakeengine_test.go
+++ b/copies/fakeengine_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/basilkeel/basilkeel/copies"
 	"github.com/basilkeel/basilkeel/names"
@@ -16,7 +17,8 @@
 
 // fakeEngine is a model engine that checks what it is ordered to hold.
 type fakeEngine struct {
-	spec *policy.Engine
+	spec  *policy.Engine
+	clock *quickClock
 	// mutex guards all below.
 	mutex    sync.Mutex
 	accepted int64
@@ -31,6 +33,39 @@
 	// fate decides what becomes of the next order.
 	fate    func() fate
 	reports int
+	// past is what the engine held and did at former times, oldest first.
+	past []moment
+}
+
+// moment is what an engine held at a time.
+type moment struct {
+	at       time.Time
+	models   []names.Model
+	adapters []pool.Adapter
+	busy     bool
+}
+
+// reportLag is how old what a report says of models may be; its count of orders
+// is fresh.
+const reportLag = 200 * time.Millisecond
+
+// remember is called with the mutex held after each change.
+func (engine *fakeEngine) remember() {
+	engine.past = append(engine.past, moment{
+		at: engine.clock.Now(), models: slices.Clone(engine.models), adapters: slices.Clone(engine.adapters), busy: engine.loading != "",
+	})
+}
+
+// seen is what a report tells. It is called with the mutex held.
+func (engine *fakeEngine) seen() moment {
+	now := engine.clock.Now()
+	seen := engine.past[0]
+	for _, each := range engine.past {
+		if now.Sub(each.at) >= reportLag {
+			seen = each
+		}
+	}
+	return seen
 }
 
 // fate is what becomes of an order.
@@ -44,7 +79,9 @@
 )
 
 func newFakeEngine(models ...names.Model) *fakeEngine {
-	return &fakeEngine{spec: engineSpec(), models: models, fate: func() fate { return fateAnswered }}
+	engine := &fakeEngine{spec: engineSpec(), clock: newQuickClock(), models: models, fate: func() fate { return fateAnswered }}
+	engine.remember()
+	return engine
 }
 
 // Order implements [copies.Engine].
@@ -67,6 +104,7 @@
 
 // take is called with the mutex held.
 func (engine *fakeEngine) take(sending copies.Sending) copies.Verdict {
+	defer engine.remember()
 	if sending.Term < engine.fence {
 		return copies.VerdictFenced
 	}
@@ -115,6 +153,7 @@
 	if engine.loading != "" {
 		engine.models = append(engine.models, engine.loading)
 		engine.loading = ""
+		engine.remember()
 	}
 }
 
@@ -133,10 +172,8 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	engine.reports++
-	return copies.Report{
-		Busy: engine.loading != "", Accepted: engine.accepted,
-		Models: slices.Clone(engine.models), Adapters: slices.Clone(engine.adapters),
-	}, nil
+	seen := engine.seen()
+	return copies.Report{Busy: seen.busy, Accepted: engine.accepted, Models: slices.Clone(seen.models), Adapters: slices.Clone(seen.adapters)}, nil
 }
 
 func (engine *fakeEngine) faults() []string {
--- a/copies/keeper.go
+++ b/copies/keeper.go
@@ -254,9 +254,6 @@
 	}
 	ledger.sending.Lock()
 	defer ledger.sending.Unlock()
-	if !ledger.isKnown() {
-		keeper.ask(ctx, ledger)
-	}
 	for {
 		victim, full, present := ledger.adapterPlace(adapter, engine.AdapterSlots)
 		if present {
@@ -293,13 +290,17 @@
 }
 
 // send sends an order until the engine has taken it, refuses it or the tries are
-// used up, and tells whether it is carried out. It gives up where the engine
-// turns out to be in another state than the order was meant for. It is called
-// with the ledger's sending held.
+// used up, and tells whether it is carried out. It gives up where the engine has
+// taken another order than this coordinator's, since what it holds is not known
+// then. It is called with the ledger's sending held.
 func (keeper *Keeper) send(ctx context.Context, ledger *Ledger, order Order, tries int) bool {
 	conflicts := 0
+	first, known := ledger.sendingOf(order)
+	if !known {
+		return false
+	}
 	for range tries {
-		sending, known := ledger.sendingOf(order)
+		sending := first
 		sending.Holder, sending.Term = keeper.config.Holder, keeper.config.Term()
 		if sending.Term == 0 || ctx.Err() != nil {
 			return false
@@ -308,7 +309,7 @@
 		keeper.note(sending, verdict, err)
 		switch verdict {
 		case VerdictTaken, VerdictHolds:
-			ledger.took(order, verdict)
+			ledger.took(order, verdict, known)
 			return true
 		case VerdictFenced, VerdictInvalid:
 			ledger.stop(verdict == VerdictFenced)
@@ -317,12 +318,12 @@
 			return false
 		case VerdictConflict:
 			conflicts++
-			if known && conflicts%freeConflicts != 0 {
+			if ledger.isKnown() && conflicts%freeConflicts != 0 {
 				break
 			}
 			keeper.ask(ctx, ledger)
-			if after, _ := ledger.sendingOf(order); after.Accepted != sending.Accepted {
-				return ledger.satisfied(order)
+			if after, _ := ledger.sendingOf(order); after.Accepted != first.Accepted {
+				return false
 			}
 		case VerdictUnknown:
 			ledger.doubt()
@@ -387,20 +388,3 @@
 	ledger.known = false
 	ledger.fenced = ledger.fenced || fenced
 }
-
-// satisfied tells whether what was ordered is so.
-func (ledger *Ledger) satisfied(order Order) bool {
-	ledger.mutex.Lock()
-	defer ledger.mutex.Unlock()
-	held := false
-	if order.Adapter != "" {
-		for _, each := range ledger.adapters {
-			held = held || each == pool.Adapter{Model: order.Model, Name: order.Adapter}
-		}
-	} else {
-		for _, each := range ledger.models {
-			held = held || each == order.Model
-		}
-	}
-	return held != order.Unload
-}
--- a/copies/keeper_test.go
+++ b/copies/keeper_test.go
@@ -19,11 +19,29 @@
 )
 
 // quickClock passes pauses at once, so that a test does not wait.
-type quickClock struct{ clockwork.Clock }
+type quickClock struct {
+	clockwork.Clock
+	// mutex guards now.
+	mutex sync.Mutex
+	now   time.Time
+}
+
+func newQuickClock() *quickClock { return &quickClock{Clock: clockwork.NewRealClock(), now: epoch} }
+
+// Now implements clockwork.Clock.
+func (quick *quickClock) Now() time.Time {
+	quick.mutex.Lock()
+	defer quick.mutex.Unlock()
+	return quick.now
+}
 
-func (quickClock) After(time.Duration) <-chan time.Time {
+// After implements clockwork.Clock.
+func (quick *quickClock) After(pause time.Duration) <-chan time.Time {
+	quick.mutex.Lock()
+	defer quick.mutex.Unlock()
+	quick.now = quick.now.Add(pause)
 	passed := make(chan time.Time, 1)
-	passed <- epoch
+	passed <- quick.now
 	return passed
 }
 
@@ -33,9 +51,9 @@
 	return logger
 }
 
-func newKeeper(engine copies.Engine, term int64) *copies.Keeper {
+func newKeeper(engine *fakeEngine, term int64) *copies.Keeper {
 	return copies.NewKeeper(copies.KeeperConfig{
-		Engine: engine, Clock: clock.NewService(clock.ServiceConfig{Clock: quickClock{clockwork.NewRealClock()}}),
+		Engine: engine, Clock: clock.NewService(clock.ServiceConfig{Clock: engine.clock}),
 		Log: quiet(), Holder: "entry", Term: func() int64 { return term },
 	})
 }
@@ -50,8 +68,10 @@
 func known(engine *fakeEngine, term int64, models ...names.Model) *copies.Keeper {
 	keeper := newKeeper(engine, term)
 	keeper.Sync(listed(models...), epoch)
-	keeper.Learn(context.Background(), "notes")
-	keeper.Wait()
+	for range 3 {
+		keeper.Learn(context.Background(), "notes")
+		keeper.Wait()
+	}
 	return keeper
 }
 
@@ -67,13 +87,36 @@
 	engine.finish()
 	g.Expect(engine.faults()).To(BeEmpty())
 	g.Expect(engine.held()).To(ConsistOf(names.Model("a"), names.Model("b")))
-	keeper.Learn(context.Background(), "notes")
-	keeper.Wait()
+	for range 3 {
+		keeper.Learn(context.Background(), "notes")
+		keeper.Wait()
+	}
 	state := keeper.States("notes")[0]
 	g.Expect(state.Fixed).To(BeFalse())
 	g.Expect(state.Models).To(ConsistOf(names.Model("a"), names.Model("b")))
 }
 
+func TestAReportMayLagBehindItsCount(t *testing.T) {
+	g := NewWithT(t)
+	engine := newFakeEngine("a")
+	keeper := newKeeper(engine, 2)
+	keeper.Sync(listed("a"), epoch)
+	// The report shows the count after the former coordinator's order, and the
+	// models before it.
+	engine.take(copies.Sending{Order: copies.Order{Model: "b"}, Term: 1})
+	keeper.Learn(context.Background(), "notes")
+	keeper.Wait()
+	g.Expect(keeper.States("notes")[0].Fixed).To(BeTrue())
+	engine.fate = func() fate {
+		engine.loading = ""
+		return fateAnswered
+	}
+	engine.models = append(engine.models, "b")
+	keeper.Begin(context.Background(), copies.Step{Server: engineID, Load: "c"}, engineSpec())
+	keeper.Wait()
+	g.Expect(engine.faults()).To(BeEmpty())
+}
+
 func TestAnOlderCoordinatorStopsAtTheFence(t *testing.T) {
 	g := NewWithT(t)
 	engine := newFakeEngine("a")
@@ -125,8 +168,10 @@
 				term++
 				keeper = known(engine, term, engine.held()...)
 			case 3:
-				keeper.Learn(context.Background(), "notes")
-				keeper.Wait()
+				for range 3 {
+					keeper.Learn(context.Background(), "notes")
+					keeper.Wait()
+				}
 			case 4:
 				adapter := rapid.SampledFrom([]names.Adapter{"a1", "a2", "a3", "a4"}).Draw(t, "adapter")
 				// A failure is allowed: the request goes to another engine.
--- a/copies/ledger.go
+++ b/copies/ledger.go
@@ -20,13 +20,16 @@
 	// known tells that models, adapters and accepted belong together: the engine
 	// reported them in this term while it carried out no order, and every order
 	// since has had an answer.
-	known    bool
-	asking   bool
-	models   []names.Model
-	adapters []pool.Adapter
-	inMemory []names.Model
-	onDisk   []names.Model
-	since    map[names.Model]time.Time
+	known  bool
+	asking bool
+	// counted is the count of the last report, and countedAt when it was first told.
+	counted   int64
+	countedAt time.Time
+	models    []names.Model
+	adapters  []pool.Adapter
+	inMemory  []names.Model
+	onDisk    []names.Model
+	since     map[names.Model]time.Time
 	// loading is being loaded until readyAt; zero until the engine took the order.
 	loading names.Model
 	readyAt time.Time
@@ -61,6 +64,7 @@
 	}
 	if ledger.server.Born != server.Born || ledger.server.Address != server.Address {
 		ledger.known, ledger.loading, ledger.leaving, ledger.accepted = false, "", nil, 0
+		ledger.countedAt = time.Time{}
 		ledger.since = map[names.Model]time.Time{}
 		ledger.adopt(server)
 		return
@@ -75,20 +79,34 @@
 	}
 }
 
+// reportSettle is how long the count of a report has to stay the same until what
+// the report says of models belongs to it: that may be some hundred milliseconds
+// older than the count.
+const reportSettle = 400 * time.Millisecond
+
 // report takes in what the engine says of itself.
 func (ledger *Ledger) report(report Report, now time.Time) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
+	if ledger.countedAt.IsZero() || report.Accepted != ledger.counted {
+		ledger.counted, ledger.countedAt = report.Accepted, now
+	}
+	if ledger.known && report.Accepted == ledger.accepted {
+		if ledger.loading != "" && slices.Contains(report.Models, ledger.loading) {
+			ledger.loaded(now)
+		}
+		return
+	}
 	ledger.accepted = report.Accepted
-	ledger.known = !report.Busy
+	ledger.known = !report.Busy && now.Sub(ledger.countedAt) >= reportSettle
+	if !ledger.known {
+		return
+	}
 	ledger.models = slices.Clone(report.Models)
 	ledger.adapters = slices.Clone(report.Adapters)
 	if report.InMemory != nil || report.OnDisk != nil {
 		ledger.inMemory, ledger.onDisk = report.InMemory, report.OnDisk
 	}
-	if ledger.loading != "" && slices.Contains(ledger.models, ledger.loading) {
-		ledger.loaded(now)
-	}
 }
 
 // loaded ends a load. It is called with the mutex held.
@@ -142,14 +160,16 @@
 	})
 	return pool.Holding{
 		Server: ledger.server.ID, Models: models, Adapters: slices.Clone(ledger.adapters),
-		Busy: ledger.fixed || ledger.loading != "" || ledger.fenced,
+		Busy: !ledger.known || ledger.fixed || ledger.loading != "" || ledger.fenced,
 	}
 }
 
-// took notes an order that the engine carries out or finds done.
-func (ledger *Ledger) took(order Order, verdict Verdict) {
+// took notes an order that the engine carries out or finds done. Since it met the
+// count, no other order came between: what was known before holds again.
+func (ledger *Ledger) took(order Order, verdict Verdict, known bool) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
+	ledger.known = known
 	counted := verdict == VerdictTaken || (order.Adapter != "" && order.Unload)
 	if counted {
 		ledger.accepted++
