--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -24,7 +24,7 @@
 	// firstPause and lastPause bound the wait before a failed call is repeated.
 	// The registry has to be current within two seconds of an outage's end.
 	firstPause = 50 * time.Millisecond
-	lastPause  = 500 * time.Millisecond
+	lastPause  = 250 * time.Millisecond
 	// freshFor is how long after the service confirmed it a mirror counts as up to
 	// date: a look of the coordinator each half second, and its answer.
 	freshFor = 800 * time.Millisecond
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,7 +49,7 @@
 	// fullEngine and fullPlain are the loads beyond which requests are refused.
 	// Engines run what is above one in turn; plain servers queue four times their
 	// slots.
-	fullEngine = 1.3
+	fullEngine = 1.05
 	fullPlain  = 4
 )
 
