--- a/node/relay.go
+++ b/node/relay.go
@@ -93,7 +93,7 @@
 
 func newRelayLog(host *setup.Host, output *spool.Writer) logrus.FieldLogger {
 	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	logger.SetOutput(output)
 	logger.AddHook(ident.Redactor{})
 	return logger.WithField("instance", host.Instance)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,7 +18,7 @@
 
 func stringBody(body string) io.Reader { return strings.NewReader(body) }
 
-func ok(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "fine") }
+func ok(writer http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(writer, "fine") }
 
 func TestAdmission(t *testing.T) {
 	open := route("open", policy.KindSafe, "desk")
@@ -80,7 +80,7 @@
 	failed := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusInternalServerError) }
 	short := func(writer http.ResponseWriter, _ *http.Request) {
 		conn := hijack(writer)
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nContent-Length: 100\r\n\r\nshort")
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nContent-Length: 100\r\n\r\nshort")
 		conn.Close()
 	}
 	cases := []struct {
@@ -180,7 +180,7 @@
 			conn.Close()
 			return
 		}
-		fmt.Fprint(writer, events(3, 4))
+		_, _ = fmt.Fprint(writer, events(3, 4))
 	}
 	first, second := world.server("notes-1", "notes", handle), world.server("notes-2", "notes", handle)
 	result := world.call(http.MethodPost, "/later/1", "prompt", map[string]string{"Model": "notes"})
--- a/subcmd/basilkeel.go
+++ b/subcmd/basilkeel.go
@@ -17,6 +17,7 @@
 			&entryCommand{},
 			&agentCommand{},
 			&serveCommand{},
+			&explainCommand{},
 			&checkCommand{},
 			&seedCommand{},
 			&hashCommand{},
--- /dev/null
+++ b/subcmd/explain.go
@@ -0,0 +1,77 @@
+package subcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilkeel/basilkeel/trace"
+)
+
+// explainCommand tells the life of one request from logs.
+type explainCommand struct{}
+
+func (*explainCommand) name() string { return "explain" }
+
+func (*explainCommand) summary() string { return "tell the life of one request from logs" }
+
+func (*explainCommand) help() string {
+	return `Reads log lines of any number of instances from the files named after the
+request's identifier, or from standard input, and prints the decisions about that
+request in order, and what was believed meanwhile of the backend servers and
+models that it touched. Times are those of the instances' clocks.`
+}
+
+func (*explainCommand) flags() []cli.Flag { return nil }
+
+func (*explainCommand) run(_ context.Context, arguments []string) error {
+	if len(arguments) == 0 {
+		return &MissingArgumentError{Argument: "the identifier of a request"}
+	}
+	var readers []io.Reader
+	for _, path := range arguments[1:] {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		readers = append(readers, file)
+	}
+	if len(readers) == 0 {
+		readers = append(readers, os.Stdin)
+	}
+	lines, _, err := trace.Read(io.MultiReader(readers...))
+	if err != nil {
+		return err
+	}
+	explanation := trace.Explain(lines, arguments[0])
+	if !explanation.Found() {
+		return &UnknownRequestError{Request: arguments[0], Lines: len(lines)}
+	}
+	return explanation.Write(os.Stdout)
+}
+
+// MissingArgumentError reports a command line without a required argument.
+type MissingArgumentError struct {
+	Argument string
+}
+
+// Error implements error.
+func (missingArgumentError *MissingArgumentError) Error() string {
+	return fmt.Sprintf("%s is required", missingArgumentError.Argument)
+}
+
+// UnknownRequestError reports a request that no log line is about.
+type UnknownRequestError struct {
+	Request string
+	// Lines is how many log lines were read.
+	Lines int
+}
+
+// Error implements error.
+func (unknownRequestError *UnknownRequestError) Error() string {
+	return fmt.Sprintf("none of %d log lines is about request %q", unknownRequestError.Lines, unknownRequestError.Request)
+}
--- a/subcmd/serve.go
+++ b/subcmd/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/urfave/cli/v3"
 
@@ -36,7 +35,7 @@
 
 func (command *serveCommand) run(ctx context.Context, _ []string) error {
 	if command.path == "" {
-		return errors.New("the path of the settings file is required: flag --settings or variable " + platform.SettingsVariable)
+		return &MissingArgumentError{Argument: "the path of the settings file, as flag --settings or variable " + platform.SettingsVariable}
 	}
 	return node.RunRelay(ctx, command.path)
 }
