Copies that make way count no more

Change: copies that make way are taken off at once; the lease is given up beside the drain. The keeper's test fails without it.

--- a/copies/keeper_test.go
+++ b/copies/keeper_test.go
@@ -131,6 +131,24 @@
 	g.Expect(old.States("notes")[0].Fixed).To(BeTrue())
 }
 
+func TestACopyThatMakesWayCountsNoMore(t *testing.T) {
+	g := NewWithT(t)
+	engine := newFakeEngine("a", "b")
+	keeper := known(engine, 1, "a", "b")
+	seen := make(chan []names.Model, 1)
+	engine.fate = func() fate {
+		// The first order is under way: the copy is going.
+		select {
+		case seen <- keeper.States("notes")[0].Models:
+		default:
+		}
+		return fateAnswered
+	}
+	keeper.Begin(context.Background(), copies.Step{Server: engineID, Unload: []names.Model{"b"}, Load: "c"}, engineSpec())
+	keeper.Wait()
+	g.Expect(<-seen).To(Equal([]names.Model{"a"}), "else the planner has another engine drop its copy too")
+}
+
 func TestAdaptersMakeWayInOrder(t *testing.T) {
 	g := NewWithT(t)
 	engine := newFakeEngine("a")
--- a/copies/ledger.go
+++ b/copies/ledger.go
@@ -133,7 +133,7 @@
 	defer ledger.mutex.Unlock()
 	return EngineState{
 		Server:   ledger.server.ID,
-		Models:   slices.Clone(ledger.models),
+		Models:   ledger.staying(),
 		Loading:  ledger.loading,
 		InMemory: ledger.inMemory,
 		OnDisk:   ledger.onDisk,
@@ -151,15 +151,20 @@
 	return since
 }
 
+// staying lists the models that do not make way. It is called with the mutex
+// held.
+func (ledger *Ledger) staying() []names.Model {
+	return slices.DeleteFunc(slices.Clone(ledger.models), func(model names.Model) bool {
+		return slices.Contains(ledger.leaving, model)
+	})
+}
+
 // holding returns what requests may be sent for.
 func (ledger *Ledger) holding() pool.Holding {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	models := slices.DeleteFunc(slices.Clone(ledger.models), func(model names.Model) bool {
-		return slices.Contains(ledger.leaving, model)
-	})
 	return pool.Holding{
-		Server: ledger.server.ID, Models: models, Adapters: slices.Clone(ledger.adapters),
+		Server: ledger.server.ID, Models: ledger.staying(), Adapters: slices.Clone(ledger.adapters),
 		Busy: !ledger.known || ledger.fixed || ledger.loading != "" || ledger.fenced,
 	}
 }
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -134,12 +134,14 @@
 }
 
 // retire has another entry coordinate as soon as a stop begins. It is registered
-// last, so that it is stopped first.
+// last, so that it is stopped first, and takes none of the time to drain.
 func retire(lifecycle fx.Lifecycle, elector *elect.Elector) {
 	lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
-		retireCtx, cancel := context.WithTimeout(ctx, retireTimeout)
-		defer cancel()
-		elector.Retire(retireCtx)
+		go func() {
+			retireCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), retireTimeout)
+			defer cancel()
+			elector.Retire(retireCtx)
+		}()
 		return nil
 	}})
 }
