Requests that crash servers are quarantined after the third

A request that crashes each server that runs it comes again at any entry. An entry notes a server from which nothing came for 1.5 s after it broke off an answer; the coordinator counts servers over all entries and tells which requests may reach no further one.

--- a/coord/client.go
+++ b/coord/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/conns"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
@@ -43,11 +44,12 @@
 type ClientConfig struct {
 	Instance names.Instance
 	// Self is what this process would publish as coordinator.
-	Self   string
-	Desk   *Desk
-	Pool   *pool.Pool
-	Shares *share.Holder
-	Policy func() *policy.Snapshot
+	Self    string
+	Desk    *Desk
+	Pool    *pool.Pool
+	Shares  *share.Holder
+	Crashes *crash.Book
+	Policy  func() *policy.Snapshot
 	// Mirror follows the platform's keys. Head asks how far the service has come,
 	// where no coordinator tells it.
 	Mirror Mirror
@@ -199,6 +201,7 @@
 	}
 	asked := client.config.Clock.Now()
 	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own(), Revision: client.config.Mirror.Revision()}
+	report.Sightings = client.config.Crashes.Sightings(asked)
 	client.mutex.Lock()
 	conn, leader := client.conn, client.leader
 	report.Demands = maps.Clone(client.demands)
@@ -211,6 +214,7 @@
 	}
 	client.follow(ctx, reply, asked)
 	client.settle(report)
+	client.config.Crashes.Quarantine(reply.Quarantined)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.Inform(reply.Holdings, reply.Loads, asked.Add(holdingLifetime))
 }
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/share"
@@ -32,6 +33,9 @@
 			Loan: report.Held.Loans[account],
 		})
 	}
+	for _, sighting := range report.Sightings {
+		message.Sightings = append(message.Sightings, &wire.CoordSighting{Fingerprint: uint64(sighting.Fingerprint), Server: sighting.Server})
+	}
 	for target, demand := range report.Demands {
 		message.Demands = append(message.Demands, &wire.CoordModelDemand{
 			Service: string(target.Service), Model: string(target.Model), Work: demand.Work, Waiting: int32(demand.Waiting),
@@ -56,6 +60,9 @@
 		report.Held.Usage[account] = each.GetUsagePerSecond()
 		report.Held.Loans[account] = each.GetLoan()
 	}
+	for _, each := range message.GetSightings() {
+		report.Sightings = append(report.Sightings, crash.Sighting{Fingerprint: crash.Fingerprint(each.GetFingerprint()), Server: each.GetServer()})
+	}
 	for _, each := range message.GetDemands() {
 		target := Target{Service: names.Service(each.GetService()), Model: names.Model(each.GetModel())}
 		report.Demands[target] = Demand{Work: each.GetWork(), Waiting: int(each.GetWaiting())}
@@ -66,6 +73,9 @@
 func encodeReply(reply Reply) *wire.CoordExchangeReply {
 	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
 	message.ChangesTo, message.Whole, message.Fresh = int64(reply.ChangesTo), reply.Whole, reply.Fresh
+	for _, fingerprint := range reply.Quarantined {
+		message.Quarantined = append(message.Quarantined, uint64(fingerprint))
+	}
 	for _, entry := range reply.Changes {
 		message.Changes = append(message.Changes, &wire.CoordChange{
 			Key: entry.Key(), Value: entry.Value(), Revision: int64(entry.Revision()), Deleted: entry.Deleted(),
@@ -100,6 +110,9 @@
 		Revision: store.Revision(message.GetRevision()), ChangesTo: store.Revision(message.GetChangesTo()),
 		Whole: message.GetWhole(), Fresh: message.GetFresh(),
 	}
+	for _, fingerprint := range message.GetQuarantined() {
+		reply.Quarantined = append(reply.Quarantined, crash.Fingerprint(fingerprint))
+	}
 	for _, each := range message.GetChanges() {
 		reply.Changes = append(reply.Changes, store.NewEntry(store.EntryConfig{
 			Key: each.GetKey(), Value: each.GetValue(), Revision: store.Revision(each.GetRevision()), Deleted: each.GetDeleted(),
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -9,6 +9,7 @@
 
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/copies"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
@@ -120,6 +121,7 @@
 	planner map[names.Service]*copies.Planner
 	divider *share.Divider
 	bank    *share.Bank
+	tally   *crash.Tally
 	began   time.Time
 	reports map[names.Instance]received
 	demand  map[Target]*trend
@@ -165,6 +167,7 @@
 		planner: map[names.Service]*copies.Planner{},
 		divider: divider,
 		bank:    share.NewBank(divider),
+		tally:   crash.NewTally(),
 		began:   now,
 		reports: map[names.Instance]received{},
 		demand:  map[Target]*trend{},
@@ -284,6 +287,8 @@
 	}
 	current.reports[report.Instance] = entry
 	reply := Reply{Term: current.number, Loads: map[names.BackendServer]int{}, Revision: desk.revision}
+	current.tally.Add(report.Sightings, now)
+	reply.Quarantined = current.tally.Quarantined(now)
 	if report.Instance != desk.config.Instance {
 		reply.Changes, reply.ChangesTo, reply.Whole, reply.Fresh = desk.config.Mirror.Since(report.Revision)
 	}
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/share"
@@ -25,6 +26,8 @@
 	Held     share.Held
 	Loads    map[names.BackendServer]int
 	Demands  map[Target]Demand
+	// Sightings are servers that ended while they ran a request.
+	Sightings []crash.Sighting
 	// Revision up to which the entry knows the platform's keys.
 	Revision store.Revision
 }
@@ -44,4 +47,6 @@
 	ChangesTo store.Revision
 	Whole     bool
 	Fresh     bool
+	// Quarantined requests may reach no server.
+	Quarantined []crash.Fingerprint
 }
--- /dev/null
+++ b/crash/fingerprint.go
@@ -0,0 +1,22 @@
+package crash
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// Fingerprint tells requests of the same account, method, target and body.
+type Fingerprint uint64
+
+// Of returns the fingerprint of a request.
+func Of(account names.ClientAccount, method, target string, body []byte) Fingerprint {
+	digest := xxhash.New()
+	for _, part := range []string{string(account), method, target} {
+		// Writing to a digest never fails.
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return Fingerprint(digest.Sum64())
+}
--- a/event/platform.go
+++ b/event/platform.go
@@ -48,6 +48,8 @@
 	RequestLeft = define(9104, logrus.InfoLevel, "requestLeft", "The caller closed the connection before the answer was complete.")
 	// RequestResent is logged when a request goes to another backend server.
 	RequestResent = define(9105, logrus.InfoLevel, "requestResent", "A request goes to another backend server, since the former did not run it or it may be repeated.")
+	// RequestSuspected is logged when a server ended while it ran a request.
+	RequestSuspected = define(9107, logrus.WarnLevel, "requestSuspected", "A backend server ended while it ran a request. After the third server, requests like it are refused at every entry.")
 	// RequestWaits is logged when a request waits for a model to be loaded.
 	RequestWaits = define(9106, logrus.InfoLevel, "requestWaits", "A request waits until its model or adapter is loaded.")
 )
--- a/node/relay.go
+++ b/node/relay.go
@@ -21,6 +21,7 @@
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/conns"
 	"github.com/basilkeel/basilkeel/coord"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/ident"
 	"github.com/basilkeel/basilkeel/names"
@@ -65,7 +66,7 @@
 		fx.StopTimeout(host.Bounds.StopGrace+stopMargin),
 		fx.Supply(host, output, settingsPath(path)),
 		fx.Provide(
-			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newShares,
+			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newShares, crash.NewBook,
 			newRelay, newPeerConnections, newDesk, newCoordClient, newElector, newMembers, newMirror,
 		),
 		fx.Invoke(serveCoordination, followPlatform, coordinate, serveReadiness, serveRelay, sweep, watchSettings, tellStart, retire),
@@ -125,6 +126,7 @@
 	Pool    *pool.Pool
 	Trunk   *trunk.Trunk
 	Shares  *share.Holder
+	Crashes *crash.Book
 	Clock   *clock.Service
 	Log     logrus.FieldLogger
 	Metrics metrics.Registry
@@ -133,7 +135,7 @@
 func newRelay(parts relayParts) *relay.Relay {
 	bounds := parts.Host.Bounds
 	return relay.New(relay.Config{
-		Codec: platform.Headers{}, Pool: parts.Pool, Trunk: parts.Trunk, Shares: parts.Shares,
+		Codec: platform.Headers{}, Pool: parts.Pool, Trunk: parts.Trunk, Shares: parts.Shares, Crashes: parts.Crashes,
 		Clock: parts.Clock, Log: parts.Log, Metrics: parts.Metrics, Domain: names.FailureDomain(parts.Host.Domain),
 		RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
 	})
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -11,6 +11,7 @@
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/conns"
 	"github.com/basilkeel/basilkeel/coord"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/elect"
 	"github.com/basilkeel/basilkeel/mirror"
 	"github.com/basilkeel/basilkeel/platform"
@@ -75,6 +76,7 @@
 	Desk        *coord.Desk
 	Pool        *pool.Pool
 	Shares      *share.Holder
+	Crashes     *crash.Book
 	Relay       *relay.Relay
 	Connections *conns.Pool
 	Clock       *clock.Service
@@ -83,7 +85,7 @@
 
 func newCoordClient(parts clientParts) *coord.Client {
 	client := coord.NewClient(coord.ClientConfig{
-		Instance: parts.Self.instance, Self: parts.Self.value, Desk: parts.Desk, Pool: parts.Pool, Shares: parts.Shares,
+		Instance: parts.Self.instance, Self: parts.Self.value, Desk: parts.Desk, Pool: parts.Pool, Shares: parts.Shares, Crashes: parts.Crashes,
 		Policy: parts.Relay.Policy, Connections: parts.Connections, Clock: parts.Clock, Log: parts.Log,
 		Mirror: parts.Mirror, Head: headOf(parts.Store),
 	})
--- a/pool/member.go
+++ b/pool/member.go
@@ -20,6 +20,8 @@
 	// heardAt is when bytes of any answer last came, or when the first of the
 	// requests under way was sent.
 	heardAt time.Time
+	// answeredAt is when bytes of any answer last came.
+	answeredAt time.Time
 	// holding is what the coordinator knows that the server holds; it is newer
 	// than the registry until the time given.
 	holding      *Holding
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -34,7 +34,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if member, found := pool.members[id]; found {
-		member.heardAt = now
+		member.heardAt, member.answeredAt = now, now
 	}
 }
 
@@ -97,6 +97,15 @@
 	}
 }
 
+// HeardSince tells whether any bytes have come from this incarnation of a server
+// since a time, of which the time itself is not one.
+func (pool *Pool) HeardSince(server *Server, since time.Time) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	member, found := pool.members[server.ID]
+	return found && member.server.Born == server.Born && member.answeredAt.After(since)
+}
+
 // Lacks tells that a server refused a request for a model that it lacks.
 func (pool *Pool) Lacks(id names.BackendServer, model names.Model, now time.Time) {
 	pool.mutex.Lock()
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
@@ -130,6 +131,7 @@
 	coordinator *coordinator
 	front       *httptest.Server
 	logs        *test.Hook
+	crashes     *crash.Book
 }
 
 func newWorld(t *testing.T, routes ...*policy.Route) *world {
@@ -139,8 +141,9 @@
 	times := clock.NewService(clock.ServiceConfig{})
 	servers := pool.New(pool.Config{RegistryPeriod: time.Second, Draw: func() float64 { return 0 }})
 	asked := &coordinator{pool: servers}
+	crashes := crash.NewBook()
 	carrier := relay.New(relay.Config{
-		Codec: plainCodec{}, Pool: servers, Trunk: trunk.New(trunk.Config{Clock: times}), Shares: share.NewHolder(), Coordinator: asked,
+		Codec: plainCodec{}, Pool: servers, Trunk: trunk.New(trunk.Config{Clock: times}), Shares: share.NewHolder(), Coordinator: asked, Crashes: crashes,
 		Clock: times, Log: logger, Metrics: metrics.NewRegistry(), Domain: "a", RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
 	})
 	engine := &policy.Engine{Slots: 4, Models: map[names.Model]policy.Model{"notes": {Name: "notes"}}}
@@ -151,7 +154,7 @@
 	}))
 	front := httptest.NewServer(carrier)
 	t.Cleanup(front.Close)
-	return &world{t: t, relay: carrier, pool: servers, coordinator: asked, front: front, logs: hook}
+	return &world{t: t, relay: carrier, pool: servers, coordinator: asked, front: front, logs: hook, crashes: crashes}
 }
 
 func route(name string, kind policy.Kind, service names.Service) *policy.Route {
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -280,6 +280,9 @@
 		// The caller left; this says nothing of the server.
 		return
 	}
+	if !unsent && ctx.Err() == nil {
+		passage.suspect(server)
+	}
 	until := passage.relay.config.Pool.Failed(server.ID, unsent, passage.now())
 	if !until.IsZero() {
 		passage.ejected(server, until, err)
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -12,6 +12,7 @@
 	ReasonBadRequest Reason = "badRequest"
 	ReasonBodySize   Reason = "bodyTooLarge"
 	ReasonBody       Reason = "bodyNotRead"
+	ReasonQuarantine Reason = "quarantined"
 	ReasonQuota      Reason = "overLimit"
 	ReasonNoServer   Reason = "noServer"
 	ReasonNoCopy     Reason = "modelNotLoaded"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
@@ -40,6 +41,7 @@
 	Pool        *pool.Pool
 	Trunk       *trunk.Trunk
 	Shares      *share.Holder
+	Crashes     *crash.Book
 	Coordinator Coordinator
 	Clock       *clock.Service
 	Log         logrus.FieldLogger
@@ -138,6 +140,9 @@
 	if refusal := passage.readBody(snapshot.Limits().BodyBytes); refusal != nil {
 		return refusal
 	}
+	if !relay.config.Crashes.Empty() && relay.config.Crashes.Quarantined(passage.fingerprint()) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonQuarantine}
+	}
 	passage.service = passage.route.Target(rand.Float64())
 	return passage.charge()
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
@@ -287,6 +288,39 @@
 	g.Expect(seen.count()).To(Equal(1))
 }
 
+func TestCrashedServersAreTold(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("order", policy.KindUnsafe, "desk"))
+	reset := func(writer http.ResponseWriter, _ *http.Request) { hijack(writer).Close() }
+	seen := world.server("desk-1", "desk", reset)
+	world.call(http.MethodPost, "/order/1", "deadly", nil)
+	g.Eventually(func() int { return len(world.crashes.Sightings(time.Now())) }, 5*time.Second).Should(Equal(1))
+	world.crashes.Quarantine([]crash.Fingerprint{world.crashes.Sightings(time.Now())[0].Fingerprint})
+	result := world.call(http.MethodPost, "/order/1", "deadly", nil)
+	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(result.header.Get("Retry-After")).To(BeEmpty(), "it is not to come back")
+	world.call(http.MethodPost, "/order/1", "harmless", nil)
+	g.Expect(seen.count()).To(Equal(2))
+}
+
+func TestServerThatLivesOnHasNotCrashed(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("order", policy.KindUnsafe, "desk"))
+	var once sync.Once
+	world.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+		first := false
+		once.Do(func() { first = true })
+		if first {
+			hijack(writer).Close()
+			return
+		}
+		ok(writer, request)
+	})
+	world.call(http.MethodPost, "/order/1", "deadly", nil)
+	g.Expect(world.call(http.MethodPost, "/order/1", "other", nil).status).To(Equal(http.StatusOK))
+	g.Consistently(func() int { return len(world.crashes.Sightings(time.Now())) }, 2*time.Second, 200*time.Millisecond).Should(BeZero())
+}
+
 func TestEachOutcomeIsLoggedWithItsCause(t *testing.T) {
 	g := NewWithT(t)
 	world := newWorld(t, route("look", policy.KindSafe, "desk"))
