--- a/relay/codec.go
+++ b/relay/codec.go
@@ -66,6 +66,4 @@
 	Call string
 	// NotRun tells that the server did not run the request.
 	NotRun bool
-	// Signed tells that the answer bears a server's signature.
-	Signed bool
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -60,9 +60,8 @@
 		switch choice := passage.pick().(type) {
 		case pool.Chosen:
 			passage.lastLoad = choice.Load
-			server, found := passage.withAdapter(ctx, choice)
-			if found {
-				return server, nil
+			if passage.withAdapter(ctx, choice) && passage.relay.config.Pool.Usable(choice.Server, passage.now()) {
+				return choice.Server, nil
 			}
 			passage.tried = append(passage.tried, choice.Server.ID)
 			adapters++
@@ -106,20 +105,21 @@
 
 // withAdapter has the adapter loaded where the server lacks it. It returns false
 // where that failed.
-func (passage *passage) withAdapter(ctx context.Context, choice pool.Chosen) (*pool.Server, bool) {
+func (passage *passage) withAdapter(ctx context.Context, choice pool.Chosen) bool {
 	if !choice.AdapterMissing {
-		return choice.Server, true
+		return true
 	}
 	callCtx, cancel := context.WithTimeout(ctx, adapterTimeout)
 	defer cancel()
 	adapter := pool.Adapter{Model: passage.call.Model, Name: passage.call.Adapter}
 	if err := passage.relay.config.Coordinator.Adapter(callCtx, choice.Server, adapter); err != nil {
 		passage.cause = err
-		return nil, false
+		return false
 	}
 	select {
 	case <-ctx.Done():
+		return false
 	case <-passage.relay.config.Clock.After(adapterTime):
+		return true
 	}
-	return choice.Server, true
 }
--- a/setup/host.go
+++ b/setup/host.go
@@ -24,9 +24,8 @@
 	// RegistryPeriod is the time between two reports of a backend server to the
 	// registry.
 	RegistryPeriod time.Duration
-	// MemoryBytes is what the process may use; CPUs its share of processor time.
+	// MemoryBytes is what the process may use.
 	MemoryBytes int64
-	CPUs        float64
 	// Bounds are the promises that figures are derived from.
 	Bounds HostBounds
 }
@@ -35,24 +34,14 @@
 type HostBounds struct {
 	// StopGrace is the time from SIGTERM to SIGKILL.
 	StopGrace time.Duration
-	// Drain is how soon a leaving backend server gets no more requests.
-	Drain time.Duration
-	// PolicyApply is how soon a new version has to be in force.
-	PolicyApply time.Duration
 	// RetryRatio and RetrySlack bound resent requests of a service in RetryWindow.
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
 	// Fenced tells that model engines refuse orders of former coordinators.
 	Fenced bool
-	// OrderLease is the least time between orders of two coordinators to one engine.
-	OrderLease time.Duration
-	// LoadWindow and LoadExcess bound loads from the weight store: in LoadWindow
-	// at most LoadExcess times the rate, and some more.
+	// LoadWindow is the span in which loads from the weight store are counted.
 	LoadWindow time.Duration
-	LoadExcess float64
-	// EventDelay is the longest that a stream's event may take to its caller.
-	EventDelay time.Duration
 }
 
 // Validate returns a *FaultsError naming every fault, or nil.
@@ -67,7 +56,7 @@
 		checker.fail("own ports", "%d to %d is not a range of two ports or more", host.FirstPort, host.LastPort)
 	}
 	checker.positive("memory bytes", host.MemoryBytes)
-	checker.positive("drain bound", int64(host.Bounds.Drain))
+	checker.positive("load window", int64(host.Bounds.LoadWindow))
 	checker.positive("stop grace", int64(host.Bounds.StopGrace))
 	checker.positive("registry period", int64(host.RegistryPeriod))
 	return checker.err()
