--- a/relay/passage.go
+++ b/relay/passage.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
@@ -223,7 +224,7 @@
 	}
 	wanted := passage.call.ID
 	if passage.route.Kind == policy.KindStream {
-		stop := passage.watchFirstByte(ctx, server)
+		stop := passage.watchFirstByte(server)
 		defer stop()
 	}
 	return relay.config.Trunk.Do(ctx, server.Address, &trunk.Request{
@@ -240,25 +241,25 @@
 }
 
 // watchFirstByte counts the request against the server while it waits too long
-// for its first byte.
-func (passage *passage) watchFirstByte(ctx context.Context, server *pool.Server) func() {
-	slowCtx, cancel := context.WithCancel(ctx)
-	counted := make(chan bool, 1)
+// for its first byte. The result ends that.
+func (passage *passage) watchFirstByte(server *pool.Server) func() {
+	var mutex sync.Mutex
+	ended, counted := false, false
 	timer := time.AfterFunc(slowFirstByte*passage.route.Objective, func() {
-		if slowCtx.Err() == nil {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if !ended {
+			counted = true
 			passage.relay.config.Pool.Slow(server.ID, 1)
-			counted <- true
 		}
 	})
 	return func() {
-		cancel()
-		if timer.Stop() {
-			return
-		}
-		select {
-		case <-counted:
+		timer.Stop()
+		mutex.Lock()
+		defer mutex.Unlock()
+		ended = true
+		if counted {
 			passage.relay.config.Pool.Slow(server.ID, -1)
-		case <-time.After(time.Millisecond):
 		}
 	}
 }
