One route to the coordinator, one test of its term, and no dead branches in shares

Read again as a newcomer: the client chose between its own desk and the connection in three places, the desk asked for its term in two; Divider.lower always returned false; after a reply the share's bucket always starts empty, so what came before that was dead. A comment stood over the wrong constant.

--- a/coord/client.go
+++ b/coord/client.go
@@ -140,14 +140,12 @@
 
 // Borrow implements [relay.Coordinator].
 func (client *Client) Borrow(ctx context.Context, account names.ClientAccount, cost float64) (time.Duration, bool, error) {
-	client.mutex.Lock()
-	conn, leader := client.conn, client.leader
-	client.mutex.Unlock()
-	if leader == client.config.Self && leader != "" {
-		return client.config.Desk.Borrow(account, cost)
+	conn, own, err := client.route()
+	if err != nil {
+		return 0, false, err
 	}
-	if conn == nil {
-		return 0, false, &NoCoordinatorError{}
+	if own {
+		return client.config.Desk.Borrow(account, cost)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
@@ -160,18 +158,14 @@
 
 // Adapter implements [relay.Coordinator].
 func (client *Client) Adapter(ctx context.Context, server *pool.Server, adapter pool.Adapter) error {
-	client.mutex.Lock()
-	conn, leader := client.conn, client.leader
-	client.mutex.Unlock()
-	switch {
-	case leader == "":
-		return &NoCoordinatorError{}
-	case leader == client.config.Self:
+	conn, own, err := client.route()
+	if err != nil {
+		return err
+	}
+	if own {
 		return client.config.Desk.Adapter(ctx, server.ID, adapter)
-	case conn == nil:
-		return &NoCoordinatorError{}
 	}
-	_, err := wire.NewCoordinationClient(conn).LoadAdapter(ctx, &wire.CoordAdapterRequest{
+	_, err = wire.NewCoordinationClient(conn).LoadAdapter(ctx, &wire.CoordAdapterRequest{
 		Server: string(server.ID), Adapter: &wire.CoordAdapter{Model: string(adapter.Model), Name: string(adapter.Name)},
 	})
 	return err
@@ -203,12 +197,11 @@
 	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own(), Revision: client.config.Mirror.Revision()}
 	report.Sightings = client.config.Crashes.Sightings(asked)
 	client.mutex.Lock()
-	conn, leader := client.conn, client.leader
 	report.Demands = maps.Clone(client.demands)
 	client.mutex.Unlock()
-	reply, err := client.call(ctx, conn, leader, report)
+	reply, err := client.call(ctx, report)
 	if err != nil {
-		client.lose(leader, err)
+		client.lose(err)
 		client.look(ctx, asked)
 		return
 	}
@@ -257,14 +250,28 @@
 	client.config.Mirror.Confirm(revision)
 }
 
-func (client *Client) call(ctx context.Context, conn *grpc.ClientConn, leader string, report Report) (Reply, error) {
+// route returns the connection to the coordinator, or that this process is the
+// one. It fails with a *[NoCoordinatorError].
+func (client *Client) route() (conn *grpc.ClientConn, own bool, err error) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
 	switch {
-	case leader == "":
-		return Reply{}, &NoCoordinatorError{}
-	case leader == client.config.Self:
+	case client.leader == client.config.Self:
+		return nil, true, nil
+	case client.conn == nil:
+		return nil, false, &NoCoordinatorError{}
+	default:
+		return client.conn, false, nil
+	}
+}
+
+func (client *Client) call(ctx context.Context, report Report) (Reply, error) {
+	conn, own, err := client.route()
+	if err != nil {
+		return Reply{}, err
+	}
+	if own {
 		return client.config.Desk.Exchange(report)
-	case conn == nil:
-		return Reply{}, &NoCoordinatorError{}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -295,12 +302,12 @@
 	}
 }
 
-func (client *Client) lose(leader string, cause error) {
+func (client *Client) lose(cause error) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	if client.lost {
 		return
 	}
 	client.lost = true
-	event.CoordinatorLost.Log(client.config.Log, logrus.Fields{"coordinator": leader, "cause": cause.Error()})
+	event.CoordinatorLost.Log(client.config.Log, logrus.Fields{"coordinator": client.leader, "cause": cause.Error()})
 }
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -199,6 +199,11 @@
 	return number
 }
 
+// leads tells whether number is this entry's term, with or without its lease.
+func (desk *Desk) leads(number int64) bool {
+	return desk.config.Term() == number || desk.config.Doubtful() == number
+}
+
 // followed tells whether most entries report here. It is called with the desk's
 // mutex held.
 func (term *term) followed(now time.Time) bool {
@@ -271,7 +276,7 @@
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	current := desk.term
-	if current == nil || snapshot == nil || (desk.config.Term() != current.number && desk.config.Doubtful() != current.number) {
+	if current == nil || snapshot == nil || !desk.leads(current.number) {
 		return Reply{}, &NotCoordinatingError{Instance: desk.config.Instance}
 	}
 	entry := received{at: now, loads: report.Loads, waiting: map[Target]int{}}
@@ -330,7 +335,7 @@
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	current := desk.term
-	if current == nil || snapshot == nil || (desk.config.Term() != current.number && desk.config.Doubtful() != current.number) {
+	if current == nil || snapshot == nil || !desk.leads(current.number) {
 		return 0, false, &NotCoordinatingError{Instance: desk.config.Instance}
 	}
 	for _, account := range snapshot.Accounts() {
--- a/copies/keeper.go
+++ b/copies/keeper.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// orderPause is the wait before an order is sent again: a runner that carries
-	// out another one is free after a load at most.
+	// orderPause is the wait before an order is sent again: an engine that
+	// carries out another one is free after a load at most.
 	orderPause = 80 * time.Millisecond
 	// modelTries bounds an order for a model; unloading waits for requests that run
 	// for seconds. adapterTries bounds one for an adapter, for which a request waits.
@@ -24,9 +24,9 @@
 	adapterTries = 5
 	// retireWait is how long requests may still be sent for a model that makes way:
 	// two exchanges of every entry.
-	// askPause is the least time between two reports of an engine.
-	askPause   = 300 * time.Millisecond
 	retireWait = 500 * time.Millisecond
+	// askPause is the least time between two reports of an engine.
+	askPause = 300 * time.Millisecond
 	// loadMargin is by how much a load may take longer than its usual time.
 	loadMargin = 1.05
 	// freeConflicts is how many conflicts in a row are taken for another order under
--- a/share/divider.go
+++ b/share/divider.go
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, account := range accounts {
-		raised = divider.lower(account, now) || raised
+		divider.lower(account, now)
 		left := whole
 		for instance := range next {
 			left -= next[instance][account]
@@ -109,8 +109,8 @@
 }
 
 // lower assigns less to entries that hold more than they should. It changes
-// nothing that has to be kept, and returns false.
-func (divider *Divider) lower(account names.ClientAccount, now time.Time) bool {
+// nothing that has to be kept.
+func (divider *Divider) lower(account names.ClientAccount, now time.Time) {
 	for _, known := range divider.holders {
 		if known.heard.IsZero() {
 			continue
@@ -122,7 +122,6 @@
 			known.version = divider.version
 		}
 	}
-	return false
 }
 
 // raise adds to entries that hold less than they should, as far as there is
--- a/share/holder.go
+++ b/share/holder.go
@@ -183,8 +183,9 @@
 	Loans Set
 }
 
-// Apply takes over the set and the loans that a coordinator assigned in answer to a message
-// sent at asked. Sets of former terms and versions are passed over.
+// Apply takes over the set and the loans that a coordinator assigned in answer
+// to a message sent at asked. Sets of former terms and versions are passed over.
+// The coordinator holds the share while it lends, so its bucket starts empty.
 func (holder *Holder) Apply(assigned Assigned, limits *policy.Snapshot, asked time.Time) {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
@@ -197,34 +198,12 @@
 	for account, loan := range assigned.Lent {
 		holder.loans[account] += loan
 	}
-	lapsed := holder.started && !asked.Before(holder.expires)
 	holder.started = true
 	holder.term, holder.version = assigned.Term, assigned.Version
 	holder.expires = asked.Add(Lifetime - lifetimeMargin)
 	for _, account := range limits.Accounts() {
-		held, found := holder.buckets[account.Name]
-		if !found {
-			held = &bucket{at: asked}
-			holder.buckets[account.Name] = held
-		}
-		held.rate, held.burst = account.Rate, account.Burst
-		if lapsed {
-			// What was held before may have been given to others meanwhile.
-			held.level, held.at = 0, asked
-		}
-		if holder.lends(asked) {
-			// The coordinator holds this share while it lends.
-			held.level, held.at = 0, asked.Add(silentAfter)
+		holder.buckets[account.Name] = &bucket{
+			share: assigned.Shares[account.Name], rate: account.Rate, burst: account.Burst, at: asked.Add(silentAfter),
 		}
-		held.refill(maxTime(held.at, asked))
-		held.share = assigned.Shares[account.Name]
-		held.level = min(held.level, held.burst*held.share)
-	}
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
 	}
-	return b
 }
