Servers that left stay gone through an outage of the registry

Ruled out: dropping members at once, since requests under way count there.

Change: whether an outage may explain a missing entry is decided when it goes missing, and what counted as gone when an outage begins stays so.

Before: TestLapsedEntries, five cases added, four fail. After: all pass (go test ./pool).

--- a/pool/member.go
+++ b/pool/member.go
@@ -37,8 +37,10 @@
 	errors float64
 	// slow counts requests that wait for a first byte for too long.
 	slow int
-	// goneAt is when the entry was found missing; zero while it is listed.
+	// goneAt is when the entry was found missing; zero while it is listed. lapsed
+	// tells that an outage of the registry may be why.
 	goneAt time.Time
+	lapsed bool
 }
 
 // Holding is what the coordinator knows of a server's models.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -107,7 +107,7 @@
 		pool.members[server.ID] = fresh
 	} else {
 		known.server = server
-		known.goneAt = time.Time{}
+		known.goneAt, known.lapsed = time.Time{}, false
 	}
 	pool.wake()
 }
@@ -121,12 +121,20 @@
 		return
 	}
 	known.goneAt = now
+	known.lapsed = !pool.lostSince.IsZero() ||
+		(!pool.regained.IsZero() && now.Sub(pool.regained) < lapseBeats*pool.config.RegistryPeriod)
 }
 
-// Lost tells that the registry does not answer.
+// Lost tells that the registry does not answer. Servers that were gone before
+// stay so.
 func (pool *Pool) Lost(now time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	for _, member := range pool.members {
+		if pool.gone(member, now) {
+			member.lapsed = false
+		}
+	}
 	pool.lostSince = now
 }
 
@@ -141,15 +149,14 @@
 // an outage of the registry does not explain that. It is called with the mutex
 // held.
 func (pool *Pool) gone(member *member, now time.Time) bool {
-	if member.goneAt.IsZero() {
-		return false
-	}
-	if !pool.lostSince.IsZero() {
+	switch {
+	case member.goneAt.IsZero():
 		return false
+	case !member.lapsed:
+		return true
+	default:
+		return pool.lostSince.IsZero() && now.Sub(pool.regained) > lapseGrace
 	}
-	lapse := lapseBeats*pool.config.RegistryPeriod + lapseGrace
-	mayHaveLapsed := !pool.regained.IsZero() && member.goneAt.Sub(pool.regained) < lapseBeats*pool.config.RegistryPeriod
-	return !mayHaveLapsed || now.Sub(pool.regained) > lapseGrace || now.Sub(member.goneAt) > lapse
 }
 
 // Sweep forgets servers that are gone and idle.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -213,6 +213,55 @@
 			},
 			at: 11*time.Second + time.Millisecond, want: "no server",
 		},
+		{
+			name: "an outage does not bring back one that left in calm times",
+			play: func(from *pool.Pool) {
+				from.Remove("e1", at(time.Second))
+				from.Lost(at(1100 * time.Millisecond))
+			},
+			at: 2 * time.Second, want: "no server",
+		},
+		{
+			name: "nor where requests are still under way there",
+			play: func(from *pool.Pool) {
+				from.Begin("e1", 0, epoch)
+				from.Remove("e1", at(time.Second))
+				from.Sweep(at(2 * time.Second))
+				from.Lost(at(3 * time.Second))
+			},
+			at: 4 * time.Second, want: "no server",
+		},
+		{
+			name: "a second outage does not bring back one that stayed away after the first",
+			play: func(from *pool.Pool) {
+				from.Lost(at(time.Second))
+				from.Regained(at(9 * time.Second))
+				from.Remove("e1", at(9*time.Second))
+				from.Lost(at(12 * time.Second))
+				from.Regained(at(13 * time.Second))
+			},
+			at: 14 * time.Second, want: "no server",
+		},
+		{
+			name: "one that lapsed has its two seconds after a second outage too",
+			play: func(from *pool.Pool) {
+				from.Lost(at(time.Second))
+				from.Regained(at(9 * time.Second))
+				from.Remove("e1", at(9*time.Second))
+				from.Lost(at(10 * time.Second))
+				from.Regained(at(14 * time.Second))
+			},
+			at: 15 * time.Second, want: "e1",
+		},
+		{
+			name: "one that left and came back is served in an outage",
+			play: func(from *pool.Pool) {
+				from.Remove("e1", at(time.Second))
+				from.Put(engine("e1", "m"))
+				from.Lost(at(2 * time.Second))
+			},
+			at: 3 * time.Second, want: "e1",
+		},
 		{
 			name: "one that came back stays",
 			play: func(from *pool.Pool) {
