Accounts below their limit outlive the loss of a coordinator

Ruled out: a shorter lease (slow answers of the store take a quarter second); a shorter wait before entries use their shares (reports may take 0.6 s).

Change: loans cover the use until shares are used; 200 ms of a share may be used ahead while nobody answers, paid from the next loan; a bank begins at 5 % instead of empty; a restarted process replaces the key of its predecessor at once (same instance and address: it listens there, so the other has ended); elections are looked for each 100 ms instead of 500.

Tests that failed before: TestAccountsBelowTheirLimitOutliveACoordinator (33 and 32 refused, now 0), TestRestartedLeaderIsElectedBeforeItsFormerLeaseEnds.

--- a/coord/client.go
+++ b/coord/client.go
@@ -70,11 +70,14 @@
 	mutex sync.Mutex
 	// leader is the coordinator's value; conn is nil where it is this process or
 	// none.
-	leader   string
-	conn     *grpc.ClientConn
-	demands  map[Target]Demand
-	answered time.Time
-	lost     bool
+	leader  string
+	conn    *grpc.ClientConn
+	demands map[Target]Demand
+	// answered is when the last report was answered, unansweredAt when a request
+	// for a loan last was not.
+	answered     time.Time
+	unansweredAt time.Time
+	lost         bool
 }
 
 var _ relay.Coordinator = (*Client)(nil)
@@ -147,15 +150,34 @@
 	if own {
 		return client.config.Desk.Borrow(account, cost)
 	}
+	if err := client.unanswered(); err != nil {
+		return 0, false, err
+	}
 	callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	reply, err := wire.NewCoordinationClient(conn).Borrow(callCtx, &wire.CoordBorrowRequest{Account: string(account), Cost: cost})
 	if err != nil {
+		client.mutex.Lock()
+		defer client.mutex.Unlock()
+		client.unansweredAt = client.config.Clock.Now()
 		return 0, false, err
 	}
 	return time.Duration(reply.GetWaitMilliseconds()) * time.Millisecond, reply.GetLent(), nil
 }
 
+// unanswered fails with a *[NoAnswerError] where the coordinator has left a
+// request for a loan without an answer and has not answered any report since, so
+// that not every request waits for it.
+func (client *Client) unanswered() error {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	since := client.config.Clock.Now().Sub(client.unansweredAt)
+	if client.unansweredAt.After(client.answered) && since < exchangePeriod {
+		return &NoAnswerError{Since: since}
+	}
+	return nil
+}
+
 // Adapter implements [relay.Coordinator].
 func (client *Client) Adapter(ctx context.Context, server *pool.Server, adapter pool.Adapter) error {
 	conn, own, err := client.route()
--- a/coord/errors.go
+++ b/coord/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/basilkeel/basilkeel/names"
 )
@@ -31,3 +32,15 @@
 func (unknownAccountError *UnknownAccountError) Error() string {
 	return fmt.Sprintf("client account %q is not in the policy in force", unknownAccountError.Account)
 }
+
+// NoAnswerError reports a coordinator that is not asked, as it has just left a
+// request without an answer.
+type NoAnswerError struct {
+	// Since is how long ago that was.
+	Since time.Duration
+}
+
+// Error implements error.
+func (noAnswerError *NoAnswerError) Error() string {
+	return fmt.Sprintf("the coordinator left a request without an answer %v ago", noAnswerError.Since)
+}
--- a/coord/leader.go
+++ b/coord/leader.go
@@ -32,3 +32,9 @@
 	err := json.Unmarshal([]byte(text), &document)
 	return Identity(document), err
 }
+
+// Replaces tells whether other was a former process of the same instance. It
+// has ended: this one listens at its address.
+func (identity Identity) Replaces(other Identity) bool {
+	return other.Instance == identity.Instance && other.Address == identity.Address && other.Process != identity.Process
+}
--- a/elect/elector.go
+++ b/elect/elector.go
@@ -16,6 +16,9 @@
 const (
 	// renewals is how many times a lease is renewed in its time to live.
 	renewals = 4
+	// standPeriod is how often an election is looked for; limits are lent and
+	// models loaded only by a coordinator.
+	standPeriod = 100 * time.Millisecond
 	// safety is the part of the time to live by which this process stops earlier
 	// than the service can end the lease.
 	safety = 8
@@ -45,6 +48,9 @@
 	// Awake is a steady time that counts suspensions; nil means [Awake].
 	Awake func() time.Duration
 	Log   logrus.FieldLogger
+	// Predecessor tells whether a published value is that of a process that has
+	// ended and that this one replaces; its lease is not waited for.
+	Predecessor func(value string) bool
 	// Elected and Ended are called when this process begins and ceases to lead.
 	Elected func(term store.Revision)
 	Ended   func()
@@ -104,8 +110,13 @@
 	elector.mutex.Lock()
 	changed := !elector.known || elector.leader != leader
 	elector.leader, elector.known = leader, true
-	if leader.Term == 0 && changed {
-		elector.standAt = elector.config.Clock.Now().Add(elector.config.Delay)
+	if changed {
+		switch {
+		case leader.Term == 0:
+			elector.standAt = elector.config.Clock.Now().Add(elector.config.Delay)
+		case elector.term == 0 && elector.config.Predecessor(leader.Value):
+			elector.standAt = elector.config.Clock.Now()
+		}
 	}
 	deposed := elector.term != 0 && leader.Term != elector.term
 	elector.mutex.Unlock()
@@ -136,23 +147,38 @@
 
 // Run renews or stands until ctx ends.
 func (elector *Elector) Run(ctx context.Context) {
-	period := elector.config.TTL / renewals
-	elector.config.Clock.Subscribe(ctx, period, func(ctx context.Context, now time.Time) {
-		elector.mutex.Lock()
-		leading := elector.term != 0
-		stand := !leading && elector.known && elector.leader.Term == 0 && !now.Before(elector.standAt) && !elector.retired
-		elector.mutex.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, elector.config.TTL)
-		defer cancel()
-		switch {
-		case leading:
-			elector.renew(callCtx)
-		case stand:
-			elector.stand(callCtx)
+	renewAt := time.Time{}
+	elector.config.Clock.Subscribe(ctx, standPeriod, func(ctx context.Context, now time.Time) {
+		if !elector.leads() {
+			if former, due := elector.vacant(now); due {
+				elector.stand(ctx, former)
+			}
+			return
+		}
+		if !now.Before(renewAt) {
+			renewAt = now.Add(elector.config.TTL / renewals)
+			elector.renew(ctx)
 		}
 	})
 }
 
+func (elector *Elector) leads() bool {
+	elector.mutex.Lock()
+	defer elector.mutex.Unlock()
+	return elector.term != 0
+}
+
+// vacant tells whether it is time to stand, and the term of the key that is to
+// be replaced, zero where there is none.
+func (elector *Elector) vacant(now time.Time) (store.Revision, bool) {
+	elector.mutex.Lock()
+	defer elector.mutex.Unlock()
+	if elector.term != 0 || !elector.known || elector.retired || now.Before(elector.standAt) {
+		return 0, false
+	}
+	return elector.leader.Term, elector.leader.Term == 0 || elector.config.Predecessor(elector.leader.Value)
+}
+
 func (elector *Elector) renew(ctx context.Context) {
 	elector.mutex.Lock()
 	lease := elector.lease
@@ -172,26 +198,35 @@
 	}
 }
 
-func (elector *Elector) stand(ctx context.Context) {
+// stand publishes this process in place of the key of a former term.
+func (elector *Elector) stand(ctx context.Context, former store.Revision) {
+	ctx, cancel := context.WithTimeout(ctx, elector.config.TTL)
+	defer cancel()
 	before := elector.config.Awake()
 	lease, err := elector.config.Store.Grant(ctx, elector.config.TTL)
 	if err != nil {
+		elector.postpone()
 		return
 	}
-	term, err := elector.config.Store.Swap(ctx, store.Swap{Key: elector.config.Key, Value: []byte(elector.config.Value), Lease: lease})
+	term, err := elector.config.Store.Swap(ctx, store.Swap{
+		Key: elector.config.Key, Expected: former, Value: []byte(elector.config.Value), Lease: lease,
+	})
 	var conflictError *store.ConflictError
 	var unknownError *store.UnknownError
 	switch {
 	case errors.As(err, &conflictError):
 		// The lease is left to expire: ending it costs a call.
+		elector.postpone()
 		return
 	case errors.As(err, &unknownError):
 		entry, found, readErr := elector.config.Store.Get(ctx, elector.config.Key)
 		if readErr != nil || !found || string(entry.Value()) != elector.config.Value {
+			elector.postpone()
 			return
 		}
 		term = entry.Revision()
 	case err != nil:
+		elector.postpone()
 		return
 	}
 	elector.mutex.Lock()
@@ -203,6 +238,13 @@
 	elector.config.Elected(term)
 }
 
+// postpone spaces attempts, while the watch tells who was elected.
+func (elector *Elector) postpone() {
+	elector.mutex.Lock()
+	defer elector.mutex.Unlock()
+	elector.standAt = elector.config.Clock.Now().Add(elector.config.TTL / renewals)
+}
+
 func (elector *Elector) end(reason string) {
 	elector.mutex.Lock()
 	term := elector.term
--- a/elect/elector_test.go
+++ b/elect/elector_test.go
@@ -69,7 +69,8 @@
 			defer result.mutex.Unlock()
 			result.ended++
 		},
-		Leader: func(elect.Leader) {},
+		Leader:      func(elect.Leader) {},
+		Predecessor: func(other string) bool { return other == value+" before its restart" },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -156,3 +157,34 @@
 	first.Seen(elect.Leader{})
 	g.Consistently(first.Term, 2*ttl).Should(BeZero())
 }
+
+// published puts a leader's key in place, under a lease that nobody renews.
+func published(g *WithT, memory store.Store, value string) elect.Leader {
+	lease, err := memory.Grant(context.Background(), time.Minute)
+	g.Expect(err).NotTo(HaveOccurred())
+	term, err := memory.Swap(context.Background(), store.Swap{Key: key, Value: []byte(value), Lease: lease})
+	g.Expect(err).NotTo(HaveOccurred())
+	return elect.Leader{Term: term, Value: value}
+}
+
+func TestRestartedLeaderIsElectedBeforeItsFormerLeaseEnds(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	before := published(g, memory, "first before its restart")
+	first, second := stand(t, memory, "first"), stand(t, memory, "second")
+	first.Seen(before)
+	second.Seen(before)
+	g.Eventually(first.Term).Should(BeNumerically(">", before.Term))
+	g.Expect(second.Term()).To(BeZero(), "the lease of another instance's process may still run")
+}
+
+func TestRestartedLeaderDoesNotDeposeItsSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	memory := proof.NewStore()
+	before := published(g, memory, "first before its restart")
+	_, err := memory.Swap(context.Background(), store.Swap{Key: key, Expected: before.Term, Value: []byte("second")})
+	g.Expect(err).NotTo(HaveOccurred())
+	first := stand(t, memory, "first")
+	first.Seen(before)
+	g.Consistently(first.Term, ttl).Should(BeZero())
+}
--- a/node/relay.go
+++ b/node/relay.go
@@ -80,15 +80,24 @@
 type relaySelf struct {
 	instance names.Instance
 	address  string
+	identity coord.Identity
 	value    string
 }
 
+// replaces tells whether a coordinator's value is that of a former process of
+// this instance.
+func (self *relaySelf) replaces(value string) bool {
+	other, err := coord.DecodeIdentity(value)
+	return err == nil && self.identity.Replaces(other)
+}
+
 func newRelaySelf(host *setup.Host) *relaySelf {
 	self := &relaySelf{
 		instance: names.Instance(host.Instance),
 		address:  net.JoinHostPort(host.IP, strconv.Itoa(host.FirstPort)),
 	}
-	self.value = coord.Identity{Instance: host.Instance, Address: self.address, Process: uuid.NewString()}.Encode()
+	self.identity = coord.Identity{Instance: host.Instance, Address: self.address, Process: uuid.NewString()}
+	self.value = self.identity.Encode()
 	return self
 }
 
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -98,9 +98,10 @@
 		Store: platformStore, Key: coordinatorKey, Value: self.value, TTL: max(coordinatorLease, host.ShortestLease),
 		Delay: time.Duration(xxhash.Sum64String(host.Instance) % uint64(standSpread)),
 		Clock: clock, Log: log,
-		Elected: func(term store.Revision) { desk.Elected(context.Background(), int64(term)) },
-		Ended:   desk.Ended,
-		Leader:  func(leader elect.Leader) { client.Follow(leader.Value) },
+		Predecessor: self.replaces,
+		Elected:     func(term store.Revision) { desk.Elected(context.Background(), int64(term)) },
+		Ended:       desk.Ended,
+		Leader:      func(leader elect.Leader) { client.Follow(leader.Value) },
 	})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -166,6 +166,7 @@
 }
 
 // borrow asks the coordinator, unless it has just said that nothing is left.
+// Where it does not answer, a little is used ahead.
 func (passage *passage) borrow(cost float64) (time.Duration, bool) {
 	shares := passage.relay.config.Shares
 	if wait := shares.Dry(passage.account.Name, passage.now()); wait > 0 {
@@ -174,7 +175,7 @@
 	wait, lent, err := passage.relay.config.Coordinator.Borrow(passage.request.Context(), passage.account.Name, cost)
 	if err != nil {
 		passage.cause = err
-		return unlentPause, false
+		return unlentPause, shares.Bridge(passage.account, cost, passage.now())
 	}
 	if !lent {
 		shares.SetDry(passage.account.Name, wait, passage.now())
--- a/share/bank.go
+++ b/share/bank.go
@@ -12,10 +12,17 @@
 	// uses its share on its own; entries begin that later, after aloneAfter.
 	silentAfter = 1000 * time.Millisecond
 	aloneAfter  = 1600 * time.Millisecond
-	// lendAhead is how much of an entry's use is lent ahead, two exchanges.
-	lendAhead = 600 * time.Millisecond
+	// lendAhead is how much of an entry's use is lent ahead, so that it lasts until
+	// the entry uses its share when the coordinator is lost.
+	lendAhead = aloneAfter + 200*time.Millisecond
 	// ampleLevel is the part of the burst above which tokens are lent ahead.
-	ampleLevel = 0.3
+	ampleLevel = 0.1
+	// firstLevel is how full the bank is when a coordinator begins: empty, it would
+	// refuse all until entries have told what they hold.
+	firstLevel = 0.05
+	// bridgeSpan is how much of its share an entry uses ahead while a coordinator
+	// that lends does not answer, until it counts as lost.
+	bridgeSpan = 200 * time.Millisecond
 )
 
 // Bank holds the limits of client accounts for one term of a coordinator, and
@@ -83,14 +90,14 @@
 	part := bank.divider.reporting(account.Name, bank.exclusive, now)
 	if !found {
 		// What the former coordinator lent just now is not known.
-		held = &bucket{at: now}
+		held = &bucket{at: now, level: firstLevel * account.Burst * part}
 		bank.buckets[account.Name] = held
 	}
 	held.rate, held.burst, held.share = account.Rate, account.Burst, part
 	held.refill(now)
 	lent := 0.0
 	for _, set := range bank.lent {
-		lent += set[account.Name]
+		lent += max(set[account.Name], 0)
 	}
 	held.level = min(held.level, account.Burst*part-lent)
 	return held
--- a/share/fleet_test.go
+++ b/share/fleet_test.go
@@ -112,10 +112,14 @@
 		return
 	}
 	_, taken := entry.holder.Take(account(fleet.limits), cost, fleet.now)
-	if !taken && entry.holder.Lends(fleet.now) && entry.follows >= 0 && !fleet.terms[entry.follows].dead {
-		term := fleet.terms[entry.follows]
-		term.bank.Hold(term.exclusive)
-		_, taken = term.bank.Lend(account(fleet.limits), cost, fleet.now)
+	if !taken && entry.holder.Lends(fleet.now) {
+		if entry.follows >= 0 && !fleet.terms[entry.follows].dead {
+			term := fleet.terms[entry.follows]
+			term.bank.Hold(term.exclusive)
+			_, taken = term.bank.Lend(account(fleet.limits), cost, fleet.now)
+		} else {
+			taken = entry.holder.Bridge(account(fleet.limits), cost, fleet.now)
+		}
 	}
 	if taken {
 		fleet.used[fleet.step] += cost
--- a/share/holder.go
+++ b/share/holder.go
@@ -45,8 +45,8 @@
 	version int64
 	expires time.Time
 	started bool
-	// loans is what a coordinator lent and is not used; heard is when the last
-	// message that it answered was sent.
+	// loans is what a coordinator lent and is not used, below zero what was used
+	// ahead; heard is when the last message that it answered was sent.
 	loans map[names.ClientAccount]float64
 	heard time.Time
 	// dry is until when an account has nothing left.
@@ -94,6 +94,10 @@
 	}
 	held.rate, held.burst = account.Rate, account.Burst
 	held.refill(now)
+	if debt := holder.loans[account.Name]; debt < 0 {
+		held.level += debt
+		holder.loans[account.Name] = 0
+	}
 	if most := held.burst * held.share; held.level < min(cost, most) {
 		// A request above the burst of this share waits for a full bucket, and is
 		// paid for afterwards.
@@ -103,6 +107,23 @@
 	return 0, true
 }
 
+// Bridge uses cost of an account's limits ahead, for when a coordinator that
+// lends does not answer. What was used ahead is paid from the next loan, or from
+// this entry's share. It returns false where that is too much.
+func (holder *Holder) Bridge(account *policy.Account, cost float64, now time.Time) bool {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	held, found := holder.buckets[account.Name]
+	if !found || !now.Before(holder.expires) {
+		return false
+	}
+	if holder.loans[account.Name]-cost < -bridgeSpan.Seconds()*account.Rate*held.share {
+		return false
+	}
+	holder.loans[account.Name] -= cost
+	return true
+}
+
 // Lends tells whether a coordinator answers, from which more can be borrowed.
 func (holder *Holder) Lends(now time.Time) bool {
 	holder.mutex.Lock()
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -121,3 +121,51 @@
 	var recordError *share.RecordError
 	g.Expect(err).To(BeAssignableToTypeOf(recordError))
 }
+
+// TestAccountsBelowTheirLimitOutliveACoordinator plays the loss of a coordinator
+// under the load of an ordinary account: 55 % of its limit, unevenly over the
+// entries. The lease of the coordinator ends two seconds after its death, and
+// an election takes up to half a second.
+func TestAccountsBelowTheirLimitOutliveACoordinator(t *testing.T) {
+	cases := []struct {
+		name  string
+		parts []float64
+	}{
+		{name: "even", parts: []float64{0.25, 0.25, 0.25, 0.25}},
+		{name: "uneven", parts: []float64{0.4, 0.3, 0.2, 0.1}},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			fleet := settled()
+			const cost, perSecond, died, elected, ends = 20.0, 550.0, 100, 150, 200
+			refused, due := 0, make([]float64, fleetEntries)
+			for step := range ends {
+				fleet.advance()
+				switch step {
+				case died:
+					fleet.terms[0].dead = true
+				case elected:
+					fleet.elect(nil)
+				}
+				for index, entry := range fleet.entries {
+					if (fleet.step+index)%exchangeSteps == 0 {
+						fleet.exchange(entry)
+					}
+					for due[index] += perSecond * each.parts[index] * fleetStep.Seconds(); due[index] >= cost; due[index] -= cost {
+						before := fleet.used[fleet.step]
+						fleet.admit(entry, cost)
+						if fleet.used[fleet.step] == before {
+							refused++
+						}
+					}
+				}
+				if fleet.step%10 == 0 {
+					fleet.divide()
+				}
+			}
+			g.Expect(refused).To(BeZero())
+			g.Expect(fleet.excess(8 * time.Second)).To(BeNumerically("<=", 0))
+		})
+	}
+}
