--- a/node/relay.go
+++ b/node/relay.go
@@ -86,9 +86,9 @@
 
 // replaces tells whether a coordinator's value is that of a former process of
 // this instance.
-func (self *relaySelf) replaces(value string) bool {
+func (relaySelf *relaySelf) replaces(value string) bool {
 	other, err := coord.DecodeIdentity(value)
-	return err == nil && self.identity.Replaces(other)
+	return err == nil && relaySelf.identity.Replaces(other)
 }
 
 func newRelaySelf(host *setup.Host) *relaySelf {
