The service's revision is told also while no entry coordinates

The platform is silent from 18 to 22.5 s and the coordinator stops at 22.6 s. The watches hang; each entry then asks for the service's revision through the coordinator's key, which its retiring had removed: the answer 404 carries no revision, and was taken for 0, so no watch was found to lag until an entry that started at 25.5 s was elected. The log lines of the question were at debug level and not written.

Ruled out: calls that fail (none did after 22.9 s, seen with the lines at info level); the election (nobody saw the key go).

The two copies of the question are one, and its loss and return are logged once each.

--- a/coord/client.go
+++ b/coord/client.go
@@ -63,6 +63,7 @@
 // Client exchanges reports with the coordinator. It is safe for concurrent use.
 type Client struct {
 	config ClientConfig
+	head   *headReader
 	kick   chan struct{}
 	// looked is when the service was asked for its revision; only exchanges use it.
 	looked time.Time
@@ -84,7 +85,10 @@
 
 // NewClient returns a client that knows no coordinator.
 func NewClient(config ClientConfig) *Client {
-	return &Client{config: config, kick: make(chan struct{}, 1), demands: map[Target]Demand{}}
+	return &Client{
+		config: config, head: &headReader{head: config.Head, mirror: config.Mirror, log: config.Log},
+		kick: make(chan struct{}, 1), demands: map[Target]Demand{},
+	}
 }
 
 // Follow turns to another coordinator; an empty value means that there is none.
@@ -262,14 +266,7 @@
 		return
 	}
 	client.looked = now
-	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
-	defer cancel()
-	revision, err := client.config.Head(callCtx)
-	if err != nil {
-		event.RevisionUnread.Log(client.config.Log, logrus.Fields{"cause": err.Error()})
-		return
-	}
-	client.config.Mirror.Confirm(revision)
+	client.head.read(ctx)
 }
 
 // route returns the connection to the coordinator, or that this process is the
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -106,6 +106,7 @@
 // Desk coordinates while its entry is elected. It is safe for concurrent use.
 type Desk struct {
 	config DeskConfig
+	head   *headReader
 	// mutex guards all below.
 	mutex sync.Mutex
 	term  *term
@@ -150,7 +151,9 @@
 }
 
 // NewDesk returns a desk that does not coordinate.
-func NewDesk(config DeskConfig) *Desk { return &Desk{config: config} }
+func NewDesk(config DeskConfig) *Desk {
+	return &Desk{config: config, head: &headReader{head: config.Head, mirror: config.Mirror, log: config.Log}}
+}
 
 // Elected begins a term.
 func (desk *Desk) Elected(ctx context.Context, number int64) {
@@ -245,15 +248,10 @@
 
 // look reads how far the platform's service has come.
 func (desk *Desk) look(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
-	defer cancel()
-	revision, err := desk.config.Head(callCtx)
-	if err != nil {
-		desk.config.Mirror.Doubt()
-		event.RevisionUnread.Log(desk.config.Log, logrus.Fields{"cause": err.Error()})
+	revision, read := desk.head.read(ctx)
+	if !read {
 		return
 	}
-	desk.config.Mirror.Confirm(revision)
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	desk.revision = max(desk.revision, revision)
--- a/event/platform.go
+++ b/event/platform.go
@@ -10,8 +10,10 @@
 	StoreLost = define(9001, logrus.WarnLevel, "storeLost", "The platform's key-value service does not answer this process. What was known last stays in use.")
 	// StoreRegained is logged when calls to the service succeed again.
 	StoreRegained = define(9002, logrus.InfoLevel, "storeRegained", "The platform's key-value service answers this process again.")
-	// RevisionUnread is logged when the service does not tell how far it has come.
-	RevisionUnread = define(9003, logrus.DebugLevel, "revisionUnread", "The platform's key-value service did not tell its revision; whether watches lag is not known until it does.")
+	// RevisionUnread is logged when the service ceases to tell how far it has come.
+	RevisionUnread = define(9003, logrus.WarnLevel, "revisionUnread", "The platform's key-value service does not tell its revision; whether the watch lags is not known until it does.")
+	// RevisionRead is logged when the service tells again how far it has come.
+	RevisionRead = define(9004, logrus.InfoLevel, "revisionRead", "The platform's key-value service tells its revision again.")
 	// PolicyInForce is logged when a version of the operators' routes takes effect.
 	PolicyInForce = define(9010, logrus.InfoLevel, "policyInForce", "A version of the operators' routes, services and accounts is in force in this process.")
 	// PolicyUnread is logged when a version cannot be read.
