Routing spreads prompts: those of all entries are reckoned with

The logs show prompts that begin together: 36 within 250 ms on an engine that had just got the model while the other copies got 1, 30 and 19 on two more. An empty engine looks best to every entry until its streams outnumber those of full ones, and an entry saw only its own unread prompts, at a low weight.

Ruled out: stale loads alone (the crowding lasts for one exchange, but also arises within one entry).

Change: the unread prompts of all entries are estimated from this one's and the ratio of all requests to its own; a full step's prompts count 0.2 instead of 0.15.

--- a/pool/pick.go
+++ b/pool/pick.go
@@ -76,13 +76,14 @@
 func (pool *Pool) best(candidates []*member, query Query, now time.Time, fit func(*member) bool) (*member, float64) {
 	var best *member
 	bestScore := math.Inf(1)
+	ratio := pool.allPerOwn()
 	for _, member := range candidates {
 		if !fit(member) {
 			continue
 		}
 		score := member.load() + float64(member.slow)*slowPenalty +
 			max(member.errors-toleratedErrors, 0)*errorPenalty + pool.config.Draw()/member.slots()
-		score += float64(member.unread) / promptChunk * promptPenalty
+		score += float64(member.unread) * ratio / promptChunk * promptPenalty
 		if member.silent(now) {
 			score += silentPenalty
 		}
@@ -95,3 +96,14 @@
 	}
 	return best, bestScore
 }
+
+// allPerOwn is how many requests all instances run for each of this one's.
+// It is called with the mutex held.
+func (pool *Pool) allPerOwn() float64 {
+	own, others := 0, 0
+	for _, member := range pool.members {
+		own += member.own
+		others += member.others
+	}
+	return 1 + float64(others)/float64(max(own, 1))
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -34,7 +34,7 @@
 	slowPenalty = 0.5
 	// promptPenalty is the load that a chunk of unread prompt counts as: each delays
 	// every stream of the engine by 50 ms, and pauses over 250 ms are late.
-	promptPenalty = 0.15
+	promptPenalty = 0.2
 	promptChunk   = 2048
 	// silentAfter is how long a server with requests under way may send nothing: an
 	// engine sends events each 50 ms, and plain servers answer within 110 ms.
