Copies go where there is room rather than where an unload comes first

The planner weighed only the load of engines; the count of running requests that it meant to weigh was never filled.

Change: an unload counts as a load of 0.3; the unfilled count is gone.

Test that failed before: an engine with room goes before a less loaded one that has to unload (go test ./copies).

--- a/copies/planner.go
+++ b/copies/planner.go
@@ -46,8 +46,6 @@
 	Loading  names.Model
 	InMemory []names.Model
 	OnDisk   []names.Model
-	// Running counts requests under way for each model.
-	Running map[names.Model]int
 	// Since tells since when a copy is there.
 	Since map[names.Model]time.Time
 	// Fixed engines take no orders now: one is under way, or the engine leaves.
--- a/copies/planner_test.go
+++ b/copies/planner_test.go
@@ -74,6 +74,15 @@
 				g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-1", Load: "c"}))
 			},
 		},
+		{
+			name:    "an engine with room goes before a less loaded one that has to unload",
+			engines: stock([]names.Model{"a", "b"}, []names.Model{"d"}, []names.Model{"a", "b"}, []names.Model{"c"}),
+			demand:  map[names.Model]copies.Demand{"a": {Work: 0.05}, "b": {Work: 0.05}, "d": {Work: 0.25}, "c": {Work: 1.8}},
+			check: func(g *WithT, steps []copies.Step) {
+				g.Expect(steps).NotTo(BeEmpty())
+				g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-1", Load: "c", FromStore: true}))
+			},
+		},
 		{
 			name: "engines that leave or carry out an order are left alone",
 			engines: func() []copies.EngineState {
--- a/copies/view.go
+++ b/copies/view.go
@@ -159,15 +159,15 @@
 			continue
 		}
 		unload = append(unload, victim)
-		lost += view.lossOf(victim) + runningCost*float64(engine.Running[victim])
+		lost += view.lossOf(victim) + unloadCost
 		free += view.input.Engine.Models[victim].WeightsMB
 	}
 	return unload, lost, free >= 0
 }
 
-// runningCost is the load that a request under way counts as, since an unload
-// waits for it.
-const runningCost = 0.02
+// unloadCost is the load that an unload counts as: it waits for the streams that
+// run, two to three seconds, and the load after it only then begins.
+const unloadCost = 0.3
 
 // lossOf is what is lost with one copy of a model: the load that others take
 // over, and much more where there is no other.
