Loads that wait for an unload no longer hold up others, and few requests move no copies

Ruled out: the weight store's rate (it was never the limit), engines of unknown state (none but for 0.6 s after elections).

Change: a load from the store counts among those at once only when it has begun; of its five seconds it counts from its plan on, and again from its begin; a third of the engines may make room at once; a copy has to relieve others by 0.12 of an engine's time at least.

Tests that failed before: a handful of requests moves no copies; engines that make room take no place of the loads that run; not all make room at once. The store's rate is played with loads that wait (go test ./copies).

--- a/copies/ledger.go
+++ b/copies/ledger.go
@@ -132,14 +132,15 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	return EngineState{
-		Server:   ledger.server.ID,
-		Models:   ledger.staying(),
-		Loading:  ledger.loading,
-		InMemory: ledger.inMemory,
-		OnDisk:   ledger.onDisk,
-		Since:    ledger.sinceNow(),
-		Fixed:    ledger.fixed || ledger.fenced || !ledger.known || ledger.loading != "",
-		Leaving:  ledger.server.Draining,
+		Server:    ledger.server.ID,
+		Models:    ledger.staying(),
+		Loading:   ledger.loading,
+		InMemory:  ledger.inMemory,
+		OnDisk:    ledger.onDisk,
+		Since:     ledger.sinceNow(),
+		Unloading: len(ledger.leaving) > 0,
+		Fixed:     ledger.fixed || ledger.fenced || !ledger.known || ledger.loading != "",
+		Leaving:   ledger.server.Draining,
 	}
 }
 
--- a/copies/planner.go
+++ b/copies/planner.go
@@ -14,6 +14,9 @@
 	// relieve each of the copies that there are; below that a load costs more than it
 	// gives.
 	leastGain = 0.12
+	// leastMean is the mean load of engines below which copies are not moved more
+	// eagerly: engines are at ease, and a few requests tell little.
+	leastMean = 1.0
 	// hotFactor is how far above the mean load of engines those of a model have to
 	// be before it gets another copy.
 	hotFactor = 1.1
@@ -48,6 +51,8 @@
 	OnDisk   []names.Model
 	// Since tells since when a copy is there.
 	Since map[names.Model]time.Time
+	// Unloading engines load only once streams have ended.
+	Unloading bool
 	// Fixed engines take no orders now: one is under way, or the engine leaves.
 	Fixed bool
 	// Leaving engines take no requests.
@@ -88,7 +93,7 @@
 
 // NewPlanner returns a planner.
 func NewPlanner(config PlannerConfig) *Planner {
-	planner := &Planner{loads: &loadWindow{span: config.Window}}
+	planner := &Planner{loads: newLoadWindow(config.Window)}
 	for range config.Former {
 		planner.loads.begin(config.Now)
 	}
@@ -97,6 +102,7 @@
 
 // Plan returns the next changes, the most urgent first.
 func (planner *Planner) Plan(input Input) []Step {
+	planner.loads.sync(input.Engines, input.Now)
 	view := newView(input)
 	var steps []Step
 	for range input.Engines {
@@ -104,7 +110,10 @@
 		if !found {
 			break
 		}
-		if step.FromStore {
+		switch {
+		case step.FromStore && len(step.Unload) > 0:
+			planner.loads.plan(step.Server)
+		case step.FromStore:
 			planner.loads.begin(input.Now)
 		}
 		view.apply(step)
@@ -146,12 +155,18 @@
 	default:
 		step.FromStore = true
 		cost += storeCost
-		if !planner.loads.allows(view.input.Engine.LoadsPerSecond, view.input.Now) || view.storeLoads >= mostAtOnce(view.input.Engine) {
+		if !planner.loads.allows(view.input.Engine.LoadsPerSecond, view.input.Now) {
 			return Step{}, 0, false
 		}
 	}
 	unload, lost, possible := view.makeRoom(index, model)
 	step.Unload = unload
+	if step.FromStore && len(unload) == 0 && view.storeLoads >= mostAtOnce(view.input.Engine) {
+		return Step{}, 0, false
+	}
+	if len(unload) > 0 && view.unloading >= mostUnloading(len(view.engines)) {
+		return Step{}, 0, false
+	}
 	return step, cost + lost, possible
 }
 
@@ -162,6 +177,12 @@
 	storeCost = 0.15
 )
 
+// unloadingPart is the part of the engines that make room at once: meanwhile the
+// copies that go take no requests.
+const unloadingPart = 0.34
+
+func mostUnloading(engines int) int { return max(int(unloadingPart*float64(engines)), 1) }
+
 func mostAtOnce(engine *policy.Engine) int {
 	return max(int(math.Ceil(engine.LoadsPerSecond*loadsAtOnce)), 1)
 }
--- a/copies/planner_test.go
+++ b/copies/planner_test.go
@@ -83,6 +83,39 @@
 				g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-1", Load: "c", FromStore: true}))
 			},
 		},
+		{
+			name:    "a handful of requests moves no copies",
+			engines: stock(full, full, []names.Model{"a", "c"}, []names.Model{"a", "d"}),
+			demand:  map[names.Model]copies.Demand{"b": {Work: 0.3}, "a": {Work: 0.05}},
+			check:   func(g *WithT, steps []copies.Step) { g.Expect(steps).To(BeEmpty()) },
+		},
+		{
+			name: "engines that make room take no place of the loads that run",
+			engines: func() []copies.EngineState {
+				engines := stock(full, full, full, full, full, []names.Model{"c"}, nil)
+				for index := range 3 {
+					engines[index].Loading, engines[index].Unloading, engines[index].Fixed = "d", true, true
+				}
+				return engines
+			}(),
+			demand: map[names.Model]copies.Demand{"c": {Work: 9}, "a": {Work: 2}, "b": {Work: 2}},
+			check: func(g *WithT, steps []copies.Step) {
+				g.Expect(steps).NotTo(BeEmpty())
+				g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-6", Load: "c", FromStore: true}))
+			},
+		},
+		{
+			name: "not all engines make room at once",
+			engines: func() []copies.EngineState {
+				engines := stock(full, full, full, full, full, []names.Model{"c", "d"})
+				for index := range 2 {
+					engines[index].Loading, engines[index].Unloading, engines[index].Fixed = "d", true, true
+				}
+				return engines
+			}(),
+			demand: map[names.Model]copies.Demand{"c": {Work: 9}, "a": {Work: 0.1}, "b": {Work: 0.1}},
+			check:  func(g *WithT, steps []copies.Step) { g.Expect(steps).To(BeEmpty()) },
+		},
 		{
 			name: "engines that leave or carry out an order are left alone",
 			engines: func() []copies.EngineState {
@@ -133,6 +166,47 @@
 	g.Expect(len(begins)).To(BeNumerically(">=", 40), "the rate is used")
 }
 
+// TestLateLoadsKeepTheStoresRate has every load wait for an unload that ends for
+// all at once.
+func TestLateLoadsKeepTheStoresRate(t *testing.T) {
+	g := NewWithT(t)
+	planner, spec := newPlanner(), engineSpec()
+	engines := stock()
+	for index := range 40 {
+		engines = append(engines, copies.EngineState{Server: names.BackendServer(fmt.Sprintf("full-%d", index)), Models: []names.Model{"a", "b"}})
+	}
+	var begins []time.Duration
+	for tick := time.Duration(0); tick < 30*time.Second; tick += 200 * time.Millisecond {
+		for index := range engines {
+			engine := &engines[index]
+			if engine.Unloading && tick%(7*time.Second) == 0 {
+				*engine = copies.EngineState{Server: engine.Server, Models: []names.Model{"a", "b"}}
+				begins = append(begins, tick)
+			}
+		}
+		input := copies.Input{Engine: spec, Engines: slices.Clone(engines), Now: epoch.Add(tick), Demand: map[names.Model]copies.Demand{
+			"a": {Work: 1}, "b": {Work: 1}, "c": {Work: 40}, "d": {Work: 40}, "e": {Work: 40},
+		}}
+		for _, step := range planner.Plan(input) {
+			for index := range engines {
+				if engines[index].Server == step.Server {
+					engines[index].Loading, engines[index].Unloading, engines[index].Fixed = step.Load, true, true
+				}
+			}
+		}
+	}
+	for _, first := range begins {
+		count := 0
+		for _, begin := range begins {
+			if begin >= first && begin < first+5*time.Second {
+				count++
+			}
+		}
+		g.Expect(count).To(BeNumerically("<=", 2*5*1.1+3))
+	}
+	g.Expect(begins).NotTo(BeEmpty())
+}
+
 // TestPlannerFollowsAShift plays a load that moves within six seconds, as on the
 // heaviest days: the busiest model falls silent, the second takes its place and a
 // third comes in. The engines' worst load is what callers feel.
--- a/copies/view.go
+++ b/copies/view.go
@@ -19,7 +19,9 @@
 	total      float64
 	mean       float64
 	storeLoads int
-	largest    float64
+	// unloading counts the engines that make room for a load.
+	unloading int
+	largest   float64
 }
 
 func newView(input Input) *view {
@@ -29,7 +31,10 @@
 	}
 	usable := 0.0
 	for _, engine := range view.engines {
-		if engine.Loading != "" {
+		switch {
+		case engine.Unloading:
+			view.unloading++
+		case engine.Loading != "":
 			view.storeLoads++
 		}
 		if engine.Leaving {
@@ -113,7 +118,7 @@
 		case view.copies[name] == 0 && view.total > 0:
 			needs = append(needs, need{model: name, rank: 2})
 		case view.work[name] > 0:
-			if gain := view.gain(name); gain > leastGain*view.mean && view.modelLoad(name) > hotFactor*view.mean {
+			if gain := view.gain(name); gain > leastGain*max(view.mean, leastMean) && view.modelLoad(name) > hotFactor*view.mean {
 				needs = append(needs, need{model: name, rank: 1, value: gain})
 			}
 		}
@@ -223,7 +228,10 @@
 		}
 		engine.Models, engine.Loading, engine.Fixed = kept, step.Load, true
 		view.copies[step.Load]++
-		if step.FromStore {
+		switch {
+		case len(step.Unload) > 0:
+			view.unloading++
+		case step.FromStore:
 			view.storeLoads++
 		}
 	}
