A stream that is resumed elsewhere does not take in an error of the next server

Ruled out: events lost at the seam (the first run's events are whole).

Change: only a success goes on with a stream; after another answer it is offered to a further server, while attempts and budget last, or broken off.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -164,16 +164,20 @@
 		passage.runs < passage.route.MaxAttempts && passage.relay.budget.spend(passage.service, passage.now())
 }
 
-// resumeElsewhere goes on with a stream at another server within the same
-// answer, or breaks it off.
+// resumeElsewhere goes on with a stream at other servers within the same answer,
+// or breaks it off.
 func (passage *passage) resumeElsewhere(ctx context.Context) {
-	server, refusal := passage.place(ctx)
-	if refusal != nil {
-		passage.cut(passage.cause)
-		return
-	}
-	passage.resent()
-	if !passage.attempt(ctx, server) {
-		passage.cut(passage.cause)
+	for {
+		server, refusal := passage.place(ctx)
+		if refusal != nil {
+			passage.cut(passage.cause)
+		}
+		passage.resent()
+		if passage.attempt(ctx, server) {
+			return
+		}
+		if passage.sends >= mostSends || !passage.resumable(ctx) {
+			passage.cut(passage.cause)
+		}
 	}
 }
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -183,10 +183,17 @@
 			return true
 		}
 	}
-	if passage.route.Kind == policy.KindStream && response.Status < http.StatusMultipleChoices {
+	switch {
+	case passage.route.Kind == policy.KindStream && response.Status < http.StatusMultipleChoices:
 		return passage.streamOut(ctx, server, response)
+	case passage.begun:
+		// The caller has the beginning of a stream, with which this does not go on.
+		passage.tried = append(passage.tried, server.ID)
+		passage.cause = &StatusError{Status: response.Status}
+		return false
+	default:
+		return passage.wholeOut(ctx, server, response)
 	}
-	return passage.wholeOut(ctx, server, response)
 }
 
 // attemptElsewhere offers a safe request that a server failed to another one,
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -190,6 +190,85 @@
 	g.Expect(first.count() + second.count()).To(Equal(2))
 }
 
+// TestFailedResumptions plays streams that break off and whose next server does
+// not go on with them.
+func TestFailedResumptions(t *testing.T) {
+	cases := []struct {
+		name string
+		next http.HandlerFunc
+		// third is what a third server gives; nil means that there is none.
+		third http.HandlerFunc
+		want  string
+		whole bool
+	}{
+		{
+			name: "an error of the next server does not become part of the stream",
+			next: func(writer http.ResponseWriter, _ *http.Request) {
+				http.Error(writer, "failed", http.StatusInternalServerError)
+			},
+			want: events(1, 2),
+		},
+		{
+			name: "nor does a refusal",
+			next: func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Not-Run", "1")
+				http.Error(writer, "full", http.StatusServiceUnavailable)
+			},
+			want: events(1, 2),
+		},
+		{
+			name: "after a refusal another server goes on",
+			next: func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Not-Run", "1")
+				http.Error(writer, "full", http.StatusServiceUnavailable)
+			},
+			third: func(writer http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(writer, events(3, 4)) },
+			want:  events(1, 4), whole: true,
+		},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			later := route("later", policy.KindStream, "notes")
+			later.Resumable = true
+			world := newWorld(t, later)
+			var mutex sync.Mutex
+			resumed := 0
+			handle := func(writer http.ResponseWriter, request *http.Request) {
+				if request.Header.Get("Resume") == "" {
+					conn := hijack(writer)
+					text := events(1, 2)
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+					time.Sleep(50 * time.Millisecond)
+					conn.Close()
+					return
+				}
+				mutex.Lock()
+				resumed++
+				first := resumed == 1
+				mutex.Unlock()
+				if first {
+					each.next(writer, request)
+					return
+				}
+				each.third(writer, request)
+			}
+			world.server("notes-1", "notes", handle)
+			world.server("notes-2", "notes", handle)
+			if each.third != nil {
+				world.server("notes-3", "notes", handle)
+			}
+			result := world.call(http.MethodPost, "/later/1", "prompt", map[string]string{"Model": "notes"})
+			g.Expect(result.body).To(Equal(each.want))
+			if each.whole {
+				g.Expect(result.err).NotTo(HaveOccurred())
+			} else {
+				g.Expect(result.err).To(HaveOccurred(), "it must not look complete")
+			}
+		})
+	}
+}
+
 func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
 	g := NewWithT(t)
 	world := newWorld(t, route("draft", policy.KindStream, "notes"))
--- a/relay/statuserror.go
+++ b/relay/statuserror.go
@@ -2,12 +2,12 @@
 
 import "fmt"
 
-// StatusError reports the status with which a server refused a request.
+// StatusError reports the status of an answer that is no service of the request.
 type StatusError struct {
 	Status int
 }
 
 // Error implements error.
 func (statusError *StatusError) Error() string {
-	return fmt.Sprintf("the server answered with status %d and did not run the request", statusError.Status)
+	return fmt.Sprintf("the server answered with status %d", statusError.Status)
 }
