Entries with a small part of the requests spread their choices

Each entry sees what the others run as of a quarter second ago, and all choose the same engine until they hear of each other.

Ruled out: too few copies (the same load an engine in the play); faster exchanges (replies of several kilobytes on links of 10 Mbit/s).

Change: choices are spread over up to 0.8 of a load, by how little of all requests an entry sees.

--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -16,16 +16,15 @@
 	// The figures of the deployments' engines: a step over a batch, the pace at
 	// which prompts are read, how much of them is read in a step, tokens in an
 	// event, and the length of a stream.
-	stepTime      = 5500 * time.Microsecond
-	readPerMilli  = 38.4
-	readPerStep   = 2048
-	eventTokens   = 6
-	streamEvents  = 49
-	batchSlots    = 48
-	tellPeriod    = 250 * time.Millisecond
-	firstInTime   = 400 * time.Millisecond
-	pauseInTime   = 250 * time.Millisecond
-	playedEntries = 4
+	stepTime     = 5500 * time.Microsecond
+	readPerMilli = 38.4
+	readPerStep  = 2048
+	eventTokens  = 6
+	streamEvents = 49
+	batchSlots   = 48
+	tellPeriod   = 250 * time.Millisecond
+	firstInTime  = 400 * time.Millisecond
+	pauseInTime  = 250 * time.Millisecond
 )
 
 // playedStream is a request at a played engine.
@@ -63,9 +62,9 @@
 	refused   int
 }
 
-func newPlayedLoad(seed uint64, perSecond float64, engines ...*playedEngine) *playedLoad {
+func newPlayedLoad(seed uint64, entries int, perSecond float64, engines ...*playedEngine) *playedLoad {
 	load := &playedLoad{random: rand.New(rand.NewPCG(seed, 1)), engines: engines, perSecond: perSecond, prompt: 700, now: epoch}
-	for range playedEntries {
+	for range entries {
 		load.entries = append(load.entries, pool.New(pool.Config{RegistryPeriod: time.Second, Draw: load.random.Float64}))
 		load.counts = append(load.counts, map[names.BackendServer]int{})
 	}
@@ -211,11 +210,14 @@
 		name      string
 		perSecond float64
 		engines   int
+		entries   int
 		// joins is when one more engine gets the model, empty; zero means never.
 		joins time.Duration
 	}{
-		{name: "engines with alike loads", perSecond: 78, engines: 5},
-		{name: "an empty engine joins full ones", perSecond: 52, engines: 3, joins: 3 * time.Second},
+		{name: "engines with alike loads", perSecond: 78, engines: 5, entries: 4},
+		{name: "many entries, each with a small part of the load", perSecond: 78, engines: 5, entries: 24},
+		{name: "many entries and two engines", perSecond: 30, engines: 2, entries: 24},
+		{name: "an empty engine joins full ones", perSecond: 52, engines: 3, entries: 4, joins: 3 * time.Second},
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
@@ -229,7 +231,7 @@
 				if each.joins > 0 {
 					engines = append(engines, &playedEngine{id: "late", ready: at(each.joins)})
 				}
-				load := newPlayedLoad(seed, each.perSecond, engines...)
+				load := newPlayedLoad(seed, each.entries, each.perSecond, engines...)
 				load.play(at(2*time.Second), at(10*time.Second))
 				served, late, refused = served+load.served, late+load.late, refused+load.refused
 			}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		score := member.load() + float64(member.slow)*slowPenalty +
-			max(member.errors-toleratedErrors, 0)*errorPenalty + pool.config.Draw()/member.slots()
+			max(member.errors-toleratedErrors, 0)*errorPenalty + pool.config.Draw()*(1/member.slots()+unseenSpread*(1-1/ratio))
 		score += float64(member.unread) * ratio / promptChunk * promptPenalty
 		if member.silent(now) {
 			score += silentPenalty
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -36,6 +36,10 @@
 	// every stream of the engine by 50 ms, and pauses over 250 ms are late.
 	promptPenalty = 0.2
 	promptChunk   = 2048
+	// unseenSpread is the load over which the choices of instances are spread that
+	// have a small part of the requests: what the others have begun since they last
+	// told is not seen, and all would choose the same server.
+	unseenSpread = 0.8
 	// silentAfter is how long a server with requests under way may send nothing: an
 	// engine sends events each 50 ms, and plain servers answer within 110 ms.
 	silentAfter = 500 * time.Millisecond
