--- a/relay/answer.go
+++ b/relay/answer.go
@@ -83,7 +83,27 @@
 func (passage *passage) done(status int, bytes int64) {
 	passage.count("done", "")
 	passage.took()
-	event.RequestDone.Log(passage.relay.config.Log, passage.fields(logrus.Fields{"status": status, "bytes": bytes}))
+	fields := logrus.Fields{"status": status, "bytes": bytes}
+	if late := passage.late(); late != "" && status < http.StatusBadRequest {
+		passage.count("late", late)
+		fields["late"] = string(late)
+	}
+	event.RequestDone.Log(passage.relay.config.Log, passage.fields(fields))
+}
+
+// late tells why an answer came later than its route's objective, or nothing.
+func (passage *passage) late() Reason {
+	route := passage.route
+	switch {
+	case !passage.firstAt.IsZero() && passage.firstAt.Sub(passage.started) > route.Objective:
+		return ReasonFirstEvent
+	case !passage.firstAt.IsZero() && route.GapObjective > 0 && passage.longestGap > route.GapObjective:
+		return ReasonPause
+	case passage.firstAt.IsZero() && passage.now().Sub(passage.started) > route.Objective:
+		return ReasonAnswer
+	default:
+		return ""
+	}
 }
 
 // streamOut passes on events as they come. Streams that may be resumed are passed
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -28,3 +28,11 @@
 	ReasonBroken  Reason = "answerBroken"
 	ReasonTimeout Reason = "timeout"
 )
+
+// Reasons why an answer counts as late: its first event, a pause between events,
+// or the whole answer took longer than the route's objective.
+const (
+	ReasonFirstEvent Reason = "firstEvent"
+	ReasonPause      Reason = "pause"
+	ReasonAnswer     Reason = "answer"
+)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -413,3 +413,45 @@
 	}
 	g.Expect(lines).To(Equal([]string{"requestDone call-1 <nil> 3", "requestRefused call-1 noRoute 3"}))
 }
+
+func TestLateAnswersAreLoggedWithTheirCause(t *testing.T) {
+	cases := []struct {
+		name string
+		path string
+		// wait and pause are how long a server takes for the first and the second
+		// event, or for a whole answer.
+		wait  time.Duration
+		pause time.Duration
+		want  any
+	}{
+		{name: "an answer in time", path: "/look/1"},
+		{name: "a late answer", path: "/look/1", wait: 150 * time.Millisecond, want: "answer"},
+		{name: "a stream in time", path: "/draft/1"},
+		{name: "a late first event", path: "/draft/1", wait: 150 * time.Millisecond, want: "firstEvent"},
+		{name: "a long pause", path: "/draft/1", pause: 300 * time.Millisecond, want: "pause"},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			draft := route("draft", policy.KindStream, "notes")
+			draft.GapObjective = 200 * time.Millisecond
+			world := newWorld(t, route("look", policy.KindSafe, "notes"), draft)
+			world.server("notes-1", "notes", func(writer http.ResponseWriter, _ *http.Request) {
+				time.Sleep(each.wait)
+				_, _ = fmt.Fprint(writer, events(1, 1))
+				_ = http.NewResponseController(writer).Flush()
+				time.Sleep(each.pause)
+				_, _ = fmt.Fprint(writer, events(2, 2))
+			})
+			g.Expect(world.call(http.MethodGet, each.path, "", nil).status).To(Equal(http.StatusOK))
+			g.Eventually(func() any { return world.logs.LastEntry() }).ShouldNot(BeNil())
+			last := world.logs.LastEntry()
+			g.Expect(last.Message).To(Equal("requestDone"))
+			if each.want == nil {
+				g.Expect(last.Data).NotTo(HaveKey("late"))
+				return
+			}
+			g.Expect(last.Data["late"]).To(Equal(each.want))
+		})
+	}
+}
--- a/subcmd/basilkeel.go
+++ b/subcmd/basilkeel.go
@@ -18,6 +18,7 @@
 			&agentCommand{},
 			&serveCommand{},
 			&explainCommand{},
+			&lossesCommand{},
 			&checkCommand{},
 			&seedCommand{},
 			&hashCommand{},
--- a/subcmd/explain.go
+++ b/subcmd/explain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 
 	"github.com/urfave/cli/v3"
@@ -31,19 +30,7 @@
 	if len(arguments) == 0 {
 		return &MissingArgumentError{Argument: "the identifier of a request"}
 	}
-	var readers []io.Reader
-	for _, path := range arguments[1:] {
-		file, err := os.Open(path)
-		if err != nil {
-			return err
-		}
-		defer file.Close()
-		readers = append(readers, file)
-	}
-	if len(readers) == 0 {
-		readers = append(readers, os.Stdin)
-	}
-	lines, _, err := trace.Read(io.MultiReader(readers...))
+	lines, err := readLogs(arguments[1:])
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/trace/losses.go
@@ -0,0 +1,95 @@
+package trace
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+)
+
+// Losses counts how requests ended, by route and cause.
+type Losses struct {
+	counts map[ending]int
+	// totals counts the requests of each route.
+	totals map[string]int
+}
+
+// ending is how a request of a route ended.
+type ending struct {
+	route   string
+	outcome string
+	cause   string
+}
+
+// CountLosses counts the ends of requests in lines.
+func CountLosses(lines []Line) *Losses {
+	losses := &Losses{counts: map[ending]int{}, totals: map[string]int{}}
+	for _, line := range lines {
+		outcome, cause, ends := endOf(line)
+		if !ends {
+			continue
+		}
+		route := line.Field("route")
+		if route == "" {
+			route = "(no route)"
+		}
+		losses.counts[ending{route: route, outcome: outcome, cause: cause}]++
+		losses.totals[route]++
+	}
+	return losses
+}
+
+// endOf tells how a request ended, where the line is about that.
+func endOf(line Line) (outcome, cause string, ends bool) {
+	switch line.Name() {
+	case "requestDone":
+		switch {
+		case line.Field("status") >= "400":
+			return "error of the server", line.Field("status"), true
+		case line.Field("late") != "":
+			return "late", line.Field("late"), true
+		default:
+			return "in time", "", true
+		}
+	case "requestRefused":
+		return "refused", line.Field("reason"), true
+	case "requestFailed":
+		return "failed", line.Field("reason"), true
+	case "requestCut":
+		return "cut", "server broke off", true
+	case "requestLeft":
+		return "caller left", "", true
+	default:
+		return "", "", false
+	}
+}
+
+// Write prints a table: for each route its ends, the most frequent first, with
+// their part of the route's requests.
+func (losses *Losses) Write(writer io.Writer) error {
+	endings := make([]ending, 0, len(losses.counts))
+	for each := range losses.counts {
+		endings = append(endings, each)
+	}
+	sort.Slice(endings, func(i, j int) bool {
+		a, b := endings[i], endings[j]
+		switch {
+		case losses.totals[a.route] != losses.totals[b.route]:
+			return losses.totals[a.route] > losses.totals[b.route]
+		case a.route != b.route:
+			return a.route < b.route
+		case losses.counts[a] != losses.counts[b]:
+			return losses.counts[a] > losses.counts[b]
+		default:
+			return a.outcome+a.cause < b.outcome+b.cause
+		}
+	})
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	// Errors of a tabwriter come with Flush.
+	_, _ = fmt.Fprintln(table, "route\toutcome\tcause\trequests\tpart")
+	for _, each := range endings {
+		count := losses.counts[each]
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%.3f\n", each.route, each.outcome, each.cause, count, float64(count)/float64(losses.totals[each.route]))
+	}
+	return table.Flush()
+}
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -47,3 +47,31 @@
 `))
 	g.Expect(trace.Explain(lines, "r2").Found()).To(BeFalse())
 }
+
+const endings = `{"msg":"requestDone","route":"notes","status":200,"time":"2026-01-01T00:00:01Z"}
+{"msg":"requestDone","route":"notes","status":200,"late":"pause","time":"2026-01-01T00:00:02Z"}
+{"msg":"requestDone","route":"notes","status":500,"time":"2026-01-01T00:00:03Z"}
+{"msg":"requestRefused","route":"notes","reason":"serversFull","time":"2026-01-01T00:00:04Z"}
+{"msg":"requestResent","route":"notes","time":"2026-01-01T00:00:04Z"}
+{"msg":"requestRefused","reason":"noRoute","time":"2026-01-01T00:00:05Z"}
+{"msg":"requestCut","route":"orders","time":"2026-01-01T00:00:06Z"}
+{"msg":"requestLeft","route":"orders","time":"2026-01-01T00:00:07Z"}
+{"msg":"requestLeft","route":"orders","time":"2026-01-01T00:00:08Z"}
+`
+
+func TestLosses(t *testing.T) {
+	g := NewWithT(t)
+	lines, _, err := trace.Read(strings.NewReader(endings))
+	g.Expect(err).NotTo(HaveOccurred())
+	var output bytes.Buffer
+	g.Expect(trace.CountLosses(lines).Write(&output)).To(Succeed())
+	g.Expect(output.String()).To(Equal(`route       outcome              cause             requests  part
+notes       error of the server  500               1         0.250
+notes       in time                                1         0.250
+notes       late                 pause             1         0.250
+notes       refused              serversFull       1         0.250
+orders      caller left                            2         0.667
+orders      cut                  server broke off  1         0.333
+(no route)  refused              noRoute           1         1.000
+`))
+}
