--- a/copies/planner.go
+++ b/copies/planner.go
@@ -14,8 +14,8 @@
 	// relieve each of the copies that there are; below that a load costs more than it
 	// gives.
 	leastGain = 0.12
-	// leastMean is the mean load of engines below which copies are not moved more
-	// eagerly: engines are at ease, and a few requests tell little.
+	// leastMean is the mean load of engines that is reckoned with at least: where they
+	// are at ease, another copy relieves nobody, and a few requests tell little.
 	leastMean = 1.0
 	// hotFactor is how far above the mean load of engines those of a model have to
 	// be before it gets another copy.
@@ -51,7 +51,8 @@
 	OnDisk   []names.Model
 	// Since tells since when a copy is there.
 	Since map[names.Model]time.Time
-	// Unloading engines load only once streams have ended.
+	// Unloading engines have not begun to load: streams of models that make way still
+	// run there.
 	Unloading bool
 	// Fixed engines take no orders now: one is under way, or the engine leaves.
 	Fixed bool
--- a/event/platform.go
+++ b/event/platform.go
@@ -32,6 +32,8 @@
 	SettingsReloaded = define(9040, logrus.InfoLevel, "settingsReloaded", "The settings file was read again.")
 	// SettingsKept is logged when a changed settings file cannot be used.
 	SettingsKept = define(9041, logrus.ErrorLevel, "settingsKept", "The settings file cannot be used; the former settings stay in force. Mend the faults named in the cause.")
+	// ConnectionFault is logged when the HTTP server tells of a fault of a connection.
+	ConnectionFault = define(9051, logrus.WarnLevel, "connectionFault", "The HTTP server could not serve a connection as it should; the cause is its own text.")
 	// LogLinesDropped is logged when lines were dropped to keep serving.
 	LogLinesDropped = define(9050, logrus.WarnLevel, "logLinesDropped", "Log lines were dropped because standard output took them too slowly.")
 )
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -61,7 +60,7 @@
 	router.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		metrics.WriteOnce(registry, writer)
 	}).Methods(http.MethodGet)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: stdlog.New(io.Discard, "", 0)}
+	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: stdlog.New(httpErrors{log: log}, "", 0)}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			listener, err := listen(ctx, host.ReadyAddress, bounds{}, nil)
@@ -84,7 +83,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         idle.changed,
-		ErrorLog:          stdlog.New(io.Discard, "", 0),
+		ErrorLog:          stdlog.New(httpErrors{log: log}, "", 0),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -81,15 +81,7 @@
 		if !fit(member) {
 			continue
 		}
-		score := member.load() + float64(member.slow)*slowPenalty +
-			max(member.errors-toleratedErrors, 0)*errorPenalty + pool.config.Draw()*(1/member.slots()+unseenSpread*(1-1/ratio))
-		score += float64(member.unread) * ratio / promptChunk * promptPenalty
-		if member.silent(now) {
-			score += silentPenalty
-		}
-		if member.server.Domain != query.Domain {
-			score += distancePenalty
-		}
+		score := pool.score(member, query, ratio, now)
 		if score < bestScore {
 			best, bestScore = member, score
 		}
@@ -97,6 +89,26 @@
 	return best, bestScore
 }
 
+// score is the load of a member, and what else speaks against it, in loads. What
+// other instances have begun is estimated from ratio, that of all requests to this
+// one's.
+func (pool *Pool) score(member *member, query Query, ratio float64, now time.Time) float64 {
+	unread := float64(member.unread) * ratio
+	unseen := unseenSpread * (1 - 1/ratio)
+	score := member.load() +
+		float64(member.slow)*slowPenalty +
+		max(member.errors-toleratedErrors, 0)*errorPenalty +
+		unread/promptChunk*promptPenalty +
+		pool.config.Draw()*(1/member.slots()+unseen)
+	if member.silent(now) {
+		score += silentPenalty
+	}
+	if member.server.Domain != query.Domain {
+		score += distancePenalty
+	}
+	return score
+}
+
 // allPerOwn is how many requests all instances run for each of this one's.
 // It is called with the mutex held.
 func (pool *Pool) allPerOwn() float64 {
