Strong instances do stand first: the delay is in force

Found by the election of an instance with 0.144 of a core 0.11 s after its start, in the log; processStarted now tells cores and link.

--- a/node/relay.go
+++ b/node/relay.go
@@ -190,7 +190,7 @@
 		OnStart: func(context.Context) error {
 			event.ProcessStarted.Log(log, logrus.Fields{
 				"version": Version(), "callers": host.CallerAddress, "store": host.StoreAddress,
-				"settings": fmt.Sprintf("%+v", host.Bounds),
+				"settings": fmt.Sprintf("%+v", host.Bounds), "cores": host.Cores, "linkMbps": host.LinkMbps,
 			})
 			return nil
 		},
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -102,7 +102,7 @@
 func newElector(host *setup.Host, self *relaySelf, platformStore *platform.Store, desk *coord.Desk, client *coord.Client, clock *clock.Service, log logrus.FieldLogger) *elect.Elector {
 	return elect.New(elect.Config{
 		Store: platformStore, Key: coordinatorKey, Value: self.value, TTL: max(coordinatorLease, host.ShortestLease),
-		Delay: time.Duration(xxhash.Sum64String(host.Instance) % uint64(standSpread)),
+		Delay: standDelay(host),
 		Clock: clock, Log: log,
 		Predecessor: self.replaces,
 		Elected:     func(term store.Revision) { desk.Elected(context.Background(), int64(term)) },
