Ports of trials lie below those of outgoing connections

Ruled out: a slow start; the message came after the port was lost, at any load. Change: ports below that range, none given twice by one process. Test: trial TestAddressesAreNotThoseOfConnections fails before (39791 given), passes after (go test ./trial -run TestAddressesAre).

--- a/trial/ports.go
+++ b/trial/ports.go
@@ -2,17 +2,41 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
+	"strconv"
+	"sync"
+	"syscall"
 )
 
-// freeAddress returns an address on the loopback interface that nothing
-// listens on.
+// firstPort to lastPort lie below the ports that the kernel gives to outgoing
+// connections (32768 on), which may take one before its process listens there.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// given are the ports that this process has given away.
+var given sync.Map
+
+// freeAddress returns an address on the loopback interface that nothing listens
+// on and that it has not returned before.
 func freeAddress(ctx context.Context) (string, error) {
 	var listenConfig net.ListenConfig
-	listener, err := listenConfig.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, taken := given.LoadOrStore(port, true); taken {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := listenConfig.Listen(ctx, "tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		return address, listener.Close()
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
