A process whose start fails ends its spreading of configuration

Cause: hooks stop in reverse order, and the wait for the service stood after the end of its context: a stop waited for something that had not been told to end. Test: node TestSpreadStops times out after 3 s before, passes after.

--- a/node/spread.go
+++ b/node/spread.go
@@ -94,10 +94,11 @@
 		Dial: func(peer spread.Peer) (grpc.ClientConnInterface, error) { return parts.Connections.Get(peer.Address) },
 	})
 	var running sync.WaitGroup
+	// Hooks stop in reverse: the wait comes after the end of the context.
+	parts.Lifecycle.Append(fx.StopHook(running.Wait))
 	background(parts.Lifecycle, func(ctx context.Context) {
 		running.Go(func() { service.Run(ctx) })
 	})
-	parts.Lifecycle.Append(fx.StopHook(running.Wait))
 	return service, service
 }
 
