One mechanism each: status errors, the head reader, accounts of sets, RPC listeners

What nothing read goes (policy.Service.HealthPath, MaxConnections, Engine.CacheTokens, pool.Server.Warming, relay.Call.LastEvent, trunk's Length and Unframed); relay and platform share trunk.StatusError; the desk's head reader serves the client too. relay counts a run where an attempt is known to have left, not in note, which two callers had to take back. No behaviour changes. go test ./coord ./node ./platform ./pool ./relay ./trunk: ok.

--- a/coord/client.go
+++ b/coord/client.go
@@ -18,7 +18,6 @@
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/relay"
 	"github.com/basilkeel/basilkeel/share"
-	"github.com/basilkeel/basilkeel/store"
 	"github.com/basilkeel/basilkeel/wire"
 )
 
@@ -50,10 +49,8 @@
 	Shares  *share.Holder
 	Crashes *crash.Book
 	Policy  func() *policy.Snapshot
-	// Mirror follows the platform's keys. Head asks how far the service has come,
-	// where no coordinator tells it.
+	// Mirror follows the platform's keys.
 	Mirror Mirror
-	Head   func(ctx context.Context) (store.Revision, error)
 	// Connections lead to other entries.
 	Connections *conns.Pool
 	Clock       *clock.Service
@@ -63,7 +60,6 @@
 // Client exchanges reports with the coordinator. It is safe for concurrent use.
 type Client struct {
 	config ClientConfig
-	head   *headReader
 	kick   chan struct{}
 	// looked is when the service was asked for its revision; only exchanges use it.
 	looked time.Time
@@ -85,10 +81,7 @@
 
 // NewClient returns a client that knows no coordinator.
 func NewClient(config ClientConfig) *Client {
-	return &Client{
-		config: config, head: &headReader{head: config.Head, mirror: config.Mirror, log: config.Log},
-		kick: make(chan struct{}, 1), demands: map[Target]Demand{},
-	}
+	return &Client{config: config, kick: make(chan struct{}, 1), demands: map[Target]Demand{}}
 }
 
 // Follow turns to another coordinator; an empty value means that there is none.
@@ -266,7 +259,7 @@
 		return
 	}
 	client.looked = now
-	client.head.read(ctx)
+	client.config.Desk.head.read(ctx)
 }
 
 // route returns the connection to the coordinator, or that this process is the
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -17,17 +17,7 @@
 		Loads:        encodeLoads(report.Loads),
 		Revision:     int64(report.Revision),
 	}
-	accounts := map[names.ClientAccount]bool{}
-	for account := range report.Held.Shares {
-		accounts[account] = true
-	}
-	for account := range report.Held.Usage {
-		accounts[account] = true
-	}
-	for account := range report.Held.Loans {
-		accounts[account] = true
-	}
-	for account := range accounts {
+	for account := range accountsOf(report.Held.Shares, report.Held.Usage, report.Held.Loans) {
 		message.Shares = append(message.Shares, &wire.CoordShare{
 			Account: string(account), Share: report.Held.Shares[account], UsagePerSecond: report.Held.Usage[account],
 			Loan: report.Held.Loans[account],
@@ -81,13 +71,10 @@
 			Key: entry.Key(), Value: entry.Value(), Revision: int64(entry.Revision()), Deleted: entry.Deleted(),
 		})
 	}
-	for account := range reply.Assigned.Lent {
-		if _, found := reply.Assigned.Shares[account]; !found {
-			reply.Assigned.Shares[account] = 0
-		}
-	}
-	for account, part := range reply.Assigned.Shares {
-		message.Shares = append(message.Shares, &wire.CoordShare{Account: string(account), Share: part, Loan: reply.Assigned.Lent[account]})
+	for account := range accountsOf(reply.Assigned.Shares, reply.Assigned.Lent) {
+		message.Shares = append(message.Shares, &wire.CoordShare{
+			Account: string(account), Share: reply.Assigned.Shares[account], Loan: reply.Assigned.Lent[account],
+		})
 	}
 	for _, holding := range reply.Holdings {
 		encoded := &wire.CoordHolding{Server: string(holding.Server), Busy: holding.Busy}
@@ -151,3 +138,14 @@
 	}
 	return loads
 }
+
+// accountsOf returns the accounts that any of the sets has.
+func accountsOf(sets ...share.Set) map[names.ClientAccount]bool {
+	accounts := map[names.ClientAccount]bool{}
+	for _, set := range sets {
+		for account := range set {
+			accounts[account] = true
+		}
+	}
+	return accounts
+}
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -106,7 +106,9 @@
 // Desk coordinates while its entry is elected. It is safe for concurrent use.
 type Desk struct {
 	config DeskConfig
-	head   *headReader
+	// head asks the platform's service; the client of the same entry does, too, where
+	// no coordinator tells it the revision.
+	head *headReader
 	// mutex guards all below.
 	mutex sync.Mutex
 	term  *term
@@ -123,7 +125,6 @@
 	divider *share.Divider
 	bank    *share.Bank
 	tally   *crash.Tally
-	began   time.Time
 	reports map[names.Instance]received
 	demand  map[Target]*trend
 }
@@ -171,7 +172,6 @@
 		divider: divider,
 		bank:    share.NewBank(divider),
 		tally:   crash.NewTally(),
-		began:   now,
 		reports: map[names.Instance]received{},
 		demand:  map[Target]*trend{},
 	}
@@ -202,9 +202,15 @@
 	return number
 }
 
-// leads tells whether number is this entry's term, with or without its lease.
-func (desk *Desk) leads(number int64) bool {
-	return desk.config.Term() == number || desk.config.Doubtful() == number
+// led returns the term that this entry leads, with or without its lease. It is
+// called with the mutex held, and fails with a *[NotCoordinatingError].
+func (desk *Desk) led(snapshot *policy.Snapshot) (*term, error) {
+	current := desk.term
+	if current == nil || snapshot == nil ||
+		(desk.config.Term() != current.number && desk.config.Doubtful() != current.number) {
+		return nil, &NotCoordinatingError{Instance: desk.config.Instance}
+	}
+	return current, nil
 }
 
 // followed tells whether most entries report here. It is called with the desk's
@@ -273,9 +279,9 @@
 	snapshot := desk.config.Policy()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	current := desk.term
-	if current == nil || snapshot == nil || !desk.leads(current.number) {
-		return Reply{}, &NotCoordinatingError{Instance: desk.config.Instance}
+	current, err := desk.led(snapshot)
+	if err != nil {
+		return Reply{}, err
 	}
 	entry := received{at: now, loads: report.Loads, waiting: map[Target]int{}}
 	for target, demand := range report.Demands {
@@ -332,9 +338,9 @@
 	snapshot := desk.config.Policy()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	current := desk.term
-	if current == nil || snapshot == nil || !desk.leads(current.number) {
-		return 0, false, &NotCoordinatingError{Instance: desk.config.Instance}
+	current, err := desk.led(snapshot)
+	if err != nil {
+		return 0, false, err
 	}
 	for _, account := range snapshot.Accounts() {
 		if account.Name == name {
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,9 +23,14 @@
 
 // servePeers opens the listener for own processes.
 func servePeers(lifecycle fx.Lifecycle, process *setup.Process, server *grpc.Server, log logrus.FieldLogger) {
+	serveRPCAt(lifecycle, process.PeerListen, server, log)
+}
+
+// serveRPCAt serves server at address from the start of the process to its stop.
+func serveRPCAt(lifecycle fx.Lifecycle, address string, server *grpc.Server, log logrus.FieldLogger) {
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			listener, err := listen(ctx, process.PeerListen, bounds{}, nil)
+			listener, err := listen(ctx, address, bounds{}, nil)
 			if err != nil {
 				return err
 			}
--- a/node/relay.go
+++ b/node/relay.go
@@ -169,20 +169,7 @@
 func serveCoordination(lifecycle fx.Lifecycle, self *relaySelf, desk *coord.Desk, log logrus.FieldLogger) {
 	server := grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
 	coord.NewServer(desk).Register(server)
-	lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error {
-			listener, err := listen(ctx, self.address, bounds{}, nil)
-			if err != nil {
-				return err
-			}
-			serveRPC(server, listener, log)
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			server.Stop()
-			return nil
-		},
-	})
+	serveRPCAt(lifecycle, self.address, server, log)
 }
 
 func tellStart(lifecycle fx.Lifecycle, host *setup.Host, log logrus.FieldLogger) {
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -93,7 +93,7 @@
 	client := coord.NewClient(coord.ClientConfig{
 		Instance: parts.Self.instance, Self: parts.Self.value, Desk: parts.Desk, Pool: parts.Pool, Shares: parts.Shares, Crashes: parts.Crashes,
 		Policy: parts.Relay.Policy, Connections: parts.Connections, Clock: parts.Clock, Log: parts.Log,
-		Mirror: parts.Mirror, Head: headOf(parts.Store),
+		Mirror: parts.Mirror,
 	})
 	parts.Relay.Use(client)
 	return client
--- a/policy/service.go
+++ b/policy/service.go
@@ -8,11 +8,7 @@
 
 // Service is a set of alike backend servers.
 type Service struct {
-	Name       names.Service
-	HealthPath string
-	// MaxConnections is what one server accepts from all callers together; zero
-	// means not told.
-	MaxConnections int
+	Name names.Service
 	// Engine is nil where the service runs no models.
 	Engine *Engine
 }
@@ -21,8 +17,6 @@
 type Engine struct {
 	// Slots is how many requests an engine runs at once.
 	Slots int
-	// CacheTokens is the memory of an engine for running requests.
-	CacheTokens int64
 	// WeightsMB is the memory of an engine for weights and adapters.
 	WeightsMB float64
 	// AdapterSlots is how many adapters an engine holds.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -17,7 +17,8 @@
 		}
 		return NoServer{}
 	}
-	best, _ := pool.best(candidates, query, now, func(*member) bool { return true })
+	ratio := pool.allPerOwn()
+	best, _ := pool.best(candidates, query, ratio, now, func(*member) bool { return true })
 	full := float64(fullPlain)
 	if query.Model != "" {
 		full = fullEngine
@@ -25,8 +26,8 @@
 	chosen := Chosen{Others: len(candidates) - 1}
 	if query.Adapter != "" {
 		adapter := Adapter{Model: query.Model, Name: query.Adapter}
-		with, withScore := pool.best(candidates, query, now, func(member *member) bool { return member.holdsAdapter(adapter, now) })
-		idle, idleScore := pool.best(candidates, query, now, func(member *member) bool { return !member.busy(now) })
+		with, withScore := pool.best(candidates, query, ratio, now, func(member *member) bool { return member.holdsAdapter(adapter, now) })
+		idle, idleScore := pool.best(candidates, query, ratio, now, func(member *member) bool { return !member.busy(now) })
 		switch {
 		case with != nil && withScore <= idleScore+adapterSlack:
 			best = with
@@ -73,10 +74,9 @@
 }
 
 // best returns the member with the least score of those that are fit, or nil.
-func (pool *Pool) best(candidates []*member, query Query, now time.Time, fit func(*member) bool) (*member, float64) {
+func (pool *Pool) best(candidates []*member, query Query, ratio float64, now time.Time, fit func(*member) bool) (*member, float64) {
 	var best *member
 	bestScore := math.Inf(1)
-	ratio := pool.allPerOwn()
 	for _, member := range candidates {
 		if !fit(member) {
 			continue
--- a/pool/server.go
+++ b/pool/server.go
@@ -19,8 +19,6 @@
 	Draining bool
 	// Leaves is how long a draining server keeps running; zero means not told.
 	Leaves time.Duration
-	// Warming is how long the server stays slow after its start.
-	Warming time.Duration
 	// Born is the start of the server; another one means that it has lost all.
 	Born int64
 	// Models and Adapters are what a model engine holds.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -28,7 +28,6 @@
 func (passage *passage) wholeOut(ctx context.Context, server *pool.Server, response *trunk.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(response, mostWhole+1))
 	if err != nil {
-		passage.runs--
 		passage.note(ctx, server, err)
 		return false
 	}
@@ -142,7 +141,6 @@
 		passage.cut(err)
 	}
 	passage.note(ctx, server, err)
-	passage.runs--
 	passage.resumeElsewhere(ctx)
 	return true
 }
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -33,9 +33,6 @@
 	// PromptTokens and OutputTokens are negative where they are not told.
 	PromptTokens int64
 	OutputTokens int64
-	// LastEvent is the last event of a stream that the caller has; empty means that
-	// it wants all.
-	LastEvent string
 }
 
 // Tokens returns the prompt with the most output, or a negative number.
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -161,6 +161,9 @@
 	response, err := passage.send(attemptCtx, server)
 	relay.config.Pool.Read(server.ID, prompt)
 	if err != nil {
+		if !neverSent(err) {
+			passage.runs++
+		}
 		passage.note(ctx, server, err)
 		return false
 	}
@@ -189,7 +192,7 @@
 	case passage.begun:
 		// The caller has the beginning of a stream, with which this does not go on.
 		passage.tried = append(passage.tried, server.ID)
-		passage.cause = &StatusError{Status: response.Status}
+		passage.cause = &trunk.StatusError{Status: response.Status}
 		return false
 	default:
 		return passage.wholeOut(ctx, server, response)
@@ -279,11 +282,7 @@
 func (passage *passage) note(ctx context.Context, server *pool.Server, err error) {
 	passage.cause = err
 	passage.tried = append(passage.tried, server.ID)
-	var unsentError *trunk.UnsentError
-	unsent := errors.As(err, &unsentError)
-	if !unsent {
-		passage.runs++
-	}
+	unsent := neverSent(err)
 	if ctx.Err() != nil && !unsent && passage.request.Context().Err() != nil {
 		// The caller left; this says nothing of the server.
 		return
@@ -297,10 +296,16 @@
 	}
 }
 
+// neverSent tells whether a request certainly did not reach its server.
+func neverSent(err error) bool {
+	var unsentError *trunk.UnsentError
+	return errors.As(err, &unsentError)
+}
+
 // notRun takes in that a server says it did not run the request.
 func (passage *passage) notRun(server *pool.Server, status int) {
 	passage.tried = append(passage.tried, server.ID)
-	passage.cause = &StatusError{Status: status}
+	passage.cause = &trunk.StatusError{Status: status}
 	if passage.call.Model != "" && status == http.StatusMisdirectedRequest {
 		passage.relay.config.Pool.Lacks(server.ID, passage.call.Model, passage.now())
 	}
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -18,7 +18,6 @@
 	ReasonNoCopy     Reason = "modelNotLoaded"
 	ReasonNoAdapter  Reason = "adapterNotLoaded"
 	ReasonFull       Reason = "serversFull"
-	ReasonUnsent     Reason = "notSent"
 	ReasonNotRun     Reason = "refusedByServer"
 	ReasonTimeUp     Reason = "timeUp"
 )
--- a/trunk/errors.go
+++ b/trunk/errors.go
@@ -1,6 +1,9 @@
 package trunk
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // UnsentError reports a request that certainly did not reach a server.
 type UnsentError struct {
@@ -19,9 +22,7 @@
 // BrokenError reports a request that may have run and got no whole answer.
 type BrokenError struct {
 	Address string
-	// Reused tells that the connection had carried a request before.
-	Reused bool
-	Cause  error
+	Cause   error
 }
 
 // Error implements error.
@@ -41,3 +42,14 @@
 func (strayError *StrayError) Error() string {
 	return fmt.Sprintf("%d answers that belong to other requests", strayError.Answers)
 }
+
+// StatusError reports an answer whose status says that it is not what was asked
+// for.
+type StatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (statusError *StatusError) Error() string {
+	return fmt.Sprintf("status %d %s", statusError.Status, http.StatusText(statusError.Status))
+}
--- a/trunk/line.go
+++ b/trunk/line.go
@@ -29,7 +29,6 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	reused  bool
 	// idleSince and idleLimit tell until when the server keeps the connection.
 	idleSince time.Time
 	idleLimit time.Duration
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -12,10 +12,6 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Length of the body; negative where the server did not tell it.
-	Length int64
-	// Unframed bodies end with their connection.
-	Unframed bool
 
 	trunk   *Trunk
 	line    *line
@@ -39,12 +35,9 @@
 		response.whole = true
 		return count, io.EOF
 	}
-	return count, &BrokenError{Address: response.line.address, Reused: response.line.reused, Cause: err}
+	return count, &BrokenError{Address: response.line.address, Cause: err}
 }
 
-// Buffered tells whether more of the body can be read without waiting.
-func (response *Response) Buffered() bool { return response.line.reader.Buffered() > 0 }
-
 // Close gives the connection back, or closes it where the body was not read to
 // its end or the connection cannot carry another request.
 func (response *Response) Close() {
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -81,20 +81,18 @@
 	if err != nil {
 		release()
 		line.conn.Close()
-		return nil, &BrokenError{Address: address, Reused: line.reused, Cause: err}
+		return nil, &BrokenError{Address: address, Cause: err}
 	}
 	line.keepFor(answer.Header)
 	return &Response{
-		Status:   answer.StatusCode,
-		Header:   answer.Header,
-		Length:   answer.ContentLength,
-		Unframed: answer.ContentLength < 0 && len(answer.TransferEncoding) == 0,
-		trunk:    trunk,
-		line:     line,
-		body:     answer.Body,
-		release:  release,
-		written:  written,
-		keep:     !answer.Close,
+		Status:  answer.StatusCode,
+		Header:  answer.Header,
+		trunk:   trunk,
+		line:    line,
+		body:    answer.Body,
+		release: release,
+		written: written,
+		keep:    !answer.Close,
 	}, nil
 }
 
@@ -106,7 +104,6 @@
 			break
 		}
 		if line.clean() {
-			line.reused = true
 			return line, nil
 		}
 		line.conn.Close()
