Servers that say that they leave, or that they rest, get no further requests

Cause: nothing read the header of servers that leave, nor the Retry-After of those that turn a request away; the registry tells of them later, or not at all where its entry is only removed. Change: pool.Leaving remembers the incarnation, also over an outage of the registry and after its entry was forgotten; pool.Rest keeps requests away for the time asked (a minute at most), and where all servers rest the caller is told until when. Events 9032 and 9033.

--- a/event/platform.go
+++ b/event/platform.go
@@ -28,6 +28,10 @@
 	ServerEjected = define(9030, logrus.WarnLevel, "serverEjected", "A backend server failed requests and gets none until the time given.")
 	// ServerReturned is logged when an ejected backend server answers again.
 	ServerReturned = define(9031, logrus.InfoLevel, "serverReturned", "A backend server that had been ejected answers again.")
+	// ServerLeaving is logged when a backend server says in an answer that it leaves.
+	ServerLeaving = define(9032, logrus.InfoLevel, "serverLeaving", "A backend server said in an answer that it leaves; it gets no further requests until it has started again.")
+	// ServerRests is logged when a backend server wants no requests for a time.
+	ServerRests = define(9033, logrus.InfoLevel, "serverRests", "A backend server turned a request away and wants none for the seconds given.")
 	// SettingsReloaded is logged when the settings file has been read again.
 	SettingsReloaded = define(9040, logrus.InfoLevel, "settingsReloaded", "The settings file was read again.")
 	// SettingsKept is logged when a changed settings file cannot be used.
--- /dev/null
+++ b/pool/leave_test.go
@@ -0,0 +1,83 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+// TestServersThatSayTheyLeave plays what the registry may tell after a server has
+// said in an answer that it leaves: only another incarnation is sent to again.
+func TestServersThatSayTheyLeave(t *testing.T) {
+	again := engine("e1", "m")
+	again.Born = 2
+	cases := []struct {
+		name  string
+		after func(*pool.Pool)
+		want  string
+	}{
+		{name: "nothing more", want: "no server"},
+		{name: "the registry still lists it", after: func(from *pool.Pool) { from.Put(engine("e1", "m")) }, want: "no server"},
+		{
+			name: "the registry fails, and lists it when it answers again",
+			after: func(from *pool.Pool) {
+				from.Lost(at(time.Second))
+				from.Remove("e1", at(2*time.Second))
+				from.Regained(at(3 * time.Second))
+				from.Put(engine("e1", "m"))
+			},
+			want: "no server",
+		},
+		{
+			name: "its entry goes, is forgotten and comes back",
+			after: func(from *pool.Pool) {
+				from.Remove("e1", at(time.Second))
+				from.Sweep(at(2 * time.Second))
+				from.Put(engine("e1", "m"))
+			},
+			want: "no server",
+		},
+		{name: "it has started again", after: func(from *pool.Pool) { from.Put(again) }, want: "e1"},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			pool := newPool(engine("e1", "m"))
+			g.Expect(pool.Leaving(engine("e1", "m"), epoch)).To(BeTrue(), "that is new")
+			g.Expect(pool.Leaving(engine("e1", "m"), epoch)).To(BeFalse())
+			if each.after != nil {
+				each.after(pool)
+			}
+			g.Expect(picked(pool, query, at(4*time.Second))).To(Equal(each.want))
+			g.Expect(pool.Usable(engine("e1", "m"), at(4*time.Second))).To(BeFalse(), "a choice from before no longer holds")
+		})
+	}
+}
+
+// TestServersThatRest plays servers that want no requests for a time: others take
+// them meanwhile, and where there is none the time until one does is told.
+func TestServersThatRest(t *testing.T) {
+	g := NewWithT(t)
+	pool := newPool(engine("e1", "m"), engine("e2", "m"))
+	pool.Rest("e1", 2*time.Second, epoch)
+	for range 5 {
+		g.Expect(picked(pool, query, at(time.Second))).To(Equal("e2"))
+		pool.Begin("e2", 100, at(time.Second))
+	}
+	pool.Rest("e2", 4*time.Second, at(time.Second))
+	g.Expect(full(pool, at(time.Second)).After).To(Equal(time.Second), "until the first of them")
+	pool.Rest("e1", time.Millisecond, at(time.Second))
+	g.Expect(full(pool, at(time.Second)).After).To(Equal(time.Second), "a shorter time does not end a longer one")
+	g.Expect(picked(pool, query, at(2*time.Second))).To(Equal("e1"))
+	pool.Rest("e1", 1000*time.Hour, at(2*time.Second))
+	g.Expect(picked(pool, query, at(2*time.Second+time.Minute))).To(Equal("e1"), "absurd times are bounded")
+}
+
+// full fails where something else is chosen.
+func full(from *pool.Pool, now time.Time) pool.Full {
+	choice, _ := from.Pick(query, now).(pool.Full)
+	return choice
+}
--- a/pool/member.go
+++ b/pool/member.go
@@ -33,6 +33,8 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// restsUntil is until when the server wants no requests.
+	restsUntil time.Time
 	// errors is the moving share of answers that were the server's own errors.
 	errors float64
 	// slow counts requests that wait for a first byte for too long.
@@ -82,4 +84,6 @@
 	return member.own > 0 && now.Sub(member.heardAt) > silentAfter
 }
 
+func (member *member) resting(now time.Time) bool { return now.Before(member.restsUntil) }
+
 func (member *member) ejected(now time.Time) bool { return now.Before(member.ejectedUntil) }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -10,8 +10,11 @@
 func (pool *Pool) Pick(query Query, now time.Time) Choice {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	candidates, listed := pool.candidates(query, now)
+	candidates, rest, listed := pool.candidates(query, now)
 	if len(candidates) == 0 {
+		if rest > 0 {
+			return Full{After: rest}
+		}
 		if listed {
 			return NoCopy{}
 		}
@@ -44,14 +47,14 @@
 	return chosen
 }
 
-// candidates returns the members that may run the request, and whether any
-// server of the service is usable at all. Where every one is ejected, it returns
-// those. It is called with the mutex held.
-func (pool *Pool) candidates(query Query, now time.Time) ([]*member, bool) {
+// candidates returns the members that may run the request, how long until the
+// first of those that rest may, and whether any server of the service is usable at
+// all. Where every one is ejected, it returns those. It is called with the mutex
+// held.
+func (pool *Pool) candidates(query Query, now time.Time) (candidates []*member, rest time.Duration, listed bool) {
 	var good, ejected []*member
-	listed := false
 	for _, member := range pool.members {
-		if member.server.Service != query.Service || member.server.Draining || pool.gone(member, now) {
+		if member.server.Service != query.Service || !pool.open(member, now) {
 			continue
 		}
 		listed = true
@@ -61,6 +64,12 @@
 		if query.Model != "" && !member.holds(query.Model, now) {
 			continue
 		}
+		if member.resting(now) {
+			if left := member.restsUntil.Sub(now); rest == 0 || left < rest {
+				rest = left
+			}
+			continue
+		}
 		if member.ejected(now) {
 			ejected = append(ejected, member)
 		} else {
@@ -68,9 +77,9 @@
 		}
 	}
 	if len(good) == 0 {
-		return ejected, listed
+		return ejected, rest, listed
 	}
-	return good, listed
+	return good, rest, listed
 }
 
 // best returns the member with the least score of those that are fit, or nil.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -71,6 +71,8 @@
 	// mutex guards all below.
 	mutex   sync.Mutex
 	members map[names.BackendServer]*member
+	// departures are servers that said that they leave.
+	departures map[names.BackendServer]departure
 	// lostSince is when the registry stopped answering, zero while it answers;
 	// regained is when it answered again.
 	lostSince time.Time
@@ -81,7 +83,10 @@
 
 // New returns an empty pool.
 func New(config Config) *Pool {
-	return &Pool{config: config, members: map[names.BackendServer]*member{}, changed: make(chan struct{})}
+	return &Pool{
+		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
+		changed: make(chan struct{}),
+	}
 }
 
 // Changed returns a channel that is closed with the next change of what servers
@@ -163,6 +168,12 @@
 	}
 }
 
+// open tells whether a server takes new requests, as far as is known. It is called
+// with the mutex held.
+func (pool *Pool) open(member *member, now time.Time) bool {
+	return !member.server.Draining && !pool.gone(member, now) && !pool.departing(member.server)
+}
+
 // Sweep forgets servers that are gone and idle.
 func (pool *Pool) Sweep(now time.Time) {
 	pool.mutex.Lock()
@@ -172,6 +183,7 @@
 			delete(pool.members, id)
 		}
 	}
+	pool.forgetDepartures(now)
 }
 
 // Servers returns every server that is not gone.
@@ -198,7 +210,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	member, found := pool.members[server.ID]
-	return found && member.server.Born == server.Born && !member.server.Draining && !pool.gone(member, now)
+	return found && member.server.Born == server.Born && pool.open(member, now) && !member.resting(now)
 }
 
 // Inform takes over what the coordinator knows: what servers hold until a time,
--- a/pool/query.go
+++ b/pool/query.go
@@ -1,6 +1,10 @@
 package pool
 
-import "github.com/basilkeel/basilkeel/names"
+import (
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+)
 
 // Query describes a request that needs a server.
 type Query struct {
@@ -35,10 +39,13 @@
 // NoCopy tells that no server holds the model.
 type NoCopy struct{}
 
-// Full tells that every server that could run the request has too much work.
+// Full tells that every server that could run the request has too much work, or
+// wants none for a time.
 type Full struct {
 	// Load is the least part of a server's slots that is taken.
 	Load float64
+	// After is when one of them takes requests again, where they told; else zero.
+	After time.Duration
 }
 
 func (Chosen) choice()   {}
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -63,4 +63,9 @@
 	Call string
 	// NotRun tells that the server did not run the request.
 	NotRun bool
+	// Leaving tells that the server leaves and wants no further requests.
+	Leaving bool
+	// Rest is how long the server wants no requests of this instance, where it
+	// turned one away; else zero.
+	Rest time.Duration
 }
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -59,7 +59,11 @@
 
 // ReadAnswer implements [relay.Codec].
 func (plainCodec) ReadAnswer(header http.Header) relay.Answer {
-	return relay.Answer{Call: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+	answer := relay.Answer{Call: header.Get("Id"), NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != ""}
+	if rest, err := time.ParseDuration(header.Get("Rest")); err == nil {
+		answer.Rest = rest
+	}
+	return answer
 }
 
 // CallerHeader implements [relay.Codec].
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
@@ -170,6 +173,7 @@
 	defer response.Close()
 	answer := relay.config.Codec.ReadAnswer(response.Header)
 	relay.config.Pool.Heard(server.ID, passage.now())
+	passage.heed(server, answer, response.Status)
 	if answer.NotRun {
 		passage.notRun(server, response.Status)
 		return false
@@ -302,6 +306,19 @@
 	return errors.As(err, &unsentError)
 }
 
+// heed takes in what a server wants of this instance from now on.
+func (passage *passage) heed(server *pool.Server, answer Answer, status int) {
+	if answer.Leaving && passage.relay.config.Pool.Leaving(server, passage.now()) {
+		event.ServerLeaving.Log(passage.relay.config.Log, logrus.Fields{"server": string(server.ID), "request": passage.call.ID})
+	}
+	if status == http.StatusServiceUnavailable && answer.Rest > 0 {
+		passage.relay.config.Pool.Rest(server.ID, answer.Rest, passage.now())
+		event.ServerRests.Log(passage.relay.config.Log, logrus.Fields{
+			"server": string(server.ID), "request": passage.call.ID, "seconds": answer.Rest.Seconds(),
+		})
+	}
+}
+
 // notRun takes in that a server says it did not run the request.
 func (passage *passage) notRun(server *pool.Server, status int) {
 	passage.tried = append(passage.tried, server.ID)
--- a/relay/place.go
+++ b/relay/place.go
@@ -71,7 +71,7 @@
 			}
 			continue
 		case pool.Full:
-			refusal.reason, refusal.after, refusal.load = ReasonFull, fullPause, choice.Load
+			refusal.reason, refusal.after, refusal.load = ReasonFull, max(fullPause, choice.After), choice.Load
 			return nil, refusal
 		case pool.NoServer:
 			return nil, refusal
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -455,3 +455,45 @@
 		})
 	}
 }
+
+// TestServersThatTurnAway plays servers that say that they leave, or that they want
+// no requests for a time, in answers that are passed on or not.
+func TestServersThatTurnAway(t *testing.T) {
+	leaves := func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Leaving", "1")
+		_, _ = fmt.Fprint(writer, "fine")
+	}
+	rests := func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Not-Run", "1")
+		writer.Header().Set("Rest", "20s")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+	cases := []struct {
+		name   string
+		path   string
+		handle http.HandlerFunc
+		// first and later are what the callers get, visits what the server sees of them.
+		first  int
+		later  int
+		visits int
+	}{
+		{"an order at a server that leaves", "/order/1", leaves, http.StatusOK, http.StatusServiceUnavailable, 1},
+		{"a stream at a server that leaves", "/draft/1", leaves, http.StatusOK, http.StatusServiceUnavailable, 1},
+		{"an order at a server that rests", "/order/1", rests, http.StatusServiceUnavailable, http.StatusServiceUnavailable, 1},
+		{"a lookup at a server that rests", "/look/1", rests, http.StatusServiceUnavailable, http.StatusServiceUnavailable, 1},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			world := newWorld(t, route("order", policy.KindUnsafe, "desk"), route("look", policy.KindSafe, "desk"), route("draft", policy.KindStream, "desk"))
+			seen := world.server("desk-1", "desk", each.handle)
+			g.Expect(world.call(http.MethodPost, each.path, "", nil).status).To(Equal(each.first))
+			for range 5 {
+				result := world.call(http.MethodPost, each.path, "", nil)
+				g.Expect(result.status).To(Equal(each.later))
+				g.Expect(result.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+			g.Expect(seen.count()).To(Equal(each.visits))
+		})
+	}
+}
