No order leaves after its term, and a stop gives up the lease after its last order

Cause: an order's term was checked before its connection was there; a freeze, or an opening that took long, lay between the check and the bytes. A planned stop gave up the lease while its last order could be on its way, and cut it off, so that its successor's orders and a late one of its own could take turns at an engine. An order whose caller left was broken off and left its engine's state open. Ruled out: the lease's own time, which counts suspensions and is reckoned from before the renewal was sent (elect TestSuspensionEndsALease). Change: trunk.Request.Wanted is asked right before the first byte, copies.Sending carries it; orders outlive who asked for them; elect waits for desk.Settle before it gives the lease up, and leaves it to expire where that fails.

--- a/coord/desk.go
+++ b/coord/desk.go
@@ -112,6 +112,8 @@
 	// mutex guards all below.
 	mutex sync.Mutex
 	term  *term
+	// former keeps the orders of the term that ended last.
+	former *copies.Keeper
 	// revision is what the platform's service was seen to have reached.
 	revision store.Revision
 }
@@ -269,10 +271,22 @@
 	defer desk.mutex.Unlock()
 	if desk.term != nil {
 		desk.term.cancel()
+		desk.former = desk.term.keeper
 		desk.term = nil
 	}
 }
 
+// Settle waits until no order of a term that has ended is on its way, or ctx ends.
+func (desk *Desk) Settle(ctx context.Context) error {
+	desk.mutex.Lock()
+	former := desk.former
+	desk.mutex.Unlock()
+	if former == nil {
+		return nil
+	}
+	return former.Settle(ctx)
+}
+
 // Exchange takes in an entry's report. It fails with a *[NotCoordinatingError].
 func (desk *Desk) Exchange(report Report) (Reply, error) {
 	now := desk.config.Clock.Now()
--- a/copies/keeper.go
+++ b/copies/keeper.go
@@ -52,6 +52,9 @@
 	mutex   sync.Mutex
 	ledgers map[names.BackendServer]*Ledger
 	running sync.WaitGroup
+	// orders is held for reading while an order is on its way to an engine. It is
+	// taken after a ledger's sending.
+	orders sync.RWMutex
 }
 
 // NewKeeper returns a keeper that knows no engines.
@@ -305,8 +308,8 @@
 		if sending.Term == 0 || ctx.Err() != nil {
 			return false
 		}
-		verdict, err := keeper.config.Engine.Order(ctx, sending)
-		keeper.note(sending, verdict, err)
+		sending.Current = func() bool { return keeper.config.Term() == sending.Term }
+		verdict := keeper.order(ctx, sending)
 		switch verdict {
 		case VerdictTaken, VerdictHolds:
 			ledger.took(order, verdict, known)
@@ -337,6 +340,33 @@
 	return false
 }
 
+// order sends an order once. Whoever asked for it may leave meanwhile: breaking it
+// off would leave open whether the engine carries it out.
+func (keeper *Keeper) order(ctx context.Context, sending Sending) Verdict {
+	keeper.orders.RLock()
+	defer keeper.orders.RUnlock()
+	verdict, err := keeper.config.Engine.Order(context.WithoutCancel(ctx), sending)
+	keeper.note(sending, verdict, err)
+	return verdict
+}
+
+// Settle waits until no order is on its way to an engine, or ctx ends. Once the
+// term has ended, none is sent after it.
+func (keeper *Keeper) Settle(ctx context.Context) error {
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		keeper.orders.Lock()
+		defer keeper.orders.Unlock()
+	}()
+	select {
+	case <-settled:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (keeper *Keeper) note(sending Sending, verdict Verdict, err error) {
 	fields := logrus.Fields{
 		"server": string(sending.Server), "model": string(sending.Model), "adapter": string(sending.Adapter),
--- a/copies/order.go
+++ b/copies/order.go
@@ -26,6 +26,9 @@
 	// Holder and Term name the coordinator.
 	Holder string
 	Term   int64
+	// Current tells whether the term still holds; it is asked again right before the
+	// order is sent.
+	Current func() bool
 }
 
 // Verdict is an engine's answer to an order.
--- a/elect/elector.go
+++ b/elect/elector.go
@@ -54,6 +54,9 @@
 	// Elected and Ended are called when this process begins and ceases to lead.
 	Elected func(term store.Revision)
 	Ended   func()
+	// Settle waits until nothing that was done in the term is under way any more; the
+	// lease is given up only then. Where it fails, the lease is left to expire.
+	Settle func(ctx context.Context) error
 	// Leader is called with each change of leader.
 	Leader func(leader Leader)
 }
@@ -140,6 +143,10 @@
 		return
 	}
 	elector.end("stopping")
+	if err := elector.config.Settle(ctx); err != nil {
+		event.CoordinatorEnded.Log(elector.config.Log, logrus.Fields{"reason": "lease left to expire", "cause": err.Error()})
+		return
+	}
 	if err := elector.config.Store.Revoke(ctx, lease); err != nil {
 		event.CoordinatorEnded.Log(elector.config.Log, logrus.Fields{"reason": "lease left to expire", "cause": err.Error()})
 	}
--- a/elect/elector_test.go
+++ b/elect/elector_test.go
@@ -32,6 +32,8 @@
 	awake   time.Duration
 	elected []store.Revision
 	ended   int
+	// settled is closed where nothing of the term is under way.
+	settled chan struct{}
 }
 
 func (standing *standing) sleep(span time.Duration) {
@@ -50,7 +52,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	result := &standing{}
+	result := &standing{settled: make(chan struct{})}
 	began := time.Now()
 	result.Elector = elect.New(elect.Config{
 		Store: memory, Key: key, Value: value, TTL: ttl, Clock: clock.NewService(clock.ServiceConfig{}), Log: log,
@@ -69,6 +71,14 @@
 			defer result.mutex.Unlock()
 			result.ended++
 		},
+		Settle: func(ctx context.Context) error {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-result.settled:
+				return nil
+			}
+		},
 		Leader:      func(elect.Leader) {},
 		Predecessor: func(other string) bool { return other == value+" before its restart" },
 	})
@@ -151,6 +161,7 @@
 	first := stand(t, memory, "first")
 	first.Seen(elect.Leader{})
 	g.Eventually(first.Term).ShouldNot(BeZero())
+	close(first.settled)
 	first.Retire(context.Background())
 	g.Expect(memory.Calls()["revoke"]).To(Equal(1), "the key goes with the lease")
 	g.Expect(first.ends()).To(Equal(1))
@@ -158,6 +169,44 @@
 	g.Consistently(first.Term, 2*ttl).Should(BeZero())
 }
 
+// TestLeaseIsKeptWhileAnOrderIsUnderWay plays a stop whose last order has no answer
+// yet: a successor may be elected only once it has, or when the lease expires.
+func TestLeaseIsKeptWhileAnOrderIsUnderWay(t *testing.T) {
+	cases := []struct {
+		name    string
+		settles bool
+		revokes int
+	}{
+		{name: "the answer comes", settles: true, revokes: 1},
+		{name: "no answer comes", settles: false, revokes: 0},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			memory := proof.NewStore()
+			first := stand(t, memory, "first")
+			first.Seen(elect.Leader{})
+			g.Eventually(first.Term).ShouldNot(BeZero())
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			retired := make(chan struct{})
+			go func() {
+				defer close(retired)
+				first.Retire(ctx)
+			}()
+			g.Eventually(first.ends).Should(Equal(1), "no further order is given")
+			g.Consistently(func() int { return memory.Calls()["revoke"] }, ttl/4).Should(BeZero())
+			if each.settles {
+				close(first.settled)
+			} else {
+				cancel()
+			}
+			g.Eventually(retired).Should(BeClosed())
+			g.Expect(memory.Calls()["revoke"]).To(Equal(each.revokes))
+		})
+	}
+}
+
 // published puts a leader's key in place, under a lease that nobody renews.
 func published(g *WithT, memory store.Store, value string) elect.Leader {
 	lease, err := memory.Grant(context.Background(), time.Minute)
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -107,6 +107,7 @@
 		Predecessor: self.replaces,
 		Elected:     func(term store.Revision) { desk.Elected(context.Background(), int64(term)) },
 		Ended:       desk.Ended,
+		Settle:      desk.Settle,
 		Leader:      func(leader elect.Leader) { client.Follow(leader.Value) },
 	})
 }
--- a/trunk/errors.go
+++ b/trunk/errors.go
@@ -33,6 +33,24 @@
 // Unwrap returns the cause.
 func (brokenError *BrokenError) Unwrap() error { return brokenError.Cause }
 
+// WithdrawnError reports a request that was no longer wanted when its connection
+// was there.
+type WithdrawnError struct{}
+
+// Error implements error.
+func (*WithdrawnError) Error() string { return "withdrawn before it was sent" }
+
+// HeadSizeError reports a head of an answer that goes on for too long.
+type HeadSizeError struct {
+	// Bytes is the bound that it passed.
+	Bytes int
+}
+
+// Error implements error.
+func (headSizeError *HeadSizeError) Error() string {
+	return fmt.Sprintf("the head of an answer is longer than %d bytes", headSizeError.Bytes)
+}
+
 // StrayError reports answers on a connection that belong to other requests.
 type StrayError struct {
 	Answers int
--- a/trunk/line.go
+++ b/trunk/line.go
@@ -21,12 +21,16 @@
 	mostStrays = 2
 	// mostStrayBytes bounds what is read of an answer that is passed over.
 	mostStrayBytes = 1 << 20
+	// mostHeadBytes bounds what is read until the head of an answer is whole, those
+	// of interim answers included; heads have some hundred bytes.
+	mostHeadBytes = 64 << 10
 )
 
 // line is one connection. It is used by one request at a time.
 type line struct {
 	address string
 	conn    net.Conn
+	head    *headBound
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	// idleSince and idleLimit tell until when the server keeps the connection.
@@ -35,10 +39,12 @@
 }
 
 func newLine(address string, conn net.Conn) *line {
+	head := &headBound{source: conn}
 	return &line{
 		address:   address,
 		conn:      conn,
-		reader:    bufio.NewReaderSize(conn, bufferBytes),
+		head:      head,
+		reader:    bufio.NewReaderSize(head, bufferBytes),
 		writer:    bufio.NewWriterSize(conn, bufferBytes),
 		idleLimit: defaultIdleLimit,
 	}
@@ -69,6 +75,8 @@
 
 // receive reads the head of the answer to request.
 func (line *line) receive(request *Request) (*http.Response, error) {
+	line.head.begin()
+	defer line.head.end()
 	for strays := 0; ; strays++ {
 		response, err := http.ReadResponse(line.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -83,9 +91,11 @@
 		if strays == mostStrays || response.ContentLength < 0 && response.Close {
 			return nil, &StrayError{Answers: strays + 1}
 		}
+		line.head.end()
 		if _, err := io.CopyN(io.Discard, response.Body, mostStrayBytes); !errors.Is(err, io.EOF) {
 			return nil, &StrayError{Answers: strays + 1}
 		}
+		line.head.begin()
 	}
 }
 
--- a/trunk/request.go
+++ b/trunk/request.go
@@ -17,6 +17,9 @@
 	// Answers tells whether an answer with header belongs to this request; nil
 	// takes any.
 	Answers func(header http.Header) bool
+	// Wanted is asked when the connection is there, right before the first byte is
+	// written; false withdraws the request. Nil always sends it.
+	Wanted func() bool
 }
 
 // write sends the request. Bodies are sent with their length.
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return nil, &UnsentError{Address: address, Cause: err}
 	}
+	if request.Wanted != nil && !request.Wanted() {
+		trunk.park(line)
+		return nil, &UnsentError{Address: address, Cause: &WithdrawnError{}}
+	}
 	release := context.AfterFunc(ctx, func() { line.conn.Close() })
 	written := make(chan error, 1)
 	if len(request.Body) > inlineBody {
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -239,3 +240,115 @@
 	var brokenError *trunk.BrokenError
 	g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
 }
+
+// TestWithdrawnRequestsAreNotSent plays a request that is no longer wanted once its
+// connection is there: as at a freeze, or where opening it takes long.
+func TestWithdrawnRequestsAreNotSent(t *testing.T) {
+	g := NewWithT(t)
+	var got atomic.Int64
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			got.Add(1)
+			_, _ = fmt.Fprint(conn, answer(id, "fine"))
+		}
+	})
+	wanted := true
+	carrier := trunk.New(trunk.Config{Clock: clock.NewService(clock.ServiceConfig{}), Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		wanted = false
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	request := get("one")
+	request.Wanted = func() bool { return wanted }
+	_, err := carrier.Do(context.Background(), address, request)
+	var unsentError *trunk.UnsentError
+	g.Expect(errors.As(err, &unsentError)).To(BeTrue(), "%v", err)
+	g.Expect(fetch(carrier, address, "two")).To(Equal("fine"))
+	g.Expect(got.Load()).To(Equal(int64(1)))
+	g.Expect(connections.Load()).To(Equal(int64(1)), "the connection is kept")
+}
+
+// TestHeadsWithoutEnd plays servers whose bytes are no answer and do not end: the
+// connection is closed after a bound, long before the time is up.
+func TestHeadsWithoutEnd(t *testing.T) {
+	repeat := func(first, text string) func(net.Conn, *bufio.Reader) {
+		return func(conn net.Conn, reader *bufio.Reader) {
+			readRequest(reader)
+			_, err := fmt.Fprint(conn, first)
+			for err == nil {
+				_, err = fmt.Fprint(conn, text)
+			}
+		}
+	}
+	stray := answer("other", "late")
+	cases := []struct {
+		name   string
+		script func(net.Conn, *bufio.Reader)
+	}{
+		{"one line", repeat("", "HTTP/1.1 200 OK of much text ")},
+		{"no line of an answer", repeat("", "\x00\xff\x07")},
+		{"header lines", repeat("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n")},
+		{"the value of one header", repeat("HTTP/1.1 200 OK\r\nX-More: ", "and more ")},
+		{"a folded header", repeat("HTTP/1.1 200 OK\r\nX-More: a\r\n", " and more\r\n")},
+		{"interim answers", repeat("", "HTTP/1.1 102 Processing\r\n\r\n")},
+		{"answers of others", repeat("", stray)},
+		{"a body of another", repeat("HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n"+strings.Repeat("x", 4096)+"\r\n")},
+		{"a head after an answer of another", repeat(stray+"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n")},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			address, _ := serve(t, each.script)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			_, err := newTrunk().Do(ctx, address, get("one"))
+			var brokenError *trunk.BrokenError
+			g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
+			g.Expect(ctx.Err()).NotTo(HaveOccurred(), "a bound of bytes ends it, not of time")
+		})
+	}
+}
+
+// TestBodiesWithoutEnd plays answers whose body does not end: reading it goes on
+// until the caller closes, and takes no memory of its own.
+func TestBodiesWithoutEnd(t *testing.T) {
+	cases := []struct {
+		name  string
+		first string
+		text  string
+	}{
+		{"no length", "HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\n", strings.Repeat("x", 4096)},
+		{"chunks", "HTTP/1.1 200 OK\r\nX-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		{"the size of a chunk", "HTTP/1.1 200 OK\r\nX-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		{"trailers", "HTTP/1.1 200 OK\r\nX-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: and more\r\n"},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			closed := make(chan struct{})
+			address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				defer close(closed)
+				readRequest(reader)
+				_, err := fmt.Fprint(conn, each.first)
+				for err == nil {
+					_, err = fmt.Fprint(conn, each.text)
+				}
+			})
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			response, err := newTrunk().Do(ctx, address, get("one"))
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, io.LimitReader(response, 64<<20))
+			runtime.ReadMemStats(&after)
+			if err == nil {
+				// The bytes may be an answer; what is read of it is up to the caller.
+				g.Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", 8<<20), "of 64 MiB read")
+			}
+			response.Close()
+			g.Eventually(closed, 5*time.Second).Should(BeClosed())
+			g.Expect(ctx.Err()).NotTo(HaveOccurred())
+		})
+	}
+}
