Copies are weighed with the time that their load takes

What a copy relieves counted alike whether its load takes 0.3 s or 8.6 s of a demand that moves. Change: what a copy relieves is weighed with the part of the time for which demand stays that is left after its load, from the nearest place that has the weights.

--- a/copies/keeper.go
+++ b/copies/keeper.go
@@ -231,19 +231,8 @@
 
 // loadTime is called with the mutex held.
 func (ledger *Ledger) loadTime(model names.Model, engine *policy.Engine) time.Duration {
-	known := engine.Models[model]
-	usual := known.Load
-	for _, each := range ledger.onDisk {
-		if each == model && known.DiskLoad > 0 {
-			usual = known.DiskLoad
-		}
-	}
-	for _, each := range ledger.inMemory {
-		if each == model && known.MemoryLoad > 0 {
-			usual = known.MemoryLoad
-		}
-	}
-	return time.Duration(float64(usual) * loadMargin)
+	state := EngineState{InMemory: ledger.inMemory, OnDisk: ledger.onDisk}
+	return time.Duration(float64(state.loadTime(model, engine)) * loadMargin)
 }
 
 // Adapter has an adapter loaded on an engine, in place of the one that was loaded
--- a/copies/planner.go
+++ b/copies/planner.go
@@ -29,6 +29,8 @@
 	// loadsAtOnce is how many loads run at once for each load a second that the
 	// weight store allows; beyond that each takes longer.
 	loadsAtOnce = 1.2
+	// demandStays is how long demand for a model stays about the same.
+	demandStays = 15 * time.Second
 	// sizeExponent relates the work of a request to the size of its model; models
 	// of half the size take a third of the time.
 	sizeExponent = 1.5
@@ -60,6 +62,20 @@
 	Leaving bool
 }
 
+// loadTime is how long the engine takes to load a model, from the nearest place that
+// has its weights.
+func (state *EngineState) loadTime(model names.Model, engine *policy.Engine) time.Duration {
+	known := engine.Models[model]
+	switch {
+	case known.MemoryLoad > 0 && slices.Contains(state.InMemory, model):
+		return known.MemoryLoad
+	case known.DiskLoad > 0 && slices.Contains(state.OnDisk, model):
+		return known.DiskLoad
+	default:
+		return known.Load
+	}
+}
+
 // Input is what a plan follows from.
 type Input struct {
 	Engine  *policy.Engine
@@ -160,7 +176,11 @@
 			return Step{}, 0, false
 		}
 	}
-	unload, lost, possible := view.makeRoom(index, model)
+	pays := view.pays(engine, model)
+	if pays <= 0 || view.copies[model] > 0 && view.gain(model)*pays < view.leastRelief() {
+		return Step{}, 0, false
+	}
+	unload, lost, possible := view.makeRoom(index, model, pays)
 	step.Unload = unload
 	if step.FromStore && len(unload) == 0 && view.storeLoads >= mostAtOnce(view.input.Engine) {
 		return Step{}, 0, false
--- a/copies/view.go
+++ b/copies/view.go
@@ -118,7 +118,7 @@
 		case view.copies[name] == 0 && view.total > 0:
 			needs = append(needs, need{model: name, rank: 2})
 		case view.work[name] > 0:
-			if gain := view.gain(name); gain > leastGain*max(view.mean, leastMean) && view.modelLoad(name) > hotFactor*view.mean {
+			if gain := view.gain(name); gain > view.leastRelief() && view.modelLoad(name) > hotFactor*view.mean {
 				needs = append(needs, need{model: name, rank: 1, value: gain})
 			}
 		}
@@ -143,7 +143,7 @@
 
 // makeRoom returns the copies that make way for a model on an engine, and the
 // load that they carry.
-func (view *view) makeRoom(index int, model names.Model) ([]names.Model, float64, bool) {
+func (view *view) makeRoom(index int, model names.Model, pays float64) ([]names.Model, float64, bool) {
 	engine := &view.engines[index]
 	free := view.input.Engine.WeightsMB - view.adapterRoom() - view.input.Engine.Models[model].WeightsMB
 	for _, each := range held(*engine) {
@@ -160,7 +160,7 @@
 		if free >= 0 {
 			break
 		}
-		if !view.mayGo(engine, victim, model) {
+		if !view.mayGo(engine, victim, model, pays) {
 			continue
 		}
 		unload = append(unload, victim)
@@ -188,7 +188,7 @@
 const lastCopyLoss = 1
 
 // mayGo tells whether a copy may make way for another model.
-func (view *view) mayGo(engine *EngineState, victim, model names.Model) bool {
+func (view *view) mayGo(engine *EngineState, victim, model names.Model, pays float64) bool {
 	if since, known := engine.Since[victim]; known && view.input.Now.Sub(since) < leastStay {
 		return false
 	}
@@ -202,7 +202,17 @@
 	if view.copies[model] == 0 {
 		return wanted || view.work[victim] == 0
 	}
-	return view.loss(victim)*gainFactor < view.gain(model)
+	return view.loss(victim)*gainFactor < view.gain(model)*pays
+}
+
+// leastRelief is by how much another copy has to relieve each of those that there
+// are.
+func (view *view) leastRelief() float64 { return leastGain * max(view.mean, leastMean) }
+
+// pays is the part of the time for which demand stays that is left once an engine
+// has loaded a model.
+func (view *view) pays(engine *EngineState, model names.Model) float64 {
+	return max(1-engine.loadTime(model, view.input.Engine).Seconds()/demandStays.Seconds(), 0.05)
 }
 
 // adapterRoom is the memory that an engine's adapters may take.
