Entries are told of engines what is new, and reports are compressed

Change: the desk numbers changes of what engines hold and tells those after the version that an entry has, all of them to one that followed another coordinator; holdings name their incarnation. Reports and replies are compressed (gzip of grpc). With it, entries tell each other which servers said that they leave. Tests: coord TestEntriesAreToldWhatIsNew, TestDeparturesReachAllEntries, pool TestHoldingsAreToldOnce, TestDeparturesAreTold.

--- a/coord/client.go
+++ b/coord/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
 
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/conns"
@@ -63,6 +64,8 @@
 	kick   chan struct{}
 	// looked is when the service was asked for its revision; only exchanges use it.
 	looked time.Time
+	// holdings is the version that the pool has; only exchanges use it.
+	holdings Version
 	// mutex guards all below.
 	mutex sync.Mutex
 	// leader is the coordinator's value; conn is nil where it is this process or
@@ -214,6 +217,7 @@
 	}
 	asked := client.config.Clock.Now()
 	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own(), Revision: client.config.Mirror.Revision()}
+	report.Holdings, report.Departures = client.holdings, client.config.Pool.Departures(asked)
 	report.Sightings = client.config.Crashes.Sightings(asked)
 	client.mutex.Lock()
 	report.Demands = maps.Clone(client.demands)
@@ -228,7 +232,11 @@
 	client.settle(report)
 	client.config.Crashes.Quarantine(reply.Quarantined)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
-	client.config.Pool.Inform(reply.Holdings, reply.Loads, asked.Add(holdingLifetime))
+	client.config.Pool.Depart(reply.Departures, asked)
+	client.config.Pool.Inform(pool.Told{
+		Holdings: reply.Holdings, Whole: reply.Term != client.holdings.Term, Others: reply.Loads, Until: asked.Add(holdingLifetime),
+	})
+	client.holdings = Version{Term: reply.Term, Number: reply.HoldingsVersion}
 }
 
 // follow takes the coordinator's view of the platform's keys, so that one watch
@@ -287,7 +295,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	message, err := wire.NewCoordinationClient(conn).Exchange(callCtx, encodeReport(report))
+	message, err := wire.NewCoordinationClient(conn).Exchange(callCtx, encodeReport(report), grpc.UseCompressor(gzip.Name))
 	if err != nil {
 		return Reply{}, err
 	}
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -26,6 +26,8 @@
 	for _, sighting := range report.Sightings {
 		message.Sightings = append(message.Sightings, &wire.CoordSighting{Fingerprint: uint64(sighting.Fingerprint), Server: sighting.Server})
 	}
+	message.HoldingsTerm, message.HoldingsVersion = report.Holdings.Term, report.Holdings.Number
+	message.Departures = encodeDepartures(report.Departures)
 	for target, demand := range report.Demands {
 		message.Demands = append(message.Demands, &wire.CoordModelDemand{
 			Service: string(target.Service), Model: string(target.Model), Work: demand.Work, Waiting: int32(demand.Waiting),
@@ -53,6 +55,8 @@
 	for _, each := range message.GetSightings() {
 		report.Sightings = append(report.Sightings, crash.Sighting{Fingerprint: crash.Fingerprint(each.GetFingerprint()), Server: each.GetServer()})
 	}
+	report.Holdings = Version{Term: message.GetHoldingsTerm(), Number: message.GetHoldingsVersion()}
+	report.Departures = decodeDepartures(message.GetDepartures())
 	for _, each := range message.GetDemands() {
 		target := Target{Service: names.Service(each.GetService()), Model: names.Model(each.GetModel())}
 		report.Demands[target] = Demand{Work: each.GetWork(), Waiting: int(each.GetWaiting())}
@@ -76,8 +80,9 @@
 			Account: string(account), Share: reply.Assigned.Shares[account], Loan: reply.Assigned.Lent[account],
 		})
 	}
+	message.HoldingsVersion, message.Departures = reply.HoldingsVersion, encodeDepartures(reply.Departures)
 	for _, holding := range reply.Holdings {
-		encoded := &wire.CoordHolding{Server: string(holding.Server), Busy: holding.Busy}
+		encoded := &wire.CoordHolding{Server: string(holding.Server), Born: holding.Born, Busy: holding.Busy}
 		for _, model := range holding.Models {
 			encoded.Models = append(encoded.Models, string(model))
 		}
@@ -110,8 +115,9 @@
 		reply.Assigned.Shares[account] = each.GetShare()
 		reply.Assigned.Lent[account] = each.GetLoan()
 	}
+	reply.HoldingsVersion, reply.Departures = message.GetHoldingsVersion(), decodeDepartures(message.GetDepartures())
 	for _, each := range message.GetHoldings() {
-		holding := pool.Holding{Server: names.BackendServer(each.GetServer()), Busy: each.GetBusy()}
+		holding := pool.Holding{Server: names.BackendServer(each.GetServer()), Born: each.GetBorn(), Busy: each.GetBusy()}
 		for _, model := range each.GetModels() {
 			holding.Models = append(holding.Models, names.Model(model))
 		}
@@ -123,6 +129,22 @@
 	return reply
 }
 
+func encodeDepartures(departures []pool.Departure) []*wire.CoordDeparture {
+	encoded := make([]*wire.CoordDeparture, 0, len(departures))
+	for _, departure := range departures {
+		encoded = append(encoded, &wire.CoordDeparture{Server: string(departure.Server), Born: departure.Born})
+	}
+	return encoded
+}
+
+func decodeDepartures(encoded []*wire.CoordDeparture) []pool.Departure {
+	departures := make([]pool.Departure, 0, len(encoded))
+	for _, each := range encoded {
+		departures = append(departures, pool.Departure{Server: names.BackendServer(each.GetServer()), Born: each.GetBorn()})
+	}
+	return departures
+}
+
 func encodeLoads(loads map[names.BackendServer]int) []*wire.CoordServerLoad {
 	encoded := make([]*wire.CoordServerLoad, 0, len(loads))
 	for server, running := range loads {
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -44,6 +44,12 @@
 	// than a cut lasts: a coordinator that is cut off must not count itself as most.
 	freshReport    = 700 * time.Millisecond
 	memberLifetime = time.Minute
+	// watchPeriod is the least time between two looks at what engines hold: entries
+	// report more often than that changes.
+	watchPeriod = 40 * time.Millisecond
+	// departureLifetime is how long entries are told of a server that leaves: several
+	// reports, as some are lost.
+	departureLifetime = 2 * time.Second
 	// negligibleWork is the demand, in engines, that counts as none.
 	negligibleWork = 0.0005
 )
@@ -129,6 +135,11 @@
 	tally   *crash.Tally
 	reports map[names.Instance]received
 	demand  map[Target]*trend
+	// holdings is what engines held at watched.
+	holdings *holdings
+	watched  time.Time
+	// departures are servers that said that they leave, with when that was told first.
+	departures map[pool.Departure]time.Time
 }
 
 // trend is demand for a model.
@@ -176,6 +187,9 @@
 		tally:   crash.NewTally(),
 		reports: map[names.Instance]received{},
 		demand:  map[Target]*trend{},
+
+		holdings:   newHoldings(),
+		departures: map[pool.Departure]time.Time{},
 	}
 	desk.mutex.Lock()
 	desk.term = begun
@@ -326,11 +340,9 @@
 			reply.Loads[server] += running
 		}
 	}
-	for _, service := range snapshot.Services() {
-		if service.Engine != nil {
-			reply.Holdings = append(reply.Holdings, current.keeper.Holdings(service.Name)...)
-		}
-	}
+	current.watch(snapshot, now)
+	reply.Holdings, reply.HoldingsVersion = current.holdings.since(report.Holdings, current.number)
+	reply.Departures = current.departed(report.Departures, now)
 	return reply, nil
 }
 
--- a/coord/desk_test.go
+++ b/coord/desk_test.go
@@ -175,3 +175,43 @@
 		})
 	}
 }
+
+// TestEntriesAreToldWhatIsNew counts what an entry is told of engines: all at first,
+// then only what has changed, and all again from another coordinator.
+func TestEntriesAreToldWhatIsNew(t *testing.T) {
+	g := NewWithT(t)
+	desk := newDesk(t, &lease{})
+	exchange := func(known coord.Version) coord.Reply {
+		reply, err := desk.Exchange(coord.Report{Instance: "edge-1", Holdings: known})
+		g.Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+	load := func() error {
+		return desk.Adapter(context.Background(), "engine-1", pool.Adapter{Model: "m", Name: "a1"})
+	}
+	g.Eventually(load, 5*time.Second).Should(Succeed())
+	var first coord.Reply
+	g.Eventually(func() []pool.Holding {
+		first = exchange(coord.Version{})
+		return first.Holdings
+	}).Should(HaveLen(1))
+	g.Expect(first.Holdings[0].Adapters).To(ConsistOf(pool.Adapter{Model: "m", Name: "a1"}))
+	known := coord.Version{Term: first.Term, Number: first.HoldingsVersion}
+	g.Expect(exchange(known).Holdings).To(BeEmpty(), "nothing is new")
+	g.Expect(exchange(coord.Version{Term: term - 1, Number: known.Number}).Holdings).To(HaveLen(1), "the entry followed another coordinator")
+	g.Expect(desk.Adapter(context.Background(), "engine-1", pool.Adapter{Model: "m", Name: "a2"})).To(Succeed())
+	g.Eventually(func() []pool.Holding { return exchange(known).Holdings }).Should(HaveLen(1), "also again, where the reply was lost")
+	g.Eventually(func() []pool.Holding { return exchange(known).Holdings }).Should(HaveLen(1))
+}
+
+// TestDeparturesReachAllEntries tells the desk that a server leaves.
+func TestDeparturesReachAllEntries(t *testing.T) {
+	g := NewWithT(t)
+	desk := newDesk(t, &lease{})
+	left := pool.Departure{Server: "engine-1", Born: 1}
+	_, err := desk.Exchange(coord.Report{Instance: "edge-1", Departures: []pool.Departure{left}})
+	g.Expect(err).NotTo(HaveOccurred())
+	reply, err := desk.Exchange(coord.Report{Instance: "edge-2"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Departures).To(ConsistOf(left))
+}
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -30,6 +30,16 @@
 	Sightings []crash.Sighting
 	// Revision up to which the entry knows the platform's keys.
 	Revision store.Revision
+	// Holdings is the version of holdings that the entry has.
+	Holdings Version
+	// Departures are servers that said to the entry that they leave.
+	Departures []pool.Departure
+}
+
+// Version counts changes within one term.
+type Version struct {
+	Term   int64
+	Number int64
 }
 
 // Reply is what the coordinator answers.
@@ -37,8 +47,13 @@
 	Term     int64
 	Assigned share.Assigned
 	// Loads are those of all other entries.
-	Loads    map[names.BackendServer]int
-	Holdings []pool.Holding
+	Loads map[names.BackendServer]int
+	// Holdings are those that changed up to a version since the one that the entry
+	// told, or all where Term differs.
+	Holdings        []pool.Holding
+	HoldingsVersion int64
+	// Departures are servers that said to any entry that they leave.
+	Departures []pool.Departure
 	// Revision is what the platform's service is known to have reached.
 	Revision store.Revision
 	// Changes lead from the entry's revision to ChangesTo; they are all entries
--- a/copies/ledger.go
+++ b/copies/ledger.go
@@ -165,7 +165,7 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	return pool.Holding{
-		Server: ledger.server.ID, Models: ledger.staying(), Adapters: slices.Clone(ledger.adapters),
+		Server: ledger.server.ID, Born: ledger.server.Born, Models: ledger.staying(), Adapters: slices.Clone(ledger.adapters),
 		Busy: !ledger.known || ledger.fixed || ledger.loading != "" || ledger.fenced,
 	}
 }
--- a/pool/leave.go
+++ b/pool/leave.go
@@ -13,12 +13,23 @@
 	// departedLifetime is how long a server that said that it leaves is remembered
 	// after its entry has gone; it ends within minutes.
 	departedLifetime = 10 * time.Minute
+	// newsLifetime is how long other instances are told of a departure: several
+	// reports, as some are lost.
+	newsLifetime = 2 * time.Second
 )
 
+// Departure names an incarnation of a server that said that it leaves.
+type Departure struct {
+	Server names.BackendServer
+	Born   int64
+}
+
 // departure is an incarnation of a server that said that it leaves.
 type departure struct {
 	born int64
 	at   time.Time
+	// own tells that this instance heard it from the server.
+	own bool
 }
 
 // Leaving tells that a server said in an answer that it leaves. It gets no further
@@ -30,7 +41,7 @@
 	if pool.departing(server) {
 		return false
 	}
-	pool.departures[server.ID] = departure{born: server.Born, at: now}
+	pool.departures[server.ID] = departure{born: server.Born, at: now, own: true}
 	return true
 }
 
@@ -40,6 +51,31 @@
 	return found && known.born == server.Born
 }
 
+// Departures lists what servers said to this instance lately.
+func (pool *Pool) Departures(now time.Time) []Departure {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	var departures []Departure
+	for id, departure := range pool.departures {
+		if !departure.own || now.Sub(departure.at) > newsLifetime {
+			continue
+		}
+		departures = append(departures, Departure{Server: id, Born: departure.born})
+	}
+	return departures
+}
+
+// Depart takes over which servers said to other instances that they leave.
+func (pool *Pool) Depart(departures []Departure, now time.Time) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for _, told := range departures {
+		if !pool.departing(&Server{ID: told.Server, Born: told.Born}) {
+			pool.departures[told.Server] = departure{born: told.Born, at: now}
+		}
+	}
+}
+
 // forgetDepartures is called with the mutex held.
 func (pool *Pool) forgetDepartures(now time.Time) {
 	for id, departure := range pool.departures {
--- a/pool/leave_test.go
+++ b/pool/leave_test.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// TestDeparturesAreTold passes on what a server said to one instance only: the
+// others send nothing there either, and do not pass it on again.
+func TestDeparturesAreTold(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newPool(engine("e1", "m")), newPool(engine("e1", "m"))
+	first.Leaving(engine("e1", "m"), epoch)
+	second.Depart(first.Departures(at(time.Second)), at(time.Second))
+	g.Expect(picked(second, query, at(time.Second))).To(Equal("no server"))
+	g.Expect(second.Departures(at(time.Second))).To(BeEmpty())
+	g.Expect(first.Departures(at(time.Minute))).To(BeEmpty(), "news ends")
+	again := engine("e1", "m")
+	again.Born = 2
+	second.Put(again)
+	g.Expect(picked(second, query, at(2*time.Second))).To(Equal("e1"))
+}
+
 // TestServersThatRest plays servers that want no requests for a time: others take
 // them meanwhile, and where there is none the time until one does is told.
 func TestServersThatRest(t *testing.T) {
--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -128,7 +128,7 @@
 				others[id] += count
 			}
 		}
-		entry.Inform(nil, others, load.now.Add(time.Second))
+		entry.Inform(pool.Told{Others: others, Until: load.now.Add(time.Second)})
 	}
 }
 
--- a/pool/member.go
+++ b/pool/member.go
@@ -45,15 +45,6 @@
 	lapsed bool
 }
 
-// Holding is what the coordinator knows of a server's models.
-type Holding struct {
-	Server   names.BackendServer
-	Models   []names.Model
-	Adapters []Adapter
-	// Busy engines carry out an order and take no others.
-	Busy bool
-}
-
 func (member *member) slots() float64 { return float64(max(member.server.Slots, 1)) }
 
 func (member *member) load() float64 { return float64(member.own+member.others) / member.slots() }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -77,6 +77,10 @@
 	// regained is when it answered again.
 	lostSince time.Time
 	regained  time.Time
+	// holdings is what the coordinator told last, which goes before the registry
+	// until holdingsUntil.
+	holdings      map[names.BackendServer]*Holding
+	holdingsUntil time.Time
 	// changed is closed and replaced whenever a server may have become usable.
 	changed chan struct{}
 }
@@ -85,7 +89,7 @@
 func New(config Config) *Pool {
 	return &Pool{
 		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
-		changed: make(chan struct{}),
+		holdings: map[names.BackendServer]*Holding{}, changed: make(chan struct{}),
 	}
 }
 
@@ -113,6 +117,7 @@
 		if found {
 			fresh.own, fresh.unread = known.own, known.unread
 		}
+		pool.adopt(fresh)
 		pool.members[server.ID] = fresh
 	} else {
 		known.server = server
@@ -213,18 +218,29 @@
 	return found && member.server.Born == server.Born && pool.open(member, now) && !member.resting(now)
 }
 
-// Inform takes over what the coordinator knows: what servers hold until a time,
-// and how many requests of other instances they run.
-func (pool *Pool) Inform(holdings []Holding, others map[names.BackendServer]int, until time.Time) {
+// Inform takes over what the coordinator knows.
+func (pool *Pool) Inform(told Told) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	for _, holding := range holdings {
-		if member, found := pool.members[holding.Server]; found {
-			member.holding, member.holdingUntil = &holding, until
-		}
+	if told.Whole {
+		pool.holdings = map[names.BackendServer]*Holding{}
+	}
+	for _, holding := range told.Holdings {
+		pool.holdings[holding.Server] = &holding
 	}
+	pool.holdingsUntil = told.Until
 	for id, member := range pool.members {
-		member.others = others[id]
+		member.others = told.Others[id]
+		pool.adopt(member)
 	}
 	pool.wake()
 }
+
+// adopt gives a member what the coordinator knows of its incarnation. It is called
+// with the mutex held.
+func (pool *Pool) adopt(member *member) {
+	member.holding, member.holdingUntil = nil, pool.holdingsUntil
+	if holding, found := pool.holdings[member.server.ID]; found && holding.Born == member.server.Born {
+		member.holding = holding
+	}
+}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -26,6 +26,10 @@
 	return &pool.Server{ID: id, Service: "notes", Address: "10.0.0.1:80", Domain: "a", Slots: 10, Models: models, Born: 1}
 }
 
+func told(until time.Time, holdings ...pool.Holding) pool.Told {
+	return pool.Told{Holdings: holdings, Until: until}
+}
+
 var query = pool.Query{Service: "notes", Model: "m", Domain: "a"}
 
 // picked returns the server that a query gets, or what kind of choice it was.
@@ -80,7 +84,7 @@
 		{
 			name: "what other entries send counts", servers: []*pool.Server{engine("e1", "m"), engine("e2", "m")},
 			before: func(from *pool.Pool) {
-				from.Inform(nil, map[names.BackendServer]int{"e1": 5}, at(time.Minute))
+				from.Inform(pool.Told{Others: map[names.BackendServer]int{"e1": 5}, Until: at(time.Minute)})
 			},
 			want: "e2",
 		},
@@ -130,7 +134,7 @@
 		{
 			name: "the coordinator's view goes before the registry", servers: []*pool.Server{engine("e1", "m"), engine("e2")},
 			before: func(from *pool.Pool) {
-				from.Inform([]pool.Holding{{Server: "e1"}, {Server: "e2", Models: []names.Model{"m"}}}, nil, at(time.Minute))
+				from.Inform(told(at(time.Minute), pool.Holding{Server: "e1", Born: 1}, pool.Holding{Server: "e2", Born: 1, Models: []names.Model{"m"}}))
 			},
 			want: "e2",
 		},
@@ -169,9 +173,9 @@
 	g := NewWithT(t)
 	from := newPool(engine("e1", "m"), engine("e2", "m"))
 	from.Begin("e2", 0, epoch)
-	from.Inform([]pool.Holding{
-		{Server: "e1", Models: []names.Model{"m"}, Busy: true}, {Server: "e2", Models: []names.Model{"m"}},
-	}, nil, at(time.Minute))
+	from.Inform(told(at(time.Minute),
+		pool.Holding{Server: "e1", Born: 1, Models: []names.Model{"m"}, Busy: true}, pool.Holding{Server: "e2", Born: 1, Models: []names.Model{"m"}},
+	))
 	wanted := query
 	wanted.Adapter = "a1"
 	g.Expect(picked(from, wanted, epoch)).To(Equal("e2"))
@@ -287,7 +291,7 @@
 	g := NewWithT(t)
 	from := newPool(engine("e1", "m"))
 	from.Failed("e1", true, epoch)
-	from.Inform([]pool.Holding{{Server: "e1", Models: []names.Model{"m"}}}, nil, at(time.Minute))
+	from.Inform(told(at(time.Minute), pool.Holding{Server: "e1", Born: 1, Models: []names.Model{"m"}}))
 	old := engine("e1", "m")
 	reborn := engine("e1")
 	reborn.Born = 2
@@ -306,3 +310,60 @@
 	g.Expect(from.Answered("e1", false)).To(BeTrue())
 	g.Expect(from.Failed("e1", true, at(5*time.Second))).To(Equal(at(6 * time.Second)))
 }
+
+// TestHoldingsAreToldOnce plays a coordinator that tells of an engine only when
+// something changes there.
+func TestHoldingsAreToldOnce(t *testing.T) {
+	again := engine("e1", "m")
+	again.Born = 2
+	holds := func(born int64, models ...names.Model) pool.Told {
+		return told(at(time.Minute), pool.Holding{Server: "e1", Born: born, Models: models})
+	}
+	later := pool.Told{Until: at(2 * time.Minute)}
+	cases := []struct {
+		name string
+		play func(from *pool.Pool)
+		at   time.Duration
+		want string
+	}{
+		{name: "before its time is up", play: func(from *pool.Pool) { from.Inform(holds(1, "other")) }, want: "no copy"},
+		{name: "after that the registry counts", play: func(from *pool.Pool) { from.Inform(holds(1, "other")) }, at: time.Minute, want: "e1"},
+		{
+			name: "nothing new prolongs it", at: 90 * time.Second, want: "no copy",
+			play: func(from *pool.Pool) {
+				from.Inform(holds(1, "other"))
+				from.Inform(later)
+			},
+		},
+		{
+			name: "another coordinator tells all that it knows", want: "e1",
+			play: func(from *pool.Pool) {
+				from.Inform(holds(1, "other"))
+				from.Inform(pool.Told{Whole: true, Until: at(time.Minute)})
+			},
+		},
+		{
+			name: "the engine has started again", want: "e1",
+			play: func(from *pool.Pool) {
+				from.Inform(holds(1, "other"))
+				from.Put(again)
+				from.Inform(later)
+			},
+		},
+		{
+			name: "what the new incarnation holds was told before the registry did", want: "no copy",
+			play: func(from *pool.Pool) {
+				from.Inform(holds(2))
+				from.Put(again)
+				from.Inform(later)
+			},
+		},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			from := newPool(engine("e1", "m"))
+			each.play(from)
+			NewWithT(t).Expect(picked(from, query, at(each.at))).To(Equal(each.want))
+		})
+	}
+}
