Copies go where they leave the engines most even

Change: the cost of a change is by how much the sum of the squares of all loads grows or falls, the requests of copies that make way included.

--- a/copies/planner.go
+++ b/copies/planner.go
@@ -157,14 +157,15 @@
 }
 
 // placed returns the change that adds a copy of model to an engine, and its
-// cost: the load of the engine, of the copies that make way, and of the load.
+// cost in loads: how uneven it leaves the engines, the copies that make way, and
+// the load.
 func (planner *Planner) placed(view *view, index int, model names.Model) (Step, float64, bool) {
 	engine := &view.engines[index]
 	if engine.Fixed || engine.Leaving || slices.Contains(engine.Models, model) || engine.Loading != "" {
 		return Step{}, 0, false
 	}
 	step := Step{Server: engine.Server, Load: model}
-	cost := view.engineLoad(index)
+	cost := 0.0
 	switch {
 	case slices.Contains(engine.InMemory, model):
 	case slices.Contains(engine.OnDisk, model):
@@ -188,7 +189,11 @@
 	if len(unload) > 0 && view.unloading >= mostUnloading(len(view.engines)) {
 		return Step{}, 0, false
 	}
-	return step, cost + lost, possible
+	if !possible {
+		return Step{}, 0, false
+	}
+	cost += lost + view.unevenness(index, unload, model)/(2*max(view.mean, leastMean))
+	return step, cost, true
 }
 
 const (
--- a/copies/view.go
+++ b/copies/view.go
@@ -22,6 +22,9 @@
 	// unloading counts the engines that make room for a load.
 	unloading int
 	largest   float64
+	// holders lists the engines that hold or load a model, loads the load of each.
+	holders map[names.Model][]int
+	loads   []float64
 }
 
 func newView(input Input) *view {
@@ -51,9 +54,23 @@
 		view.total += view.work[name]
 	}
 	view.mean = view.total / max(usable, 1)
+	view.weigh()
 	return view
 }
 
+// weigh works out who holds what and the load of each engine.
+func (view *view) weigh() {
+	view.holders, view.loads = map[names.Model][]int{}, make([]float64, len(view.engines))
+	for index, engine := range view.engines {
+		for _, model := range held(engine) {
+			view.loads[index] += view.copyLoad(model)
+			if !engine.Leaving {
+				view.holders[model] = append(view.holders[model], index)
+			}
+		}
+	}
+}
+
 // held lists the models that an engine holds or will hold.
 func held(engine EngineState) []names.Model {
 	if engine.Loading == "" || slices.Contains(engine.Models, engine.Loading) {
@@ -67,25 +84,40 @@
 	return view.work[model] / float64(max(view.copies[model], 1))
 }
 
-// engineLoad is the load of all copies of an engine.
-func (view *view) engineLoad(index int) float64 {
+// modelLoad is the mean load of the engines that hold a model.
+func (view *view) modelLoad(model names.Model) float64 {
 	load := 0.0
-	for _, model := range held(view.engines[index]) {
-		load += view.copyLoad(model)
+	for _, index := range view.holders[model] {
+		load += view.loads[index]
 	}
-	return load
+	return load / float64(max(len(view.holders[model]), 1))
 }
 
-// modelLoad is the mean load of the engines that hold a model.
-func (view *view) modelLoad(model names.Model) float64 {
-	load, count := 0.0, 0.0
-	for index, engine := range view.engines {
-		if !engine.Leaving && slices.Contains(held(engine), model) {
-			load += view.engineLoad(index)
-			count++
+// unevenness is by how much the sum of the squares of all loads changes where an
+// engine takes a copy of a model in place of others. The requests of those go to
+// their other copies.
+func (view *view) unevenness(index int, unload []names.Model, model names.Model) float64 {
+	changes := map[int]float64{}
+	for _, victim := range unload {
+		before, after := view.copyLoad(victim), 0.0
+		if count := view.copies[victim]; count > 1 {
+			after = view.work[victim] / float64(count-1)
 		}
+		for _, holder := range view.holders[victim] {
+			changes[holder] += after - before
+		}
+		changes[index] -= after
+	}
+	after := view.work[model] / float64(view.copies[model]+1)
+	for _, holder := range view.holders[model] {
+		changes[holder] += after - view.copyLoad(model)
 	}
-	return load / max(count, 1)
+	changes[index] += after
+	sum := 0.0
+	for holder, change := range changes {
+		sum += change * (2*view.loads[holder] + change)
+	}
+	return sum
 }
 
 // gain is by how much another copy relieves each copy of a model.
@@ -141,8 +173,8 @@
 	return models
 }
 
-// makeRoom returns the copies that make way for a model on an engine, and the
-// load that they carry.
+// makeRoom returns the copies that make way for a model on an engine, and what
+// that costs beside the load that others take over.
 func (view *view) makeRoom(index int, model names.Model, pays float64) ([]names.Model, float64, bool) {
 	engine := &view.engines[index]
 	free := view.input.Engine.WeightsMB - view.adapterRoom() - view.input.Engine.Models[model].WeightsMB
@@ -164,7 +196,10 @@
 			continue
 		}
 		unload = append(unload, victim)
-		lost += view.lossOf(victim) + unloadCost
+		lost += unloadCost
+		if view.copies[victim] <= 1 {
+			lost += lastCopyLoss
+		}
 		free += view.input.Engine.Models[victim].WeightsMB
 	}
 	return unload, lost, free >= 0
@@ -245,4 +280,5 @@
 			view.storeLoads++
 		}
 	}
+	view.weigh()
 }
