Copies fill memory that nothing uses, and rare models do not take turns

A model asked for two seconds ago counted as one that nobody asks for, as fast demand falls below slow, and its last copy made way for another rare model. Change: a copy that needs no unload has to relieve others by 0.02 and 0.01 a second of its load only; the last copy goes only for a model asked for three times as often over the last while. What is known of models and engines is worked out once a plan. copies.Trend holds the smoothing of demand, which coord had.

--- a/coord/desk.go
+++ b/coord/desk.go
@@ -14,7 +14,6 @@
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
-	"github.com/basilkeel/basilkeel/rate"
 	"github.com/basilkeel/basilkeel/share"
 	"github.com/basilkeel/basilkeel/store"
 )
@@ -23,11 +22,6 @@
 	// planPeriod is the time between two plans: a load takes 0.3 to 2 s, and demand
 	// moves within 4 to 6 s.
 	planPeriod = 200 * time.Millisecond
-	// fastHalfLife and slowHalfLife smooth demand: over a few dozen requests for a
-	// busy model, and over the time in which demand moves. Their difference tells
-	// where it is going.
-	fastHalfLife = 700 * time.Millisecond
-	slowHalfLife = 2 * time.Second
 	// reportLifetime is how long an entry's report counts.
 	reportLifetime = 2 * time.Second
 	// dividePeriod is the least time between two moves of shares; each is a write.
@@ -134,7 +128,7 @@
 	bank    *share.Bank
 	tally   *crash.Tally
 	reports map[names.Instance]received
-	demand  map[Target]*trend
+	demand  map[Target]*copies.Trend
 	// holdings is what engines held at watched.
 	holdings *holdings
 	watched  time.Time
@@ -142,22 +136,6 @@
 	departures map[pool.Departure]time.Time
 }
 
-// trend is demand for a model.
-type trend struct {
-	fast *rate.Meter
-	slow *rate.Meter
-}
-
-// ahead is the demand that is to be expected when a load ordered now is done.
-func (trend *trend) ahead(now time.Time) float64 {
-	fast := trend.fast.PerSecond(now)
-	return max(fast+trendPart*(fast-trend.slow.PerSecond(now)), 0)
-}
-
-// trendPart is how much of the difference between fast and slow demand is added:
-// it is noise as well.
-const trendPart = 0.7
-
 type received struct {
 	at      time.Time
 	loads   map[names.BackendServer]int
@@ -186,7 +164,7 @@
 		bank:    share.NewBank(divider),
 		tally:   crash.NewTally(),
 		reports: map[names.Instance]received{},
-		demand:  map[Target]*trend{},
+		demand:  map[Target]*copies.Trend{},
 
 		holdings:   newHoldings(),
 		departures: map[pool.Departure]time.Time{},
@@ -315,11 +293,10 @@
 	for target, demand := range report.Demands {
 		known, found := current.demand[target]
 		if !found {
-			known = &trend{fast: rate.NewMeter(fastHalfLife), slow: rate.NewMeter(slowHalfLife)}
+			known = copies.NewTrend()
 			current.demand[target] = known
 		}
-		known.fast.Add(demand.Work, now)
-		known.slow.Add(demand.Work, now)
+		known.Add(demand.Work, now)
 		entry.waiting[target] = demand.Waiting
 	}
 	current.reports[report.Instance] = entry
@@ -444,7 +421,7 @@
 		target := Target{Service: service.Name, Model: name}
 		demand := copies.Demand{}
 		if known, found := term.demand[target]; found {
-			demand.Work = known.ahead(now)
+			demand.Work, demand.Steady = known.Ahead(now), known.Steady(now)
 		}
 		if demand.Work < negligibleWork {
 			demand.Work = 0
--- a/copies/planner.go
+++ b/copies/planner.go
@@ -17,6 +17,11 @@
 	// leastMean is the mean load of engines that is reckoned with at least: where they
 	// are at ease, another copy relieves nobody, and a few requests tell little.
 	leastMean = 1.0
+	// fillGain is the same of a copy that takes memory which nothing else uses.
+	fillGain = 0.02
+	// busyGain is added for each second of its load, in which the engine takes no
+	// orders for adapters.
+	busyGain = 0.01
 	// hotFactor is how far above the mean load of engines those of a model have to
 	// be before it gets another copy.
 	hotFactor = 1.1
@@ -31,6 +36,9 @@
 	loadsAtOnce = 1.2
 	// demandStays is how long demand for a model stays about the same.
 	demandStays = 15 * time.Second
+	// leastPays keeps long loads from counting for nothing, as of a model that no
+	// engine holds.
+	leastPays = 0.05
 	// sizeExponent relates the work of a request to the size of its model; models
 	// of half the size take a third of the time.
 	sizeExponent = 1.5
@@ -40,6 +48,8 @@
 type Demand struct {
 	// Work is the time of an engine that a second's requests take.
 	Work float64
+	// Steady is the same over the last while.
+	Steady float64
 	// Waiting counts requests that wait because no engine holds the model.
 	Waiting int
 }
@@ -141,10 +151,11 @@
 
 // next returns the most urgent change that is possible.
 func (planner *Planner) next(view *view) (Step, bool) {
-	for _, model := range view.urgent() {
+	storeAllows := planner.loads.allows(view.input.Engine.LoadsPerSecond, view.input.Now)
+	for _, need := range view.urgent() {
 		best, bestCost := Step{}, math.Inf(1)
 		for index := range view.engines {
-			step, cost, possible := planner.placed(view, index, model)
+			step, cost, possible := view.placed(index, need, storeAllows)
 			if possible && cost < bestCost {
 				best, bestCost = step, cost
 			}
@@ -156,11 +167,11 @@
 	return Step{}, false
 }
 
-// placed returns the change that adds a copy of model to an engine, and its
+// placed returns the change that adds a copy of a model to an engine, and its
 // cost in loads: how uneven it leaves the engines, the copies that make way, and
 // the load.
-func (planner *Planner) placed(view *view, index int, model names.Model) (Step, float64, bool) {
-	engine := &view.engines[index]
+func (view *view) placed(index int, need need, storeAllows bool) (Step, float64, bool) {
+	engine, model := &view.engines[index], need.model
 	if engine.Fixed || engine.Leaving || slices.Contains(engine.Models, model) || engine.Loading != "" {
 		return Step{}, 0, false
 	}
@@ -173,29 +184,38 @@
 	default:
 		step.FromStore = true
 		cost += storeCost
-		if !planner.loads.allows(view.input.Engine.LoadsPerSecond, view.input.Now) {
+		if !storeAllows {
 			return Step{}, 0, false
 		}
 	}
-	pays := view.pays(engine, model)
-	if pays <= 0 || view.copies[model] > 0 && view.gain(model)*pays < view.leastRelief() {
+	load := engine.loadTime(model, view.input.Engine)
+	missing := view.input.Engine.Models[model].WeightsMB - view.free[index]
+	moves := missing > 0
+	if view.copies[model] > 0 && need.gain*pays(load) < view.leastRelief(moves, load) {
 		return Step{}, 0, false
 	}
-	unload, lost, possible := view.makeRoom(index, model, pays)
-	step.Unload = unload
-	if step.FromStore && len(unload) == 0 && view.storeLoads >= mostAtOnce(view.input.Engine) {
-		return Step{}, 0, false
-	}
-	if len(unload) > 0 && view.unloading >= mostUnloading(len(view.engines)) {
-		return Step{}, 0, false
-	}
-	if !possible {
+	if moves {
+		if view.unloading >= mostUnloading(len(view.engines)) || view.copies[model] > 0 && !need.hot {
+			return Step{}, 0, false
+		}
+		unload, lost, possible := view.makeRoom(engine, missing, need, pays(load))
+		if !possible {
+			return Step{}, 0, false
+		}
+		step.Unload = unload
+		cost += lost
+	} else if step.FromStore && view.storeLoads >= mostAtOnce(view.input.Engine) {
 		return Step{}, 0, false
 	}
-	cost += lost + view.unevenness(index, unload, model)/(2*max(view.mean, leastMean))
+	cost += view.unevenness(index, step.Unload, model) / (2 * max(view.mean, leastMean))
 	return step, cost, true
 }
 
+// pays is the part of the time for which demand stays that is left after a load.
+func pays(load time.Duration) float64 {
+	return max(1-load.Seconds()/demandStays.Seconds(), leastPays)
+}
+
 const (
 	// diskCost and storeCost are the loads of an engine that a load from its disk
 	// or from the weight store counts as.
--- a/copies/planner_test.go
+++ b/copies/planner_test.go
@@ -83,6 +83,30 @@
 				g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-1", Load: "c", FromStore: true}))
 			},
 		},
+		{
+			name:    "memory that nothing uses takes a copy that relieves others a little",
+			engines: stock([]names.Model{"a"}, full, full, full),
+			demand:  map[names.Model]copies.Demand{"a": {Work: 0.4}, "b": {Work: 0.6}},
+			check: func(g *WithT, steps []copies.Step) {
+				g.Expect(steps).To(Equal([]copies.Step{{Server: "engine-0", Load: "b", FromStore: true}}))
+			},
+		},
+		{
+			name:    "models that are asked for now and then do not take turns",
+			engines: stock([]names.Model{"a", "b"}),
+			demand:  map[names.Model]copies.Demand{"a": {Work: 1, Steady: 1}, "b": {Steady: 0.02}, "c": {Work: 0.04, Steady: 0.02, Waiting: 1}},
+			check:   func(g *WithT, steps []copies.Step) { g.Expect(steps).To(BeEmpty()) },
+		},
+		{
+			name:    "a model with few requests goes beside busy ones, not to an engine at ease",
+			engines: stock([]names.Model{"a", "b"}, []names.Model{"a", "d"}, []names.Model{"a", "b"}),
+			demand:  map[names.Model]copies.Demand{"a": {Work: 2.4}, "b": {Work: 3}, "d": {Work: 0.1}, "c": {Work: 0.1, Waiting: 1}},
+			check: func(g *WithT, steps []copies.Step) {
+				g.Expect(steps).To(HaveLen(1))
+				g.Expect(steps[0].Server).NotTo(Equal(names.BackendServer("engine-1")))
+				g.Expect(steps[0].Unload).To(Equal([]names.Model{"a"}))
+			},
+		},
 		{
 			name:    "a handful of requests moves no copies",
 			engines: stock(full, full, []names.Model{"a", "c"}, []names.Model{"a", "d"}),
@@ -136,6 +160,38 @@
 	}
 }
 
+// TestLongLoadsHaveToPay has a busy model relieved by a copy that another makes way
+// for, unless its load takes most of the time for which demand stays the same.
+func TestLongLoadsHaveToPay(t *testing.T) {
+	cases := []struct {
+		name  string
+		load  time.Duration
+		disk  bool
+		steps int
+	}{
+		{name: "a second", load: time.Second, steps: 1},
+		{name: "ten seconds from the store", load: 10 * time.Second},
+		{name: "ten seconds from the store, less from its own disk", load: 10 * time.Second, disk: true, steps: 1},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			spec := engineSpec()
+			for name, model := range spec.Models {
+				model.Load = each.load
+				spec.Models[name] = model
+			}
+			engines := stock([]names.Model{"a", "b"}, []names.Model{"a", "b"}, []names.Model{"a", "c"})
+			if each.disk {
+				engines[0].OnDisk, engines[1].OnDisk = []names.Model{"c"}, []names.Model{"c"}
+			}
+			demand := map[names.Model]copies.Demand{"a": {Work: 0.6}, "b": {Work: 0.4}, "c": {Work: 0.6}}
+			steps := newPlanner().Plan(copies.Input{Engine: spec, Engines: engines, Demand: demand, Now: epoch.Add(time.Minute)})
+			g.Expect(steps).To(HaveLen(each.steps))
+		})
+	}
+}
+
 // TestPlannerKeepsTheStoresRate asks for more than the weight store gives.
 func TestPlannerKeepsTheStoresRate(t *testing.T) {
 	g := NewWithT(t)
--- a/copies/view.go
+++ b/copies/view.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/basilkeel/basilkeel/names"
 )
@@ -25,6 +26,21 @@
 	// holders lists the engines that hold or load a model, loads the load of each.
 	holders map[names.Model][]int
 	loads   []float64
+	// free is the memory of each engine that nothing uses, adaptersMB what its
+	// adapters may take.
+	free       []float64
+	adaptersMB float64
+}
+
+// need is a model that another copy would do good.
+type need struct {
+	model names.Model
+	rank  int
+	// gain is by how much another copy relieves each of those that there are.
+	gain float64
+	// hot tells that their engines have more to do than others.
+	hot   bool
+	value float64
 }
 
 func newView(input Input) *view {
@@ -54,16 +70,20 @@
 		view.total += view.work[name]
 	}
 	view.mean = view.total / max(usable, 1)
+	view.adaptersMB = view.adapterRoom()
 	view.weigh()
 	return view
 }
 
-// weigh works out who holds what and the load of each engine.
+// weigh works out who holds what, and the load and the free memory of each engine.
 func (view *view) weigh() {
-	view.holders, view.loads = map[names.Model][]int{}, make([]float64, len(view.engines))
+	view.holders = map[names.Model][]int{}
+	view.loads, view.free = make([]float64, len(view.engines)), make([]float64, len(view.engines))
 	for index, engine := range view.engines {
+		view.free[index] = view.input.Engine.WeightsMB - view.adaptersMB
 		for _, model := range held(engine) {
 			view.loads[index] += view.copyLoad(model)
+			view.free[index] -= view.input.Engine.Models[model].WeightsMB
 			if !engine.Leaving {
 				view.holders[model] = append(view.holders[model], index)
 			}
@@ -135,12 +155,7 @@
 // urgent lists the models that need a copy: first those that nobody holds, by
 // how many wait, then those that another copy relieves most, then those that
 // nobody holds or asks for.
-func (view *view) urgent() []names.Model {
-	type need struct {
-		model names.Model
-		rank  int
-		value float64
-	}
+func (view *view) urgent() []need {
 	var needs []need
 	for name := range view.input.Engine.Models {
 		demand := view.input.Demand[name]
@@ -150,8 +165,8 @@
 		case view.copies[name] == 0 && view.total > 0:
 			needs = append(needs, need{model: name, rank: 2})
 		case view.work[name] > 0:
-			if gain := view.gain(name); gain > view.leastRelief() && view.modelLoad(name) > hotFactor*view.mean {
-				needs = append(needs, need{model: name, rank: 1, value: gain})
+			if gain := view.gain(name); gain > view.leastRelief(false, 0) {
+				needs = append(needs, need{model: name, rank: 1, value: gain, gain: gain, hot: view.modelLoad(name) > hotFactor*view.mean})
 			}
 		}
 	}
@@ -166,33 +181,21 @@
 			return a.model < b.model
 		}
 	})
-	models := make([]names.Model, 0, len(needs))
-	for _, each := range needs {
-		models = append(models, each.model)
-	}
-	return models
+	return needs
 }
 
-// makeRoom returns the copies that make way for a model on an engine, and what
-// that costs beside the load that others take over.
-func (view *view) makeRoom(index int, model names.Model, pays float64) ([]names.Model, float64, bool) {
-	engine := &view.engines[index]
-	free := view.input.Engine.WeightsMB - view.adapterRoom() - view.input.Engine.Models[model].WeightsMB
-	for _, each := range held(*engine) {
-		free -= view.input.Engine.Models[each].WeightsMB
-	}
-	if free >= 0 {
-		return nil, 0, true
-	}
+// makeRoom returns the copies that make way for a model on an engine where memory
+// is missing, and what that costs beside the load that others take over.
+func (view *view) makeRoom(engine *EngineState, missing float64, need need, pays float64) ([]names.Model, float64, bool) {
 	victims := slices.Clone(engine.Models)
 	sort.SliceStable(victims, func(i, j int) bool { return view.lossOf(victims[i]) < view.lossOf(victims[j]) })
 	var unload []names.Model
 	lost := 0.0
 	for _, victim := range victims {
-		if free >= 0 {
+		if missing <= 0 {
 			break
 		}
-		if !view.mayGo(engine, victim, model, pays) {
+		if !view.mayGo(engine, victim, need, pays) {
 			continue
 		}
 		unload = append(unload, victim)
@@ -200,9 +203,9 @@
 		if view.copies[victim] <= 1 {
 			lost += lastCopyLoss
 		}
-		free += view.input.Engine.Models[victim].WeightsMB
+		missing -= view.input.Engine.Models[victim].WeightsMB
 	}
-	return unload, lost, free >= 0
+	return unload, lost, missing <= 0
 }
 
 // unloadCost is the load that an unload counts as: it waits for the streams that
@@ -222,32 +225,37 @@
 // second copy.
 const lastCopyLoss = 1
 
+// lastCopyFactor is how much more a model has to be asked for than one whose last
+// copy makes way for it.
+const lastCopyFactor = 3
+
 // mayGo tells whether a copy may make way for another model.
-func (view *view) mayGo(engine *EngineState, victim, model names.Model, pays float64) bool {
+func (view *view) mayGo(engine *EngineState, victim names.Model, need need, pays float64) bool {
 	if since, known := engine.Since[victim]; known && view.input.Now.Sub(since) < leastStay {
 		return false
 	}
-	demand := view.input.Demand[model]
+	demand := view.input.Demand[need.model]
 	wanted := demand.Work > 0 || demand.Waiting > 0
 	if view.copies[victim] <= 1 {
-		// The last copy goes only where nobody asks for it and the other is asked for
-		// and held nowhere.
-		return view.work[victim] == 0 && view.input.Demand[victim].Waiting == 0 && wanted && view.copies[model] == 0
+		// The last copy goes only where nobody asks for it just now and the other is held
+		// nowhere and asked for much more often: rare models would take turns otherwise.
+		last := view.input.Demand[victim]
+		return view.work[victim] == 0 && last.Waiting == 0 && last.Steady*lastCopyFactor <= demand.Steady && wanted && view.copies[need.model] == 0
 	}
-	if view.copies[model] == 0 {
+	if view.copies[need.model] == 0 {
 		return wanted || view.work[victim] == 0
 	}
-	return view.loss(victim)*gainFactor < view.gain(model)*pays
+	return view.loss(victim)*gainFactor < need.gain*pays
 }
 
 // leastRelief is by how much another copy has to relieve each of those that there
-// are.
-func (view *view) leastRelief() float64 { return leastGain * max(view.mean, leastMean) }
-
-// pays is the part of the time for which demand stays that is left once an engine
-// has loaded a model.
-func (view *view) pays(engine *EngineState, model names.Model) float64 {
-	return max(1-engine.loadTime(model, view.input.Engine).Seconds()/demandStays.Seconds(), 0.05)
+// are, where others make way for it or not, with a load of that time.
+func (view *view) leastRelief(moves bool, load time.Duration) float64 {
+	least := fillGain + busyGain*load.Seconds()
+	if moves {
+		least = leastGain
+	}
+	return least * max(view.mean, leastMean)
 }
 
 // adapterRoom is the memory that an engine's adapters may take.
