Watches of the platform's service are at least 60 ms apart

Change: mirror waits until 60 ms have passed since the last watch began; a watch counts as deaf that much later. Test: mirror TestChangesThatFollowEachOtherShareWatches.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -32,9 +32,12 @@
 	// up again, and feedPoll the time between looks at that.
 	feedLifetime = 700 * time.Millisecond
 	feedPoll     = 50 * time.Millisecond
+	// watchSpacing is the least time between two watches: each that returns with a
+	// change costs a call, and hundreds of servers change something at any time.
+	watchSpacing = 60 * time.Millisecond
 	// deafAfter is how long a watch may lag behind the service; it answers within
 	// milliseconds, and within a quarter of a second when slow.
-	deafAfter = 350 * time.Millisecond
+	deafAfter = 350*time.Millisecond + watchSpacing
 )
 
 // Source is what a mirror reads from.
@@ -74,6 +77,8 @@
 	config Config
 	lost   bool
 	pause  time.Duration
+	// watched is when the last watch began; only Run uses it.
+	watched time.Time
 	// owning serialises calls of the owner.
 	owning sync.Mutex
 	// mutex guards all below.
@@ -296,6 +301,14 @@
 		mirror.config.Owner.Replaced(entries)
 		return nil
 	}
+	if rest := watchSpacing - mirror.config.Clock.Now().Sub(mirror.watched); rest > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-mirror.config.Clock.After(rest):
+		}
+	}
+	mirror.watched = mirror.config.Clock.Now()
 	wait := watchWait
 	if mirror.lost {
 		// The first watch after an outage is short, so that its end is seen.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -315,3 +315,22 @@
 	g.Expect(to).To(Equal(store.Revision(4)))
 	g.Expect(entries).To(HaveLen(1))
 }
+
+// TestChangesThatFollowEachOtherShareWatches plays a registry in which something
+// changes all the time: all is told, in a few calls.
+func TestChangesThatFollowEachOtherShareWatches(t *testing.T) {
+	g := NewWithT(t)
+	service := newSource()
+	service.put("first", "1", false)
+	_, followed := follow(t, service)
+	g.Eventually(func() string { return followed.value("first") }).Should(Equal("1"))
+	began := time.Now()
+	for range 200 {
+		service.put("often", time.Now().String(), false)
+		time.Sleep(2 * time.Millisecond)
+	}
+	service.put("last", "2", false)
+	g.Eventually(func() string { return followed.value("last") }).Should(Equal("2"))
+	_, watches := service.counts()
+	g.Expect(watches).To(BeNumerically("<=", 2+time.Since(began)/(50*time.Millisecond)))
+}
