Plans do not depend on the order of a map

Sums of changes were added in the order of a map, so that two plans of the same input could differ in the last digit and in a choice between alike engines. They are kept by engine now. copies TestFleetsFollowDemand gives the same figures at each run.

--- a/copies/view.go
+++ b/copies/view.go
@@ -26,6 +26,8 @@
 	// holders lists the engines that hold or load a model, loads the load of each.
 	holders map[names.Model][]int
 	loads   []float64
+	// shifted has a zero for each engine between two calls of unevenness.
+	shifted []float64
 	// free is the memory of each engine that nothing uses, adaptersMB what its
 	// adapters may take.
 	free       []float64
@@ -71,6 +73,7 @@
 	}
 	view.mean = view.total / max(usable, 1)
 	view.adaptersMB = view.adapterRoom()
+	view.shifted = make([]float64, len(view.engines))
 	view.weigh()
 	return view
 }
@@ -117,29 +120,45 @@
 // engine takes a copy of a model in place of others. The requests of those go to
 // their other copies.
 func (view *view) unevenness(index int, unload []names.Model, model names.Model) float64 {
-	changes := map[int]float64{}
+	changes := shifts{by: view.shifted}
 	for _, victim := range unload {
 		before, after := view.copyLoad(victim), 0.0
 		if count := view.copies[victim]; count > 1 {
 			after = view.work[victim] / float64(count-1)
 		}
 		for _, holder := range view.holders[victim] {
-			changes[holder] += after - before
+			changes.add(holder, after-before)
 		}
-		changes[index] -= after
+		changes.add(index, -after)
 	}
 	after := view.work[model] / float64(view.copies[model]+1)
 	for _, holder := range view.holders[model] {
-		changes[holder] += after - view.copyLoad(model)
+		changes.add(holder, after-view.copyLoad(model))
 	}
-	changes[index] += after
+	changes.add(index, after)
 	sum := 0.0
-	for holder, change := range changes {
+	for _, holder := range changes.engines {
+		change := changes.by[holder]
+		changes.by[holder] = 0
 		sum += change * (2*view.loads[holder] + change)
 	}
 	return sum
 }
 
+// shifts are changes of the loads of engines.
+type shifts struct {
+	// engines lists those that change; the others are zero in by.
+	engines []int
+	by      []float64
+}
+
+func (shifts *shifts) add(engine int, change float64) {
+	if shifts.by[engine] == 0 {
+		shifts.engines = append(shifts.engines, engine)
+	}
+	shifts.by[engine] += change
+}
+
 // gain is by how much another copy relieves each copy of a model.
 func (view *view) gain(model names.Model) float64 {
 	count := float64(view.copies[model])
