Coordination carries hundreds of entries: sums, changes in order, parts

Each report had it add up the loads that all others told, go over all keys of the platform for changes, all holdings, and all entries for each account. Change: loads are summed as reports come, changes of keys and of holdings are kept in order, the bank sums what it lent and works out parts each 50 ms, plans take a tenth of its time at most, and loads of more than 500 servers are told less often. Holdings are told 200 at a time: an answer with all of 3,000 takes longer to make than is waited for, and was asked for again.

--- a/coord/codec.go
+++ b/coord/codec.go
@@ -66,6 +66,7 @@
 
 func encodeReply(reply Reply) *wire.CoordExchangeReply {
 	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
+	message.LoadsTold = reply.Loads != nil
 	message.ChangesTo, message.Whole, message.Fresh = int64(reply.ChangesTo), reply.Whole, reply.Fresh
 	for _, fingerprint := range reply.Quarantined {
 		message.Quarantined = append(message.Quarantined, uint64(fingerprint))
@@ -98,10 +99,12 @@
 	reply := Reply{
 		Term:     message.GetTerm(),
 		Assigned: share.Assigned{Term: message.GetTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Lent: share.Set{}},
-		Loads:    decodeLoads(message.GetLoads()),
 		Revision: store.Revision(message.GetRevision()), ChangesTo: store.Revision(message.GetChangesTo()),
 		Whole: message.GetWhole(), Fresh: message.GetFresh(),
 	}
+	if message.GetLoadsTold() {
+		reply.Loads = decodeLoads(message.GetLoads())
+	}
 	for _, fingerprint := range message.GetQuarantined() {
 		reply.Quarantined = append(reply.Quarantined, crash.Fingerprint(fingerprint))
 	}
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -38,6 +38,11 @@
 	// than a cut lasts: a coordinator that is cut off must not count itself as most.
 	freshReport    = 700 * time.Millisecond
 	memberLifetime = time.Minute
+	// loadsPerExchange is how many loads an answer may hold at the pace of reports;
+	// where there are more servers, entries are told of loads less often.
+	loadsPerExchange = 500
+	// plannedPart is the part of its time that the coordinator plans at most.
+	plannedPart = 0.1
 	// watchPeriod is the least time between two looks at what engines hold: entries
 	// report more often than that changes.
 	watchPeriod = 40 * time.Millisecond
@@ -124,11 +129,16 @@
 	cancel  context.CancelFunc
 	keeper  *copies.Keeper
 	planner map[names.Service]*copies.Planner
+	// planAt is when to plan next; only plans use it.
+	planAt  time.Time
 	divider *share.Divider
 	bank    *share.Bank
 	tally   *crash.Tally
 	reports map[names.Instance]received
-	demand  map[Target]*copies.Trend
+	// totals are the loads of all reports that count.
+	totals map[names.BackendServer]int
+	swept  time.Time
+	demand map[Target]*copies.Trend
 	// holdings is what engines held at watched.
 	holdings *holdings
 	watched  time.Time
@@ -140,6 +150,8 @@
 	at      time.Time
 	loads   map[names.BackendServer]int
 	waiting map[Target]int
+	// told is when the entry was last told the loads of the others.
+	told time.Time
 }
 
 // NewDesk returns a desk that does not coordinate.
@@ -164,6 +176,7 @@
 		bank:    share.NewBank(divider),
 		tally:   crash.NewTally(),
 		reports: map[names.Instance]received{},
+		totals:  map[names.BackendServer]int{},
 		demand:  map[Target]*copies.Trend{},
 
 		holdings:   newHoldings(),
@@ -299,8 +312,8 @@
 		known.Add(demand.Work, now)
 		entry.waiting[target] = demand.Waiting
 	}
-	current.reports[report.Instance] = entry
-	reply := Reply{Term: current.number, Loads: map[names.BackendServer]int{}, Revision: desk.revision}
+	current.replace(report.Instance, entry, now)
+	reply := Reply{Term: current.number, Revision: desk.revision}
 	current.tally.Add(report.Sightings, now)
 	reply.Quarantined = current.tally.Quarantined(now)
 	if report.Instance != desk.config.Instance {
@@ -309,14 +322,7 @@
 	reply.Assigned = current.divider.Report(report.Instance, report.Held, now)
 	current.bank.Hold(desk.config.Term() == current.number)
 	reply.Assigned.Lent = current.bank.Settle(report.Instance, report.Held, snapshot, now)
-	for instance, other := range current.reports {
-		if instance == report.Instance || now.Sub(other.at) > reportLifetime {
-			continue
-		}
-		for server, running := range other.loads {
-			reply.Loads[server] += running
-		}
-	}
+	reply.Loads = current.loadsFor(report.Instance, now)
 	current.watch(snapshot, now)
 	reply.Holdings, reply.HoldingsVersion = current.holdings.since(report.Holdings, current.number)
 	reply.Departures = current.departed(report.Departures, now)
@@ -379,9 +385,13 @@
 // plan looks for copies to add.
 func (desk *Desk) plan(ctx context.Context, current *term, now time.Time) {
 	snapshot := desk.config.Policy()
-	if snapshot == nil || desk.acting(current.number) == 0 {
+	if snapshot == nil || desk.acting(current.number) == 0 || now.Before(current.planAt) {
 		return
 	}
+	defer func() {
+		took := desk.config.Clock.Now().Sub(now)
+		current.planAt = now.Add(time.Duration(float64(took) / plannedPart))
+	}()
 	current.keeper.Sync(desk.config.Servers(now), now)
 	for _, service := range snapshot.Services() {
 		if service.Engine == nil {
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -46,7 +46,7 @@
 type Reply struct {
 	Term     int64
 	Assigned share.Assigned
-	// Loads are those of all other entries.
+	// Loads are those of all other entries; nil leaves those told before in force.
 	Loads map[names.BackendServer]int
 	// Holdings are those that changed up to a version since the one that the entry
 	// told, or all where Term differs.
--- a/coord/holdings.go
+++ b/coord/holdings.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
@@ -13,6 +15,9 @@
 type holdings struct {
 	version int64
 	known   map[names.BackendServer]*holdingChange
+	// changes are in the order of their versions; those that are not in known are
+	// out of date.
+	changes []*holdingChange
 }
 
 type holdingChange struct {
@@ -20,6 +25,13 @@
 	version int64
 }
 
+// holdingsPerExchange is how many engines an answer tells of at most.
+const holdingsPerExchange = 200
+
+// leastChanges is how many changes out of date are kept at least, so that they are
+// not sorted out each time.
+const leastChanges = 256
+
 func newHoldings() *holdings { return &holdings{known: map[names.BackendServer]*holdingChange{}} }
 
 // update takes in what all engines hold now.
@@ -32,27 +44,44 @@
 			continue
 		}
 		holdings.version++
-		holdings.known[holding.Server] = &holdingChange{holding: holding, version: holdings.version}
+		change := &holdingChange{holding: holding, version: holdings.version}
+		holdings.known[holding.Server] = change
+		holdings.changes = append(holdings.changes, change)
 	}
 	for server := range holdings.known {
 		if !listed[server] {
 			delete(holdings.known, server)
 		}
 	}
+	if len(holdings.changes) > 2*len(holdings.known)+leastChanges {
+		holdings.changes = slices.DeleteFunc(holdings.changes, func(change *holdingChange) bool { return !holdings.current(change) })
+	}
+}
+
+func (holdings *holdings) current(change *holdingChange) bool {
+	return holdings.known[change.holding.Server] == change
 }
 
 // since returns what has changed since a version, or all where that is of another
-// term, and the version that it leads to.
+// term, and the version that it leads to. It returns a part at a time: an answer
+// that takes too long to make is never taken in, and would be asked for again.
 func (holdings *holdings) since(version Version, term int64) ([]pool.Holding, int64) {
 	after := version.Number
 	if version.Term != term {
 		after = 0
 	}
+	first, _ := slices.BinarySearchFunc(holdings.changes, after+1, func(change *holdingChange, version int64) int {
+		return cmp.Compare(change.version, version)
+	})
 	var changed []pool.Holding
-	for _, known := range holdings.known {
-		if known.version > after {
-			changed = append(changed, known.holding)
+	for _, change := range holdings.changes[first:] {
+		if !holdings.current(change) {
+			continue
+		}
+		if len(changed) == holdingsPerExchange {
+			return changed, change.version - 1
 		}
+		changed = append(changed, change.holding)
 	}
 	return changed, holdings.version
 }
--- /dev/null
+++ b/coord/size_test.go
@@ -0,0 +1,88 @@
+package coord_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/coord"
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// reports are those of a fleet whose entries have requests at servers, alike many.
+func fleetReports(entries, servers, each int) []coord.Report {
+	reports := make([]coord.Report, entries)
+	for index := range reports {
+		loads := map[names.BackendServer]int{}
+		for request := range each {
+			loads[names.BackendServer(fmt.Sprintf("server-%04d", (index*7+request*13)%servers))]++
+		}
+		reports[index] = coord.Report{Instance: names.Instance(fmt.Sprintf("edge-%03d", index)), Loads: loads}
+	}
+	return reports
+}
+
+// TestLoadsOfOthers tells each entry what all others run: their last reports count
+// once, its own do not.
+func TestLoadsOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	desk := newDesk(t, &lease{})
+	reports := fleetReports(20, 30, 40)
+	for range 3 {
+		for _, report := range reports {
+			_, err := desk.Exchange(report)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	for index, own := range reports {
+		want := map[names.BackendServer]int{}
+		for other, report := range reports {
+			for server, running := range report.Loads {
+				if other != index {
+					want[server] += running
+				}
+			}
+		}
+		reply, err := desk.Exchange(own)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Loads).To(Equal(want))
+	}
+	idle := coord.Report{Instance: reports[0].Instance, Loads: map[names.BackendServer]int{}}
+	_, err := desk.Exchange(idle)
+	g.Expect(err).NotTo(HaveOccurred())
+	reply, err := desk.Exchange(reports[1])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Loads["server-0000"]).To(BeNumerically("<", 20*40), "what has ended no longer counts")
+}
+
+// TestLargeFleetsAreToldOfLoadsLessOften counts the loads in the answers of a fleet
+// with thousands of servers.
+func TestLargeFleetsAreToldOfLoadsLessOften(t *testing.T) {
+	g := NewWithT(t)
+	desk := newDesk(t, &lease{})
+	told := 0
+	for range 3 {
+		for _, report := range fleetReports(30, 2000, 400) {
+			reply, err := desk.Exchange(report)
+			g.Expect(err).NotTo(HaveOccurred())
+			if reply.Loads != nil {
+				told++
+			}
+		}
+	}
+	g.Expect(told).To(BeNumerically("<=", 30), "one answer each within three reports")
+	g.Expect(told).To(BeNumerically(">=", 25))
+}
+
+// BenchmarkExchange is one report of a fleet of 400 entries and 3,000 servers.
+func BenchmarkExchange(b *testing.B) {
+	desk := newDesk(&testing.T{}, &lease{})
+	reports := fleetReports(400, 3000, 30)
+	b.ResetTimer()
+	for index := range b.N {
+		if _, err := desk.Exchange(reports[index%len(reports)]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -38,6 +39,9 @@
 	// deafAfter is how long a watch may lag behind the service; it answers within
 	// milliseconds, and within a quarter of a second when slow.
 	deafAfter = 350*time.Millisecond + watchSpacing
+	// leastChanges is how many changes out of date are kept at least, so that they are
+	// not sorted out each time.
+	leastChanges = 256
 )
 
 // Source is what a mirror reads from.
@@ -94,6 +98,9 @@
 	// to horizon may be missing.
 	latest  map[string]store.Entry
 	horizon store.Revision
+	// changes are in the order of their revisions; those that are not in latest are out
+	// of date.
+	changes []store.Entry
 	// fedUntil is until when another mirror's changes are taken instead of a watch.
 	fedUntil time.Time
 	// confirmed is when the service last showed that this mirror is up to date.
@@ -118,12 +125,15 @@
 		return nil, 0, false, false
 	}
 	whole = after < mirror.horizon
-	for _, entry := range mirror.latest {
-		if entry.Revision() > after || (whole && !entry.Deleted()) {
+	for _, entry := range slices.Backward(mirror.changes) {
+		if !whole && entry.Revision() <= after {
+			break
+		}
+		if mirror.current(entry) && (entry.Revision() > after || !entry.Deleted()) {
 			entries = append(entries, entry)
 		}
 	}
-	slices.SortFunc(entries, func(a, b store.Entry) int { return int(a.Revision() - b.Revision()) })
+	slices.Reverse(entries)
 	return entries, mirror.revision, whole, true
 }
 
@@ -181,13 +191,28 @@
 	if whole {
 		mirror.latest, mirror.horizon = map[string]store.Entry{}, to
 	}
+	if whole {
+		mirror.changes = nil
+	}
+	added := len(mirror.changes)
 	for _, entry := range entries {
 		mirror.latest[entry.Key()] = entry
+		mirror.changes = append(mirror.changes, entry)
+	}
+	slices.SortStableFunc(mirror.changes[added:], func(a, b store.Entry) int { return cmp.Compare(a.Revision(), b.Revision()) })
+	if len(mirror.changes) > 2*len(mirror.latest)+leastChanges {
+		mirror.changes = slices.DeleteFunc(mirror.changes, func(entry store.Entry) bool { return !mirror.current(entry) })
 	}
 	mirror.revision = max(mirror.revision, to)
 	mirror.confirm()
 }
 
+// current tells whether a change is the last one of its key. It is called with the
+// mutex held.
+func (mirror *Mirror) current(entry store.Entry) bool {
+	return mirror.latest[entry.Key()].Revision() == entry.Revision()
+}
+
 // fed tells whether another mirror's changes come in.
 func (mirror *Mirror) fed() bool {
 	mirror.mutex.Lock()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -230,7 +230,9 @@
 	}
 	pool.holdingsUntil = told.Until
 	for id, member := range pool.members {
-		member.others = told.Others[id]
+		if told.Others != nil {
+			member.others = told.Others[id]
+		}
 		pool.adopt(member)
 	}
 	pool.wake()
--- a/pool/told.go
+++ b/pool/told.go
@@ -13,7 +13,8 @@
 	// stays in force, unless Whole says that these are all.
 	Holdings []Holding
 	Whole    bool
-	// Others is how many requests of other instances servers run.
+	// Others is how many requests of other instances servers run; nil leaves what was
+	// told before in force.
 	Others map[names.BackendServer]int
 	// Until is when holdings told so far give way to the registry.
 	Until time.Time
--- a/share/bank.go
+++ b/share/bank.go
@@ -20,6 +20,8 @@
 	// firstLevel is how full the bank is when a coordinator begins: empty, it would
 	// refuse all until entries have told what they hold.
 	firstLevel = 0.05
+	// partPeriod is far shorter than the time between silentAfter and aloneAfter.
+	partPeriod = 50 * time.Millisecond
 	// bridgeSpan is how much of its share an entry uses ahead while a coordinator
 	// that lends does not answer, until it counts as lost.
 	bridgeSpan = 200 * time.Millisecond
@@ -33,13 +35,16 @@
 	divider *Divider
 	buckets map[names.ClientAccount]*bucket
 	lent    map[names.Instance]Set
+	// totals is what is lent of each account over all entries.
+	totals Set
+	parts  map[names.ClientAccount]knownPart
 	// exclusive tells that no other coordinator can have been elected.
 	exclusive bool
 }
 
 // NewBank returns a bank for the entries of a divider.
 func NewBank(divider *Divider) *Bank {
-	return &Bank{divider: divider, buckets: map[names.ClientAccount]*bucket{}, lent: map[names.Instance]Set{}, exclusive: true}
+	return &Bank{divider: divider, buckets: map[names.ClientAccount]*bucket{}, lent: map[names.Instance]Set{}, totals: Set{}, parts: map[names.ClientAccount]knownPart{}, exclusive: true}
 }
 
 // Hold tells whether this coordinator certainly is the only one.
@@ -48,6 +53,9 @@
 // Settle takes in what an entry has left of its loans, and lends it ahead what it
 // is expected to use until its next reports. The entry adds what is returned.
 func (bank *Bank) Settle(instance names.Instance, held Held, limits *policy.Snapshot, now time.Time) Set {
+	for account, lent := range bank.lent[instance] {
+		bank.totals[account] -= max(lent, 0)
+	}
 	bank.lent[instance] = Set{}
 	added := Set{}
 	for _, account := range limits.Accounts() {
@@ -56,6 +64,7 @@
 		}
 		left := held.Loans[account.Name]
 		bank.lent[instance][account.Name] = left
+		bank.totals[account.Name] += max(left, 0)
 		bucket := bank.bucket(account, now)
 		wanted := held.Usage[account.Name]*lendAhead.Seconds() - left
 		ample := ampleLevel * account.Burst
@@ -65,6 +74,7 @@
 		granted := min(wanted, bucket.level-ample)
 		bucket.level -= granted
 		bank.lent[instance][account.Name] += granted
+		bank.totals[account.Name] += max(left+granted, 0) - max(left, 0)
 		added[account.Name] = granted
 	}
 	return added
@@ -87,7 +97,7 @@
 // and a level that leaves room for what is lent.
 func (bank *Bank) bucket(account *policy.Account, now time.Time) *bucket {
 	held, found := bank.buckets[account.Name]
-	part := bank.divider.reporting(account.Name, bank.exclusive, now)
+	part := bank.part(account.Name, now)
 	if !found {
 		// What the former coordinator lent just now is not known.
 		held = &bucket{at: now, level: firstLevel * account.Burst * part}
@@ -95,10 +105,24 @@
 	}
 	held.rate, held.burst, held.share = account.Rate, account.Burst, part
 	held.refill(now)
-	lent := 0.0
-	for _, set := range bank.lent {
-		lent += max(set[account.Name], 0)
-	}
-	held.level = min(held.level, account.Burst*part-lent)
+	held.level = min(held.level, account.Burst*part-bank.totals[account.Name])
 	return held
 }
+
+// part is the part of an account's limits that no entry uses on its own, worked out
+// anew each partPeriod: it goes over all entries.
+func (bank *Bank) part(account names.ClientAccount, now time.Time) float64 {
+	known, found := bank.parts[account]
+	if !found || known.exclusive != bank.exclusive || now.Sub(known.at) >= partPeriod {
+		known = knownPart{part: bank.divider.reporting(account, bank.exclusive, now), at: now, exclusive: bank.exclusive}
+		bank.parts[account] = known
+	}
+	return known.part
+}
+
+// knownPart is a part as it was worked out at a time.
+type knownPart struct {
+	part      float64
+	at        time.Time
+	exclusive bool
+}
