Departures are noted in one place; a mirror resets its state once

Read again: pool.Leaving and pool.Depart did the same with different words, one of them by way of a made-up server; mirror.keep asked twice whether all was read. No behaviour changes. go test -race ./pool ./mirror ./coord ./relay ./node, golangci-lint of both: ok.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -189,10 +189,7 @@
 // keep notes changes up to a revision. It is called with the mutex held.
 func (mirror *Mirror) keep(entries []store.Entry, to store.Revision, whole bool) {
 	if whole {
-		mirror.latest, mirror.horizon = map[string]store.Entry{}, to
-	}
-	if whole {
-		mirror.changes = nil
+		mirror.latest, mirror.changes, mirror.horizon = map[string]store.Entry{}, nil, to
 	}
 	added := len(mirror.changes)
 	for _, entry := range entries {
--- a/pool/leave.go
+++ b/pool/leave.go
@@ -38,17 +38,23 @@
 func (pool *Pool) Leaving(server *Server, now time.Time) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if pool.departing(server) {
+	return pool.depart(server.ID, departure{born: server.Born, at: now, own: true})
+}
+
+// depart notes a departure and tells whether it is new. It is called with the mutex
+// held.
+func (pool *Pool) depart(id names.BackendServer, departure departure) bool {
+	if pool.departing(id, departure.born) {
 		return false
 	}
-	pool.departures[server.ID] = departure{born: server.Born, at: now, own: true}
+	pool.departures[id] = departure
 	return true
 }
 
 // departing is called with the mutex held.
-func (pool *Pool) departing(server *Server) bool {
-	known, found := pool.departures[server.ID]
-	return found && known.born == server.Born
+func (pool *Pool) departing(id names.BackendServer, born int64) bool {
+	known, found := pool.departures[id]
+	return found && known.born == born
 }
 
 // Departures lists what servers said to this instance lately.
@@ -70,9 +76,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	for _, told := range departures {
-		if !pool.departing(&Server{ID: told.Server, Born: told.Born}) {
-			pool.departures[told.Server] = departure{born: told.Born, at: now}
-		}
+		pool.depart(told.Server, departure{born: told.Born, at: now})
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -176,7 +176,7 @@
 // open tells whether a server takes new requests, as far as is known. It is called
 // with the mutex held.
 func (pool *Pool) open(member *member, now time.Time) bool {
-	return !member.server.Draining && !pool.gone(member, now) && !pool.departing(member.server)
+	return !member.server.Draining && !pool.gone(member, now) && !pool.departing(member.server.ID, member.server.Born)
 }
 
 // Sweep forgets servers that are gone and idle.
