Each suspicion of a crash is logged with its outcome

Of a request that a server broke off, logs showed only confirmed suspicions, so that a cleared suspicion could not be told from one that never arose. Events suspicionCleared (with how long after the break bytes came), quarantineBegun and quarantineEnded, counters relay.crash.suspected and .cleared. No decision changes.

--- a/coord/client.go
+++ b/coord/client.go
@@ -230,7 +230,7 @@
 	}
 	client.follow(ctx, reply, asked)
 	client.settle(report)
-	client.config.Crashes.Quarantine(reply.Quarantined)
+	client.quarantine(reply)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.Depart(reply.Departures, asked)
 	client.config.Pool.Inform(pool.Told{
@@ -239,6 +239,17 @@
 	client.holdings = Version{Term: reply.Term, Number: reply.HoldingsVersion}
 }
 
+// quarantine takes over which requests the coordinator has refused.
+func (client *Client) quarantine(reply Reply) {
+	begun, ended := client.config.Crashes.Quarantine(reply.Quarantined)
+	for _, fingerprint := range begun {
+		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String(), "term": reply.Term})
+	}
+	for _, fingerprint := range ended {
+		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String(), "term": reply.Term})
+	}
+}
+
 // follow takes the coordinator's view of the platform's keys, so that one watch
 // serves all entries.
 func (client *Client) follow(ctx context.Context, reply Reply, now time.Time) {
--- a/crash/book.go
+++ b/crash/book.go
@@ -64,14 +64,24 @@
 }
 
 // Quarantine takes over which requests are quarantined, in place of what was
-// told before.
-func (book *Book) Quarantine(fingerprints []Fingerprint) {
+// told before. It returns those that are new and those that no longer are.
+func (book *Book) Quarantine(fingerprints []Fingerprint) (begun, ended []Fingerprint) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
+	former := book.quarantined
 	book.quarantined = make(map[Fingerprint]bool, len(fingerprints))
 	for _, fingerprint := range fingerprints {
 		book.quarantined[fingerprint] = true
+		if !former[fingerprint] {
+			begun = append(begun, fingerprint)
+		}
+	}
+	for fingerprint := range former {
+		if !book.quarantined[fingerprint] {
+			ended = append(ended, fingerprint)
+		}
 	}
+	return begun, ended
 }
 
 // Empty tells whether nothing is quarantined.
--- a/crash/fingerprint.go
+++ b/crash/fingerprint.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/basilkeel/basilkeel/names"
@@ -9,6 +11,9 @@
 // Fingerprint tells requests of the same account, method, target and body.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal digits, as logs show it.
+func (fingerprint Fingerprint) String() string { return strconv.FormatUint(uint64(fingerprint), 16) }
+
 // Of returns the fingerprint of a request.
 func Of(account names.ClientAccount, method, target string, body []byte) Fingerprint {
 	digest := xxhash.New()
--- a/event/platform.go
+++ b/event/platform.go
@@ -58,6 +58,11 @@
 	RequestResent = define(9105, logrus.InfoLevel, "requestResent", "A request goes to another backend server, since the former did not run it or it may be repeated.")
 	// RequestSuspected is logged when a server ended while it ran a request.
 	RequestSuspected = define(9107, logrus.WarnLevel, "requestSuspected", "A backend server ended while it ran a request. After the third server, requests like it are refused at every entry.")
+	// SuspicionCleared is logged when a server that broke off a request turns out to live.
+	SuspicionCleared = define(9108, logrus.InfoLevel, "suspicionCleared", "A backend server broke off a request and sent bytes afterwards, so that it has not ended.")
+	// QuarantineBegun and QuarantineEnded are logged by each entry.
+	QuarantineBegun = define(9109, logrus.WarnLevel, "quarantineBegun", "Requests like it are refused in this process from now on: enough backend servers ended while they ran one.")
+	QuarantineEnded = define(9110, logrus.InfoLevel, "quarantineEnded", "Requests like it are no longer refused in this process.")
 	// RequestWaits is logged when a request waits for a model to be loaded.
 	RequestWaits = define(9106, logrus.InfoLevel, "requestWaits", "A request waits until its model or adapter is loaded.")
 )
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -98,12 +98,15 @@
 }
 
 // HeardSince tells whether any bytes have come from this incarnation of a server
-// since a time, of which the time itself is not one.
-func (pool *Pool) HeardSince(server *Server, since time.Time) bool {
+// since a time, of which the time itself is not one, and when the last ones came.
+func (pool *Pool) HeardSince(server *Server, since time.Time) (time.Time, bool) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	member, found := pool.members[server.ID]
-	return found && member.server.Born == server.Born && member.answeredAt.After(since)
+	if !found || member.server.Born != server.Born || !member.answeredAt.After(since) {
+		return time.Time{}, false
+	}
+	return member.answeredAt, true
 }
 
 // Lacks tells that a server refused a request for a model that it lacks.
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/basilkeel/basilkeel/crash"
@@ -31,13 +32,16 @@
 	passed := relay.config.Clock.After(crashSilence)
 	go func() {
 		<-passed
-		if relay.config.Pool.HeardSince(server, broke) {
+		fields := logrus.Fields{"request": id, "server": string(server.ID), "born": server.Born, "fingerprint": fingerprint.String()}
+		if heard, alive := relay.config.Pool.HeardSince(server, broke); alive {
+			metrics.GetOrRegisterCounter("relay.crash.cleared", relay.config.Metrics).Inc(1)
+			fields["heardMs"] = heard.Sub(broke).Milliseconds()
+			event.SuspicionCleared.Log(relay.config.Log, fields)
 			return
 		}
 		sighting := crash.Sighting{Fingerprint: fingerprint, Server: string(server.ID) + "/" + strconv.FormatInt(server.Born, 10)}
 		relay.config.Crashes.Saw(sighting, relay.config.Clock.Now())
-		event.RequestSuspected.Log(relay.config.Log, logrus.Fields{
-			"request": id, "server": string(server.ID), "born": server.Born, "fingerprint": strconv.FormatUint(uint64(fingerprint), 16),
-		})
+		metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
+		event.RequestSuspected.Log(relay.config.Log, fields)
 	}()
 }
