A break is no sign of life

Callers saw a request that ends servers go on to server after server. A broken stream's last read, which brings an error and no bytes, was reported to the pool like an answer; the check 1.5 s after a break then found the server alive. So each break in an entry cleared all earlier ones of the same crash, its own included. Ruled out by the log: later bytes of a new incarnation (9 of 19 clearings came within 10 ms). Class: absence of evidence inferred from a signal that the failure itself sends.

Only bytes count now, read in one place. They count as life where they came more than 300 ms after the break, so that they cannot have been under way, or where they answer a request that was sent after it.

--- a/pool/load_test.go
+++ b/pool/load_test.go
@@ -184,7 +184,7 @@
 		limit = firstInTime
 		load.entries[stream.entry].Read(played.id, stream.tokens)
 	}
-	load.entries[stream.entry].Heard(played.id, load.now)
+	load.entries[stream.entry].Heard(played.id, stream.began, load.now)
 	stream.late = stream.late || load.now.Sub(stream.last) > limit
 	stream.last = load.now
 	if stream.made < eventTokens*streamEvents {
--- a/pool/member.go
+++ b/pool/member.go
@@ -20,8 +20,10 @@
 	// heardAt is when bytes of any answer last came, or when the first of the
 	// requests under way was sent.
 	heardAt time.Time
-	// answeredAt is when bytes of any answer last came.
-	answeredAt time.Time
+	// answeredAt is when bytes of any answer last came, and lastAnswered when the
+	// newest of the requests was sent that bytes came for.
+	answeredAt   time.Time
+	lastAnswered time.Time
 	// holding is what the coordinator knows that the server holds; it is newer
 	// than the registry until the time given.
 	holding      *Holding
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -29,12 +29,18 @@
 	}
 }
 
-// Heard tells that bytes of an answer came from a server.
-func (pool *Pool) Heard(id names.BackendServer, now time.Time) {
+// Heard tells that bytes of an answer came from a server, and when the request was
+// sent.
+func (pool *Pool) Heard(id names.BackendServer, sent, now time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if member, found := pool.members[id]; found {
-		member.heardAt, member.answeredAt = now, now
+	member, found := pool.members[id]
+	if !found {
+		return
+	}
+	member.heardAt, member.answeredAt = now, now
+	if sent.After(member.lastAnswered) {
+		member.lastAnswered = sent
 	}
 }
 
@@ -97,16 +103,18 @@
 	}
 }
 
-// HeardSince tells whether any bytes have come from this incarnation of a server
-// since a time, of which the time itself is not one, and when the last ones came.
-func (pool *Pool) HeardSince(server *Server, since time.Time) (time.Time, bool) {
+// AliveAfter tells whether this incarnation of a server has shown that it outlived
+// a moment, and when its last bytes came. It has where it answered a request that
+// was sent later, or where bytes came so much later that they were not under way.
+func (pool *Pool) AliveAfter(server *Server, moment time.Time) (time.Time, bool) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	member, found := pool.members[server.ID]
-	if !found || member.server.Born != server.Born || !member.answeredAt.After(since) {
+	if !found || member.server.Born != server.Born {
 		return time.Time{}, false
 	}
-	return member.answeredAt, true
+	alive := member.lastAnswered.After(moment) || member.answeredAt.Sub(moment) > underWay
+	return member.answeredAt, alive
 }
 
 // Lacks tells that a server refused a request for a model that it lacks.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -43,6 +43,9 @@
 	// silentAfter is how long a server with requests under way may send nothing: an
 	// engine sends events each 50 ms, and plain servers answer within 110 ms.
 	silentAfter = 500 * time.Millisecond
+	// underWay is how long bytes may be on their way from a server that has ended: a
+	// link's delay and one retransmission of TCP, 200 ms.
+	underWay = 300 * time.Millisecond
 	// silentPenalty is the load that such silence counts as.
 	silentPenalty = 1
 	// distancePenalty is the load that another failure domain counts as: its bytes
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -25,7 +25,7 @@
 
 // wholeOut passes on an answer once it is there as a whole. It returns false
 // where the answer broke off and the request may be sent elsewhere.
-func (passage *passage) wholeOut(ctx context.Context, server *pool.Server, response *trunk.Response) bool {
+func (passage *passage) wholeOut(ctx context.Context, server *pool.Server, response *answerReader) bool {
 	body, err := io.ReadAll(io.LimitReader(response, mostWhole+1))
 	if err != nil {
 		passage.note(ctx, server, err)
@@ -53,7 +53,7 @@
 }
 
 // copyOut passes on an answer that is too large to wait for.
-func (passage *passage) copyOut(response *trunk.Response, read []byte) {
+func (passage *passage) copyOut(response *answerReader, read []byte) {
 	passage.writer.WriteHeader(response.Status)
 	written, err := passage.writer.Write(read)
 	if err != nil {
@@ -107,7 +107,7 @@
 
 // streamOut passes on events as they come. Streams that may be resumed are passed
 // on in whole events, so that another server can go on after the last one.
-func (passage *passage) streamOut(ctx context.Context, server *pool.Server, response *trunk.Response) bool {
+func (passage *passage) streamOut(ctx context.Context, server *pool.Server, response *answerReader) bool {
 	if !passage.begun {
 		passage.begun = true
 		header := passage.writer.Header()
@@ -147,7 +147,7 @@
 
 // copyEvents returns nil at the end of the stream, a *[trunk.BrokenError] where
 // the server broke off, and another error where the caller has gone.
-func (passage *passage) copyEvents(response *trunk.Response, events *eventBuffer) (int64, error) {
+func (passage *passage) copyEvents(response *answerReader, events *eventBuffer) (int64, error) {
 	controller := http.NewResponseController(passage.writer)
 	buffer := make([]byte, chunkBytes)
 	total := int64(0)
@@ -157,7 +157,6 @@
 		now := passage.now()
 		passage.longestGap = max(passage.longestGap, now.Sub(last))
 		last = now
-		passage.relay.config.Pool.Heard(passage.server.ID, now)
 		ready := events.add(buffer[:count])
 		if len(ready) > 0 {
 			total += int64(len(ready))
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -13,8 +13,8 @@
 	"github.com/basilkeel/basilkeel/pool"
 )
 
-// crashSilence is how long after it broke off an answer a server must have sent
-// nothing to anybody to count as crashed. Crashed servers are back after some
+// crashSilence is how long after it broke off an answer a server must have given no
+// sign of life to count as crashed. Crashed servers are back after some
 // seconds, others answer within a fraction of one.
 const crashSilence = 1500 * time.Millisecond
 
@@ -33,7 +33,7 @@
 	go func() {
 		<-passed
 		fields := logrus.Fields{"request": id, "server": string(server.ID), "born": server.Born, "fingerprint": fingerprint.String()}
-		if heard, alive := relay.config.Pool.HeardSince(server, broke); alive {
+		if heard, alive := relay.config.Pool.AliveAfter(server, broke); alive {
 			metrics.GetOrRegisterCounter("relay.crash.cleared", relay.config.Metrics).Inc(1)
 			fields["heardMs"] = heard.Sub(broke).Milliseconds()
 			event.SuspicionCleared.Log(relay.config.Log, fields)
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -50,8 +50,8 @@
 	// server is the last one; lastLoad is its load when it was picked.
 	server   *pool.Server
 	lastLoad float64
-	waited   time.Duration
-	cause    error
+	waited time.Duration
+	cause  error
 	// resume is the last event that the caller has been sent.
 	resume string
 	begun  bool
@@ -157,7 +157,8 @@
 	passage.server = server
 	passage.sends++
 	prompt := max(passage.call.PromptTokens, 0)
-	relay.config.Pool.Begin(server.ID, prompt, passage.now())
+	sent := passage.now()
+	relay.config.Pool.Begin(server.ID, prompt, sent)
 	defer relay.config.Pool.End(server.ID)
 	attemptCtx, cancel := passage.attemptContext(ctx)
 	defer cancel()
@@ -172,7 +173,7 @@
 	}
 	defer response.Close()
 	answer := relay.config.Codec.ReadAnswer(response.Header)
-	relay.config.Pool.Heard(server.ID, passage.now())
+	relay.config.Pool.Heard(server.ID, sent, passage.now())
 	passage.heed(server, answer, response.Status)
 	if answer.NotRun {
 		passage.notRun(server, response.Status)
@@ -190,16 +191,17 @@
 			return true
 		}
 	}
+	reader := &answerReader{Response: response, passage: passage, server: server, sent: sent}
 	switch {
 	case passage.route.Kind == policy.KindStream && response.Status < http.StatusMultipleChoices:
-		return passage.streamOut(ctx, server, response)
+		return passage.streamOut(ctx, server, reader)
 	case passage.begun:
 		// The caller has the beginning of a stream, with which this does not go on.
 		passage.tried = append(passage.tried, server.ID)
 		passage.cause = &trunk.StatusError{Status: response.Status}
 		return false
 	default:
-		return passage.wholeOut(ctx, server, response)
+		return passage.wholeOut(ctx, server, reader)
 	}
 }
 
