Answers that break off after their beginning are suspected

Of a crash under load most requests are streams that have begun. Where such a stream may not be resumed it was cut, and cutting does not return, so the suspicion after it was never reached; the same for answers too large to hold back. Class: evidence gathered on the ways on from a failure instead of where the failure is seen.

The reader of an answer now raises the suspicion itself, whatever becomes of the request.

--- a/relay/passage.go
+++ b/relay/passage.go
@@ -50,8 +50,8 @@
 	// server is the last one; lastLoad is its load when it was picked.
 	server   *pool.Server
 	lastLoad float64
-	waited time.Duration
-	cause  error
+	waited   time.Duration
+	cause    error
 	// resume is the last event that the caller has been sent.
 	resume string
 	begun  bool
@@ -167,6 +167,9 @@
 	if err != nil {
 		if !neverSent(err) {
 			passage.runs++
+			if ctx.Err() == nil {
+				passage.suspect(server)
+			}
 		}
 		passage.note(ctx, server, err)
 		return false
@@ -191,7 +194,7 @@
 			return true
 		}
 	}
-	reader := &answerReader{Response: response, passage: passage, server: server, sent: sent}
+	reader := &answerReader{Response: response, passage: passage, server: server, sent: sent, over: ctx.Err}
 	switch {
 	case passage.route.Kind == policy.KindStream && response.Status < http.StatusMultipleChoices:
 		return passage.streamOut(ctx, server, reader)
@@ -293,9 +296,6 @@
 		// The caller left; this says nothing of the server.
 		return
 	}
-	if !unsent && ctx.Err() == nil {
-		passage.suspect(server)
-	}
 	until := passage.relay.config.Pool.Failed(server.ID, unsent, passage.now())
 	if !until.IsZero() {
 		passage.ejected(server, until, err)
