What is known of crashing requests outlives coordinators and entries

A quarantine stood in the coordinator's tally and in what its last reply said. A new coordinator began with an empty tally, and its replies lifted the quarantines of entries at once; what an entry had seen ended with it; no entry judged by itself, not even on three crashes of its own. Class: a decision that must outlive processes kept in the memory of one.

Each entry's book now holds the sightings of all requests under which two servers or more have ended, and judges by itself; replies only add to it. Reports and replies carry what is new since what the other side has, with ages; a coordinator of another term is told all again. The coordinator writes these requests to the platform's service (basilkeel/suspects, at most two writes a second and only on news), from where an entry that starts reads them. A full book drops requests with the fewest servers, oldest first, instead of what comes last. Not kept in the service: requests that met one crash only; an entry's loss can cost one more crash for each of these.

After: go test ./crash ./coord -run 'Quarantine|Suspects|Record|FullBook|OthersAreTold'; go test -race -count=2 ./relay

--- a/coord/client.go
+++ b/coord/client.go
@@ -66,6 +66,10 @@
 	looked time.Time
 	// holdings is the version that the pool has; only exchanges use it.
 	holdings Version
+	// reported is up to which of this entry's sightings the coordinator of that term
+	// has answered, suspects up to which of its own it has told; only exchanges use them.
+	reported int64
+	suspects int64
 	// mutex guards all below.
 	mutex sync.Mutex
 	// leader is the coordinator's value; conn is nil where it is this process or
@@ -218,7 +222,9 @@
 	asked := client.config.Clock.Now()
 	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own(), Revision: client.config.Mirror.Revision()}
 	report.Holdings, report.Departures = client.holdings, client.config.Pool.Departures(asked)
-	report.Sightings = client.config.Crashes.Sightings(asked)
+	var reported int64
+	report.Suspects = client.suspects
+	report.Sightings, reported = client.config.Crashes.Since(client.reported)
 	client.mutex.Lock()
 	report.Demands = maps.Clone(client.demands)
 	client.mutex.Unlock()
@@ -230,7 +236,7 @@
 	}
 	client.follow(ctx, reply, asked)
 	client.settle(report)
-	client.quarantine(reply)
+	client.learn(reply, reported, asked)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.Depart(reply.Departures, asked)
 	client.config.Pool.Inform(pool.Told{
@@ -239,13 +245,18 @@
 	client.holdings = Version{Term: reply.Term, Number: reply.HoldingsVersion}
 }
 
-// quarantine takes over which requests the coordinator has refused.
-func (client *Client) quarantine(reply Reply) {
-	begun, ended := client.config.Crashes.Quarantine(reply.Quarantined)
-	for _, fingerprint := range begun {
+// learn takes in the coordinator's sightings. The coordinator of another term has to
+// be told all of this entry's again.
+func (client *Client) learn(reply Reply, reported int64, now time.Time) {
+	client.suspects, client.reported = reply.SuspectsNumber, reported
+	if reply.Term != client.holdings.Term {
+		client.reported = 0
+		client.wake()
+	}
+	for _, fingerprint := range client.config.Crashes.Learn(reply.Suspects...) {
 		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String(), "term": reply.Term})
 	}
-	for _, fingerprint := range ended {
+	for _, fingerprint := range client.config.Crashes.Expire(now) {
 		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String(), "term": reply.Term})
 	}
 }
@@ -306,11 +317,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	message, err := wire.NewCoordinationClient(conn).Exchange(callCtx, encodeReport(report), grpc.UseCompressor(gzip.Name))
+	message, err := wire.NewCoordinationClient(conn).Exchange(callCtx, encodeReport(report, client.config.Clock.Now()), grpc.UseCompressor(gzip.Name))
 	if err != nil {
 		return Reply{}, err
 	}
-	return decodeReply(message), nil
+	return decodeReply(message, client.config.Clock.Now()), nil
 }
 
 // settle takes out the work that a report has told.
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"time"
+
 	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/pool"
@@ -9,7 +11,7 @@
 	"github.com/basilkeel/basilkeel/wire"
 )
 
-func encodeReport(report Report) *wire.CoordExchangeRequest {
+func encodeReport(report Report, now time.Time) *wire.CoordExchangeRequest {
 	message := &wire.CoordExchangeRequest{
 		Instance:     string(report.Instance),
 		ShareTerm:    report.Held.Term,
@@ -23,9 +25,7 @@
 			Loan: report.Held.Loans[account],
 		})
 	}
-	for _, sighting := range report.Sightings {
-		message.Sightings = append(message.Sightings, &wire.CoordSighting{Fingerprint: uint64(sighting.Fingerprint), Server: sighting.Server})
-	}
+	message.Sightings, message.SuspectsVersion = encodeSightings(report.Sightings, now), report.Suspects
 	message.HoldingsTerm, message.HoldingsVersion = report.Holdings.Term, report.Holdings.Number
 	message.Departures = encodeDepartures(report.Departures)
 	for target, demand := range report.Demands {
@@ -36,7 +36,7 @@
 	return message
 }
 
-func decodeReport(message *wire.CoordExchangeRequest) Report {
+func decodeReport(message *wire.CoordExchangeRequest, now time.Time) Report {
 	report := Report{
 		Instance: names.Instance(message.GetInstance()),
 		Held: share.Held{
@@ -52,9 +52,7 @@
 		report.Held.Usage[account] = each.GetUsagePerSecond()
 		report.Held.Loans[account] = each.GetLoan()
 	}
-	for _, each := range message.GetSightings() {
-		report.Sightings = append(report.Sightings, crash.Sighting{Fingerprint: crash.Fingerprint(each.GetFingerprint()), Server: each.GetServer()})
-	}
+	report.Sightings, report.Suspects = decodeSightings(message.GetSightings(), now), message.GetSuspectsVersion()
 	report.Holdings = Version{Term: message.GetHoldingsTerm(), Number: message.GetHoldingsVersion()}
 	report.Departures = decodeDepartures(message.GetDepartures())
 	for _, each := range message.GetDemands() {
@@ -64,13 +62,11 @@
 	return report
 }
 
-func encodeReply(reply Reply) *wire.CoordExchangeReply {
+func encodeReply(reply Reply, now time.Time) *wire.CoordExchangeReply {
 	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
 	message.LoadsTold = reply.Loads != nil
 	message.ChangesTo, message.Whole, message.Fresh = int64(reply.ChangesTo), reply.Whole, reply.Fresh
-	for _, fingerprint := range reply.Quarantined {
-		message.Quarantined = append(message.Quarantined, uint64(fingerprint))
-	}
+	message.Suspects, message.SuspectsVersion = encodeSightings(reply.Suspects, now), reply.SuspectsNumber
 	for _, entry := range reply.Changes {
 		message.Changes = append(message.Changes, &wire.CoordChange{
 			Key: entry.Key(), Value: entry.Value(), Revision: int64(entry.Revision()), Deleted: entry.Deleted(),
@@ -95,7 +91,7 @@
 	return message
 }
 
-func decodeReply(message *wire.CoordExchangeReply) Reply {
+func decodeReply(message *wire.CoordExchangeReply, now time.Time) Reply {
 	reply := Reply{
 		Term:     message.GetTerm(),
 		Assigned: share.Assigned{Term: message.GetTerm(), Version: message.GetShareVersion(), Shares: share.Set{}, Lent: share.Set{}},
@@ -105,9 +101,7 @@
 	if message.GetLoadsTold() {
 		reply.Loads = decodeLoads(message.GetLoads())
 	}
-	for _, fingerprint := range message.GetQuarantined() {
-		reply.Quarantined = append(reply.Quarantined, crash.Fingerprint(fingerprint))
-	}
+	reply.Suspects, reply.SuspectsNumber = decodeSightings(message.GetSuspects(), now), message.GetSuspectsVersion()
 	for _, each := range message.GetChanges() {
 		reply.Changes = append(reply.Changes, store.NewEntry(store.EntryConfig{
 			Key: each.GetKey(), Value: each.GetValue(), Revision: store.Revision(each.GetRevision()), Deleted: each.GetDeleted(),
@@ -132,6 +126,28 @@
 	return reply
 }
 
+// encodeSightings tells ages, as clocks of instances differ.
+func encodeSightings(sightings []crash.Sighting, now time.Time) []*wire.CoordSighting {
+	encoded := make([]*wire.CoordSighting, 0, len(sightings))
+	for _, sighting := range sightings {
+		encoded = append(encoded, &wire.CoordSighting{
+			Fingerprint: uint64(sighting.Fingerprint), Server: sighting.Server, AgeMilliseconds: now.Sub(sighting.At).Milliseconds(),
+		})
+	}
+	return encoded
+}
+
+func decodeSightings(encoded []*wire.CoordSighting, now time.Time) []crash.Sighting {
+	sightings := make([]crash.Sighting, 0, len(encoded))
+	for _, each := range encoded {
+		age := time.Duration(max(each.GetAgeMilliseconds(), 0)) * time.Millisecond
+		sightings = append(sightings, crash.Sighting{
+			Fingerprint: crash.Fingerprint(each.GetFingerprint()), Server: each.GetServer(), At: now.Add(-age),
+		})
+	}
+	return sightings
+}
+
 func encodeDepartures(departures []pool.Departure) []*wire.CoordDeparture {
 	encoded := make([]*wire.CoordDeparture, 0, len(departures))
 	for _, departure := range departures {
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -26,6 +26,9 @@
 	reportLifetime = 2 * time.Second
 	// dividePeriod is the least time between two moves of shares; each is a write.
 	dividePeriod = 500 * time.Millisecond
+	// suspectsPeriod is the time between two looks for suspects to write down; a request
+	// that crashes servers comes again after a fraction of a second or more.
+	suspectsPeriod = 500 * time.Millisecond
 	// keepTimeout bounds a call of the platform's service, which answers within a
 	// quarter of a second when slow.
 	keepTimeout = 600 * time.Millisecond
@@ -73,6 +76,8 @@
 	Fenced bool
 	// Shares keeps the record of shares.
 	Shares ShareKeeper
+	// Crashes keeps the record of suspects.
+	Crashes CrashKeeper
 	// Mirror follows the platform's keys.
 	Mirror Mirror
 	// Head returns the revision that the platform's service has reached.
@@ -134,6 +139,8 @@
 	divider *share.Divider
 	bank    *share.Bank
 	tally   *crash.Tally
+	// kept is up to which sighting the record of suspects has been written.
+	kept    int64
 	reports map[names.Instance]received
 	// totals are the loads of all reports that count.
 	totals map[names.BackendServer]int
@@ -187,6 +194,7 @@
 	desk.mutex.Unlock()
 	desk.config.Clock.Subscribe(termCtx, planPeriod, func(ctx context.Context, now time.Time) { desk.plan(ctx, begun, now) })
 	desk.config.Clock.Subscribe(termCtx, dividePeriod, func(ctx context.Context, now time.Time) { desk.divide(ctx, begun, now) })
+	desk.config.Clock.Subscribe(termCtx, suspectsPeriod, func(ctx context.Context, _ time.Time) { desk.keepSuspects(ctx, begun) })
 	desk.config.Clock.Subscribe(termCtx, headPeriod, func(ctx context.Context, _ time.Time) { desk.look(ctx) })
 }
 
@@ -314,8 +322,7 @@
 	}
 	current.replace(report.Instance, entry, now)
 	reply := Reply{Term: current.number, Revision: desk.revision}
-	current.tally.Add(report.Sightings, now)
-	reply.Quarantined = current.tally.Quarantined(now)
+	reply.Suspects, reply.SuspectsNumber = current.suspects(report, now)
 	if report.Instance != desk.config.Instance {
 		reply.Changes, reply.ChangesTo, reply.Whole, reply.Fresh = desk.config.Mirror.Since(report.Revision)
 	}
--- a/coord/desk_test.go
+++ b/coord/desk_test.go
@@ -15,6 +15,7 @@
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/coord"
 	"github.com/basilkeel/basilkeel/copies"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
@@ -80,6 +81,33 @@
 // Keep implements [coord.ShareKeeper].
 func (noShares) Keep(context.Context, share.Record) error { return nil }
 
+// crashRecords holds the records of suspects that were written, of which it refuses the
+// first.
+type crashRecords struct {
+	// mutex guards all below.
+	mutex   sync.Mutex
+	refused bool
+	records []crash.Record
+}
+
+// KeepCrashes implements [coord.CrashKeeper].
+func (crashRecords *crashRecords) KeepCrashes(_ context.Context, record crash.Record) error {
+	crashRecords.mutex.Lock()
+	defer crashRecords.mutex.Unlock()
+	if !crashRecords.refused {
+		crashRecords.refused = true
+		return errors.New("no answer")
+	}
+	crashRecords.records = append(crashRecords.records, record)
+	return nil
+}
+
+func (crashRecords *crashRecords) all() []crash.Record {
+	crashRecords.mutex.Lock()
+	defer crashRecords.mutex.Unlock()
+	return crashRecords.records
+}
+
 // blindMirror knows nothing.
 type blindMirror struct{}
 
@@ -108,6 +136,11 @@
 
 // newDesk returns a desk that coordinates one engine with the model "m".
 func newDesk(t *testing.T, lease *lease) *coord.Desk {
+	t.Helper()
+	return newDeskWith(t, lease, &crashRecords{})
+}
+
+func newDeskWith(t *testing.T, lease *lease, crashRecords *crashRecords) *coord.Desk {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -119,7 +152,7 @@
 	desk := coord.NewDesk(coord.DeskConfig{
 		Engine: &takingEngine{}, Clock: clock.NewService(clock.ServiceConfig{}), Log: log, Instance: "edge-1",
 		Policy: func() *policy.Snapshot { return snapshot }, Servers: func(time.Time) []*pool.Server { return []*pool.Server{server} },
-		Term: lease.term, Doubtful: func() int64 { return term }, Fenced: true, Shares: noShares{}, Mirror: blindMirror{},
+		Term: lease.term, Doubtful: func() int64 { return term }, Fenced: true, Shares: noShares{}, Crashes: crashRecords, Mirror: blindMirror{},
 		Head: func(context.Context) (store.Revision, error) { return 0, errors.New("no answer") }, LoadWindow: 5 * time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -26,8 +26,12 @@
 	Held     share.Held
 	Loads    map[names.BackendServer]int
 	Demands  map[Target]Demand
-	// Sightings are servers that ended while they ran a request.
+	// Sightings are servers that ended while they ran a request, as far as this term's
+	// coordinator has not answered them.
 	Sightings []crash.Sighting
+	// Suspects is the number of the newest of the coordinator's sightings that the
+	// entry has, of the term in Holdings.
+	Suspects int64
 	// Revision up to which the entry knows the platform's keys.
 	Revision store.Revision
 	// Holdings is the version of holdings that the entry has.
@@ -62,6 +66,8 @@
 	ChangesTo store.Revision
 	Whole     bool
 	Fresh     bool
-	// Quarantined requests may reach no server.
-	Quarantined []crash.Fingerprint
+	// Suspects are sightings of requests under which several servers have ended, since
+	// what the entry has, up to SuspectsNumber.
+	Suspects       []crash.Sighting
+	SuspectsNumber int64
 }
--- a/coord/server.go
+++ b/coord/server.go
@@ -29,11 +29,11 @@
 
 // Exchange implements the service.
 func (server *Server) Exchange(_ context.Context, message *wire.CoordExchangeRequest) (*wire.CoordExchangeReply, error) {
-	reply, err := server.desk.Exchange(decodeReport(message))
+	reply, err := server.desk.Exchange(decodeReport(message, server.desk.config.Clock.Now()))
 	if err != nil {
 		return nil, encodeError(err)
 	}
-	return encodeReply(reply), nil
+	return encodeReply(reply, server.desk.config.Clock.Now()), nil
 }
 
 // LoadAdapter implements the service.
--- a/crash/book.go
+++ b/crash/book.go
@@ -1,99 +1,83 @@
 package crash
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-const (
-	// Threshold is how many servers a request crashes before it is quarantined. Two
-	// crashes beside a common lookup may be chance.
-	Threshold = 3
-	// memory is how long a sighting counts; callers send again within their deadlines
-	// of some seconds, and operators' days have hours.
-	memory = 10 * time.Minute
-	// mostSightings bounds what an entry remembers and tells.
-	mostSightings = 256
-)
-
-// Sighting is a server that ended while it ran a request.
-type Sighting struct {
-	Fingerprint Fingerprint
-	// Server names one incarnation.
-	Server string
-}
+// bookRequests bounds the requests that an entry remembers: one crash adds all that
+// ran in the server, and those that end further servers are kept longest.
+const bookRequests = 256
 
-// Book is what one entry knows. It is safe for concurrent use.
+// Book is what one entry knows: its own sightings, and those of other entries that
+// matter. It judges by itself, so that a quarantine outlives the coordinator. It is
+// safe for concurrent use.
 type Book struct {
 	// mutex guards all below.
-	mutex       sync.Mutex
-	sightings   map[Sighting]time.Time
-	quarantined map[Fingerprint]bool
+	mutex   sync.Mutex
+	cases   cases
+	journal journal
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{sightings: map[Sighting]time.Time{}, quarantined: map[Fingerprint]bool{}}
-}
+func NewBook() *Book { return &Book{cases: newCases(bookRequests)} }
 
-// Saw notes a sighting.
-func (book *Book) Saw(sighting Sighting, now time.Time) {
+// Learn adds sightings, own ones and those of others, and returns the requests that
+// are quarantined from now on.
+func (book *Book) Learn(sightings ...Sighting) []Fingerprint {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	for other, at := range book.sightings {
-		if now.Sub(at) > memory {
-			delete(book.sightings, other)
+	var begun []Fingerprint
+	for _, sighting := range sightings {
+		if !book.cases.add(sighting) {
+			continue
+		}
+		book.journal.add(sighting)
+		if book.cases.count(sighting.Fingerprint) == Threshold {
+			begun = append(begun, sighting.Fingerprint)
 		}
 	}
-	if len(book.sightings) < mostSightings {
-		book.sightings[sighting] = now
-	}
+	return begun
 }
 
-// Sightings returns what is remembered, for the coordinator.
-func (book *Book) Sightings(now time.Time) []Sighting {
+// Expire forgets what is older than [Lifetime] and returns the requests that are no
+// longer quarantined.
+func (book *Book) Expire(now time.Time) []Fingerprint {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	var sightings []Sighting
-	for sighting, at := range book.sightings {
-		if now.Sub(at) <= memory {
-			sightings = append(sightings, sighting)
-		}
-	}
-	return sightings
+	return book.cases.expire(now)
 }
 
-// Quarantine takes over which requests are quarantined, in place of what was
-// told before. It returns those that are new and those that no longer are.
-func (book *Book) Quarantine(fingerprints []Fingerprint) (begun, ended []Fingerprint) {
+// Since returns what the book has learned after a number, and the number to go on
+// from; zero asks for all.
+func (book *Book) Since(number int64) ([]Sighting, int64) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	former := book.quarantined
-	book.quarantined = make(map[Fingerprint]bool, len(fingerprints))
-	for _, fingerprint := range fingerprints {
-		book.quarantined[fingerprint] = true
-		if !former[fingerprint] {
-			begun = append(begun, fingerprint)
-		}
-	}
-	for fingerprint := range former {
-		if !book.quarantined[fingerprint] {
-			ended = append(ended, fingerprint)
-		}
+	sightings, kept := book.journal.since(number)
+	if !kept {
+		sightings = book.cases.all(1)
 	}
-	return begun, ended
+	return sightings, book.journal.end()
+}
+
+// Sightings returns what counts at a time.
+func (book *Book) Sightings(now time.Time) []Sighting {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	return slices.DeleteFunc(book.cases.all(1), func(sighting Sighting) bool { return now.Sub(sighting.At) > Lifetime })
 }
 
-// Empty tells whether nothing is quarantined.
+// Empty tells whether nothing is known.
 func (book *Book) Empty() bool {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	return len(book.quarantined) == 0
+	return len(book.cases.byRequest) == 0
 }
 
 // Quarantined tells whether a request may reach no server.
 func (book *Book) Quarantined(fingerprint Fingerprint) bool {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	return book.quarantined[fingerprint]
+	return book.cases.count(fingerprint) >= Threshold
 }
--- a/event/platform.go
+++ b/event/platform.go
@@ -85,6 +85,10 @@
 	SharesUnkept = define(9211, logrus.WarnLevel, "sharesUnkept", "The record of shares could not be written; no share is raised until it can.")
 	// SharesUnread is logged when the record of shares cannot be read.
 	SharesUnread = define(9212, logrus.ErrorLevel, "sharesUnread", "The record of shares cannot be read and counts as empty; it is written anew with the next move.")
+	// SuspectsUnkept is logged when the record of suspects cannot be written.
+	SuspectsUnkept = define(9213, logrus.WarnLevel, "suspectsUnkept", "The record of requests that crash backend servers could not be written; entries keep what they know until they end.")
+	// SuspectsUnread is logged when the record of suspects cannot be read.
+	SuspectsUnread = define(9214, logrus.ErrorLevel, "suspectsUnread", "The record of requests that crash backend servers cannot be read and counts as empty; it is written anew with the next suspect.")
 	// CopyPlanned is logged when a copy of a model is to be added.
 	CopyPlanned = define(9219, logrus.InfoLevel, "copyPlanned", "A copy of a model is to be added on a model engine; the demand that asks for it is given.")
 	// OrderSent is logged with the outcome of each order to a model engine.
--- a/node/relay.go
+++ b/node/relay.go
@@ -67,7 +67,7 @@
 		fx.Supply(host, output, settingsPath(path)),
 		fx.Provide(
 			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newShares, crash.NewBook,
-			newRelay, newPeerConnections, newDesk, newCoordClient, newElector, newMembers, newMirror,
+			newRelay, newPeerConnections, newDesk, newCoordClient, newElector, newSuspects, newMembers, newMirror,
 		),
 		fx.Invoke(serveCoordination, followPlatform, coordinate, serveReadiness, serveRelay, sweep, watchSettings, tellStart, retire),
 	)
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -52,14 +52,16 @@
 	Pool    *pool.Pool
 	Relay   *relay.Relay
 	Members *members
-	Clock   *clock.Service
-	Log     logrus.FieldLogger
+	// Suspects keeps the record of requests that crash backend servers.
+	Suspects *suspects
+	Clock    *clock.Service
+	Log      logrus.FieldLogger
 }
 
 func newDesk(parts deskParts) *coord.Desk {
 	return coord.NewDesk(coord.DeskConfig{
 		Engine: platform.NewEngines(parts.Trunk), Clock: parts.Clock, Log: parts.Log, Instance: parts.Self.instance,
-		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, Shares: parts.Members, Fenced: parts.Host.Bounds.Fenced,
+		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, Shares: parts.Members, Crashes: parts.Suspects, Fenced: parts.Host.Bounds.Fenced,
 		Term:       func() int64 { return int64(parts.Members.elector.Term()) },
 		Doubtful:   func() int64 { return int64(parts.Members.elector.Doubtful()) },
 		Mirror:     parts.Mirror,
--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -29,6 +29,8 @@
 	coordinatorKey = ownPrefix + "coordinator"
 	// sharesKey holds the record of shares of client accounts' limits.
 	sharesKey = ownPrefix + "shares"
+	// suspectsKey holds the record of requests that crash backend servers.
+	suspectsKey = ownPrefix + "suspects"
 )
 
 // policyOwner puts configurations in force.
@@ -139,6 +141,7 @@
 	clock    *clock.Service
 	log      logrus.FieldLogger
 	elector  *elect.Elector
+	suspects *suspects
 	// mutex guards all below.
 	mutex    sync.Mutex
 	record   share.Record
@@ -150,9 +153,9 @@
 	_ coord.ShareKeeper = (*members)(nil)
 )
 
-func newMembers(self *relaySelf, platformStore *platform.Store, holder *share.Holder, relay *relay.Relay, clock *clock.Service, log logrus.FieldLogger) *members {
+func newMembers(self *relaySelf, platformStore *platform.Store, suspects *suspects, holder *share.Holder, relay *relay.Relay, clock *clock.Service, log logrus.FieldLogger) *members {
 	return &members{
-		store: platformStore, holder: holder, instance: self.instance, policy: relay.Policy, clock: clock, log: log, record: share.Record{},
+		store: platformStore, holder: holder, instance: self.instance, policy: relay.Policy, clock: clock, log: log, record: share.Record{}, suspects: suspects,
 	}
 }
 
@@ -230,6 +233,8 @@
 		switch {
 		case entry.Key() == sharesKey && !entry.Deleted():
 			members.recorded(entry)
+		case entry.Key() == suspectsKey:
+			members.suspects.recorded(entry)
 		case entry.Key() != coordinatorKey:
 		case entry.Deleted():
 			members.elector.Seen(elect.Leader{})
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -39,9 +39,11 @@
 			event.SuspicionCleared.Log(relay.config.Log, fields)
 			return
 		}
-		sighting := crash.Sighting{Fingerprint: fingerprint, Server: string(server.ID) + "/" + strconv.FormatInt(server.Born, 10)}
-		relay.config.Crashes.Saw(sighting, relay.config.Clock.Now())
 		metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
 		event.RequestSuspected.Log(relay.config.Log, fields)
+		incarnation := string(server.ID) + "/" + strconv.FormatInt(server.Born, 10)
+		for range relay.config.Crashes.Learn(crash.Sighting{Fingerprint: fingerprint, Server: incarnation, At: relay.config.Clock.Now()}) {
+			event.QuarantineBegun.Log(relay.config.Log, logrus.Fields{"fingerprint": fingerprint.String()})
+		}
 	}()
 }
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/basilkeel/basilkeel/conns"
 	"github.com/basilkeel/basilkeel/coord"
 	"github.com/basilkeel/basilkeel/copies"
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
@@ -39,11 +40,12 @@
 func (unusedParts) Report(context.Context, string, names.BackendServer) (copies.Report, error) {
 	return copies.Report{}, nil
 }
-func (unusedParts) Recorded() share.Record                   { return share.Record{} }
-func (unusedParts) Keep(context.Context, share.Record) error { return nil }
-func (unusedParts) Revision() store.Revision                 { return 1 }
-func (unusedParts) Verify(store.Revision)                    {}
-func (unusedParts) Confirm(store.Revision)                   {}
+func (unusedParts) Recorded() share.Record                          { return share.Record{} }
+func (unusedParts) Keep(context.Context, share.Record) error        { return nil }
+func (unusedParts) KeepCrashes(context.Context, crash.Record) error { return nil }
+func (unusedParts) Revision() store.Revision                        { return 1 }
+func (unusedParts) Verify(store.Revision)                           {}
+func (unusedParts) Confirm(store.Revision)                          {}
 func (unusedParts) Since(store.Revision) ([]store.Entry, store.Revision, bool, bool) {
 	return nil, 1, false, false
 }
@@ -101,7 +103,7 @@
 	}
 	made.desk = coord.NewDesk(coord.DeskConfig{
 		Engine: unusedParts{}, Clock: times, Log: log, Instance: instance, Policy: world.relay.Policy, Servers: world.pool.Servers,
-		Term: term, Doubtful: term, Shares: unusedParts{}, Mirror: unusedParts{}, LoadWindow: time.Second,
+		Term: term, Doubtful: term, Shares: unusedParts{}, Crashes: unusedParts{}, Mirror: unusedParts{}, LoadWindow: time.Second,
 		Head: func(context.Context) (store.Revision, error) { return 0, errors.New("no answer") },
 	})
 	connections := conns.NewPool(conns.PoolConfig{Options: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}})
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -374,7 +374,10 @@
 	seen := world.server("desk-1", "desk", reset)
 	world.call(http.MethodPost, "/order/1", "deadly", nil)
 	g.Eventually(func() int { return len(world.crashes.Sightings(time.Now())) }, 5*time.Second).Should(Equal(1))
-	world.crashes.Quarantine([]crash.Fingerprint{world.crashes.Sightings(time.Now())[0].Fingerprint})
+	seenOnce := world.crashes.Sightings(time.Now())[0]
+	for _, other := range []string{"desk-2/0", "desk-3/0"} {
+		world.crashes.Learn(crash.Sighting{Fingerprint: seenOnce.Fingerprint, Server: other, At: time.Now()})
+	}
 	result := world.call(http.MethodPost, "/order/1", "deadly", nil)
 	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(result.header.Get("Retry-After")).To(BeEmpty(), "it is not to come back")
