Quarantined requests stop also after their admission

Whether a request is quarantined was asked once, when it came. One that waited for its model, was sent again, offered to another server after an error, or resumed, reached further servers although the entry knew by then. Class: a check at the door for a condition that can change inside.

The check stands where a server is chosen. A request that has not run gets 503 without Retry-After, one that may have run 502, a stream that has begun is broken off.

Before: TestQuarantineStopsRequestsUnderWay, four cases, 2 servers each where 1 is allowed; TestQuarantineStopsWaitingRequests waited on and was refused as modelNotLoaded. After: both pass. go test ./relay -run TestQuarantineStops

--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -26,6 +26,12 @@
 	return crash.Of(account, passage.request.Method, passage.request.RequestURI, passage.body)
 }
 
+// quarantined tells whether the request may reach no server, or no further one.
+func (passage *passage) quarantined() bool {
+	crashes := passage.relay.config.Crashes
+	return !crashes.Empty() && crashes.Quarantined(passage.fingerprint())
+}
+
 // suspect notes that a server broke off, in case that it crashed.
 func (passage *passage) suspect(server *pool.Server) {
 	relay, fingerprint, id, broke := passage.relay, passage.fingerprint(), passage.call.ID, passage.now()
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -213,7 +213,7 @@
 // where it did not.
 func (passage *passage) attemptElsewhere(ctx context.Context) bool {
 	choice, chosen := passage.pick().(pool.Chosen)
-	if !chosen {
+	if !chosen || passage.quarantined() {
 		return false
 	}
 	first := passage.server
--- a/relay/place.go
+++ b/relay/place.go
@@ -57,6 +57,10 @@
 	for {
 		changed := passage.relay.config.Pool.Changed()
 		refusal := &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoServer, after: loadPause}
+		if passage.quarantined() {
+			refusal.reason, refusal.after = ReasonQuarantine, 0
+			return nil, refusal
+		}
 		switch choice := passage.pick().(type) {
 		case pool.Chosen:
 			passage.lastLoad = choice.Load
--- /dev/null
+++ b/relay/quarantine_test.go
@@ -0,0 +1,88 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/crash"
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+// quarantine tells the entry that three servers have ended under a request.
+func (world *world) quarantine(path, body string) {
+	fingerprint := crash.Of("crew", http.MethodPost, path, []byte(body))
+	for _, server := range []string{"other-1", "other-2", "other-3"} {
+		world.crashes.Learn(crash.Sighting{Fingerprint: fingerprint, Server: server, At: time.Now()})
+	}
+}
+
+// TestQuarantineStopsRequestsUnderWay quarantines a request after it was admitted.
+func TestQuarantineStopsRequestsUnderWay(t *testing.T) {
+	cases := []struct {
+		name      string
+		kind      policy.Kind
+		resumable bool
+		// first is what the first server does once the request is quarantined.
+		first func(writer http.ResponseWriter)
+		// status is zero where the caller sees a broken answer.
+		status int
+	}{
+		{name: "sent again", kind: policy.KindSafe, first: func(writer http.ResponseWriter) { hijack(writer).Close() }, status: http.StatusBadGateway},
+		{name: "not run by the first server", kind: policy.KindUnsafe, status: http.StatusServiceUnavailable, first: func(writer http.ResponseWriter) {
+			writer.Header().Set("Not-Run", "1")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		{name: "failed by the first server", kind: policy.KindSafe, status: http.StatusInternalServerError, first: func(writer http.ResponseWriter) {
+			writer.WriteHeader(http.StatusInternalServerError)
+		}},
+		{name: "resumed", kind: policy.KindStream, resumable: true, first: func(writer http.ResponseWriter) {
+			_, _ = fmt.Fprint(writer, events(1, 1))
+			_ = http.NewResponseController(writer).Flush()
+			panic(http.ErrAbortHandler)
+		}},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			draft := route("draft", each.kind, "desk")
+			draft.Resumable = each.resumable
+			world := newWorld(t, draft)
+			handle := func(writer http.ResponseWriter, _ *http.Request) {
+				world.quarantine("/draft/1", "deadly")
+				each.first(writer)
+			}
+			first, second := world.server("desk-1", "desk", handle), world.server("desk-2", "desk", handle)
+			result := world.call(http.MethodPost, "/draft/1", "deadly", nil)
+			g.Expect(first.count()+second.count()).To(Equal(1), "no further server gets it")
+			if each.status == 0 {
+				g.Expect(result.err).To(HaveOccurred())
+				return
+			}
+			g.Expect(result.status).To(Equal(each.status))
+		})
+	}
+}
+
+// TestQuarantineStopsWaitingRequests quarantines a request while it waits for its
+// model.
+func TestQuarantineStopsWaitingRequests(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("draft", policy.KindStream, "notes"))
+	seen := world.server("engine-1", "notes", ok)
+	world.coordinator.needs = func(model names.Model) {
+		world.quarantine("/draft/1", "deadly")
+		time.AfterFunc(50*time.Millisecond, func() {
+			world.pool.Put(&pool.Server{ID: "engine-1", Service: "notes", Address: "127.0.0.1:1", Domain: "a", Slots: 4, Models: []names.Model{model}})
+		})
+	}
+	result := world.call(http.MethodPost, "/draft/1", "deadly", map[string]string{"Model": "rare"})
+	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(result.body).To(ContainSubstring("quarantined"))
+	g.Expect(seen.count()).To(BeZero())
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,7 +140,7 @@
 	if refusal := passage.readBody(snapshot.Limits().BodyBytes); refusal != nil {
 		return refusal
 	}
-	if !relay.config.Crashes.Empty() && relay.config.Crashes.Quarantined(passage.fingerprint()) {
+	if passage.quarantined() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonQuarantine}
 	}
 	passage.service = passage.route.Target(rand.Float64())
