Servers that fall silent under a request are suspected

An attempt that ended by the route's time or since its caller left said nothing of its server, so that a request whose servers go dark, or whose caller is impatient, was never suspected. Silence alone is no evidence, as slow servers are silent, too: the registry now decides. Where nothing has come from the server since the attempt's last byte, and its entry is lost or begun anew within four of its periods without its having said that it leaves, it has crashed. A lost entry during an outage of the registry counts for nothing, as before. Entries that are gone are remembered that long.

--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -103,20 +103,6 @@
 	}
 }
 
-// AliveAfter tells whether this incarnation of a server has shown that it outlived
-// a moment, and when its last bytes came. It has where it answered a request that
-// was sent later, or where bytes came so much later that they were not under way.
-func (pool *Pool) AliveAfter(server *Server, moment time.Time) (time.Time, bool) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	member, found := pool.members[server.ID]
-	if !found || member.server.Born != server.Born {
-		return time.Time{}, false
-	}
-	alive := member.lastAnswered.After(moment) || member.answeredAt.Sub(moment) > underWay
-	return member.answeredAt, alive
-}
-
 // Lacks tells that a server refused a request for a model that it lacks.
 func (pool *Pool) Lacks(id names.BackendServer, model names.Model, now time.Time) {
 	pool.mutex.Lock()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -43,9 +43,6 @@
 	// silentAfter is how long a server with requests under way may send nothing: an
 	// engine sends events each 50 ms, and plain servers answer within 110 ms.
 	silentAfter = 500 * time.Millisecond
-	// underWay is how long bytes may be on their way from a server that has ended: a
-	// link's delay and one retransmission of TCP, 200 ms.
-	underWay = 300 * time.Millisecond
 	// silentPenalty is the load that such silence counts as.
 	silentPenalty = 1
 	// distancePenalty is the load that another failure domain counts as: its bytes
@@ -182,12 +179,12 @@
 	return !member.server.Draining && !pool.gone(member, now) && !pool.departing(member.server.ID, member.server.Born)
 }
 
-// Sweep forgets servers that are gone and idle.
+// Sweep forgets servers that have been gone for long and are idle.
 func (pool *Pool) Sweep(now time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	for id, member := range pool.members {
-		if member.own == 0 && pool.gone(member, now) {
+		if member.own == 0 && pool.gone(member, now) && now.Sub(member.goneAt) > pool.Unlisting() {
 			delete(pool.members, id)
 		}
 	}
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
 )
 
 // TestCrashDuringAnswerIsSuspected ends a server after a part of its answer.
@@ -103,3 +104,89 @@
 	world.front.CloseClientConnections()
 	ended.Wait()
 }
+
+// TestServerThatFallsSilentIsSuspected has a server answer nothing more until the
+// request ends by itself, and the registry then lose the server's entry, or not.
+func TestServerThatFallsSilentIsSuspected(t *testing.T) {
+	cases := []struct {
+		name  string
+		begin string
+		// leaves tells that the caller gives up; else the route's time passes.
+		leaves bool
+		after  func(world *world, server *pool.Server)
+		seen   int
+	}{
+		{name: "time passes, the entry is lost", after: removed, seen: 1},
+		{name: "time passes after an event, the entry is lost", begin: events(1, 1), after: removed, seen: 1},
+		{name: "the caller leaves, the entry is lost", leaves: true, after: removed, seen: 1},
+		{name: "the caller leaves after an event, the server starts again", begin: events(1, 1), leaves: true, after: reborn, seen: 1},
+		{name: "the entry stays", leaves: true, after: func(*world, *pool.Server) {}},
+		{name: "the server left as planned", leaves: true, after: func(world *world, server *pool.Server) {
+			draining := *server
+			draining.Draining = true
+			world.pool.Put(&draining)
+			removed(world, server)
+		}},
+		{name: "the registry does not answer", leaves: true, after: func(world *world, server *pool.Server) {
+			world.pool.Lost(time.Now())
+			removed(world, server)
+		}},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			draft := route("draft", policy.KindStream, "desk")
+			draft.Timeout = 500 * time.Millisecond
+			world := newWorld(t, draft)
+			world.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+				if each.begin != "" {
+					_, _ = fmt.Fprint(writer, each.begin)
+					_ = http.NewResponseController(writer).Flush()
+				}
+				<-request.Context().Done()
+			})
+			var ended sync.WaitGroup
+			ended.Go(func() { world.call(http.MethodPost, "/draft/1", "deadly", nil) })
+			if each.leaves {
+				time.Sleep(200 * time.Millisecond)
+				world.front.CloseClientConnections()
+			}
+			ended.Wait()
+			time.Sleep(200 * time.Millisecond)
+			each.after(world, world.pool.Servers(time.Now())[0])
+			sightings := func() int { return len(world.crashes.Sightings(time.Now())) }
+			g.Eventually(sightings, 6*time.Second).Should(Equal(each.seen))
+			g.Consistently(sightings, 5*time.Second).Should(Equal(each.seen))
+		})
+	}
+}
+
+func removed(world *world, server *pool.Server) { world.pool.Remove(server.ID, time.Now()) }
+
+func reborn(world *world, server *pool.Server) {
+	restarted := *server
+	restarted.Born++
+	world.pool.Put(&restarted)
+}
+
+// TestCallersWhoLeaveSuspectNoServerThatAnswersOthers loses the entry of a server
+// that answered a later request.
+func TestCallersWhoLeaveSuspectNoServerThatAnswersOthers(t *testing.T) {
+	g := NewWithT(t)
+	draft := route("draft", policy.KindStream, "desk")
+	draft.Timeout = 300 * time.Millisecond
+	world := newWorld(t, draft)
+	world.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+		if strings.HasSuffix(request.URL.Path, "/1") {
+			<-request.Context().Done()
+			return
+		}
+		_, _ = fmt.Fprint(writer, events(1, 1))
+	})
+	world.call(http.MethodPost, "/draft/1", "slow", nil)
+	g.Expect(world.call(http.MethodPost, "/draft/2", "quick", nil).err).NotTo(HaveOccurred())
+	time.Sleep(200 * time.Millisecond)
+	removed(world, world.pool.Servers(time.Now())[0])
+	g.Consistently(func() int { return len(world.crashes.Sightings(time.Now())) }, 5*time.Second).Should(BeZero())
+}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -34,22 +34,69 @@
 
 // suspect notes that a server broke off, in case that it crashed.
 func (passage *passage) suspect(server *pool.Server) {
-	relay, fingerprint, id, broke := passage.relay, passage.fingerprint(), passage.call.ID, passage.now()
+	relay, suspicion, broke := passage.relay, passage.suspicion(server), passage.now()
 	passed := relay.config.Clock.After(crashSilence)
 	go func() {
 		<-passed
-		fields := logrus.Fields{"request": id, "server": string(server.ID), "born": server.Born, "fingerprint": fingerprint.String()}
 		if heard, alive := relay.config.Pool.AliveAfter(server, broke); alive {
-			metrics.GetOrRegisterCounter("relay.crash.cleared", relay.config.Metrics).Inc(1)
-			fields["heardMs"] = heard.Sub(broke).Milliseconds()
-			event.SuspicionCleared.Log(relay.config.Log, fields)
+			relay.clear(suspicion, heard.Sub(broke))
 			return
 		}
-		metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
-		event.RequestSuspected.Log(relay.config.Log, fields)
-		incarnation := string(server.ID) + "/" + strconv.FormatInt(server.Born, 10)
-		for range relay.config.Crashes.Learn(crash.Sighting{Fingerprint: fingerprint, Server: incarnation, At: relay.config.Clock.Now()}) {
-			event.QuarantineBegun.Log(relay.config.Log, logrus.Fields{"fingerprint": fingerprint.String()})
+		relay.sight(suspicion)
+	}()
+}
+
+// suspectSilent notes that a request ended by its deadline or its caller while its
+// server was silent since a time. Slow servers are silent, too; whether it crashed
+// is told by the registry.
+func (passage *passage) suspectSilent(server *pool.Server, since time.Time) {
+	relay := passage.relay
+	if _, alive := relay.config.Pool.AliveAfter(server, since); alive {
+		return
+	}
+	suspicion := passage.suspicion(server)
+	passed := relay.config.Clock.After(relay.config.Pool.Unlisting())
+	go func() {
+		<-passed
+		if _, alive := relay.config.Pool.AliveAfter(server, since); !alive && relay.config.Pool.Crashed(server, relay.config.Clock.Now()) {
+			relay.sight(suspicion)
 		}
 	}()
 }
+
+// suspicion is a request whose server may have crashed.
+type suspicion struct {
+	request     string
+	fingerprint crash.Fingerprint
+	server      *pool.Server
+}
+
+func (passage *passage) suspicion(server *pool.Server) suspicion {
+	return suspicion{request: passage.call.ID, fingerprint: passage.fingerprint(), server: server}
+}
+
+func (suspicion suspicion) fields() logrus.Fields {
+	return logrus.Fields{
+		"request": suspicion.request, "server": string(suspicion.server.ID), "born": suspicion.server.Born,
+		"fingerprint": suspicion.fingerprint.String(),
+	}
+}
+
+// clear drops a suspicion: the server sent bytes that long after it broke off.
+func (relay *Relay) clear(suspicion suspicion, heard time.Duration) {
+	metrics.GetOrRegisterCounter("relay.crash.cleared", relay.config.Metrics).Inc(1)
+	fields := suspicion.fields()
+	fields["heardMs"] = heard.Milliseconds()
+	event.SuspicionCleared.Log(relay.config.Log, fields)
+}
+
+// sight notes that the server has crashed.
+func (relay *Relay) sight(suspicion suspicion) {
+	metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
+	event.RequestSuspected.Log(relay.config.Log, suspicion.fields())
+	incarnation := string(suspicion.server.ID) + "/" + strconv.FormatInt(suspicion.server.Born, 10)
+	sighting := crash.Sighting{Fingerprint: suspicion.fingerprint, Server: incarnation, At: relay.config.Clock.Now()}
+	for _, fingerprint := range relay.config.Crashes.Learn(sighting) {
+		event.QuarantineBegun.Log(relay.config.Log, logrus.Fields{"fingerprint": fingerprint.String()})
+	}
+}
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -169,6 +169,8 @@
 			passage.runs++
 			if ctx.Err() == nil {
 				passage.suspect(server)
+			} else {
+				passage.suspectSilent(server, sent)
 			}
 		}
 		passage.note(ctx, server, err)
@@ -194,7 +196,7 @@
 			return true
 		}
 	}
-	reader := &answerReader{Response: response, passage: passage, server: server, sent: sent, over: ctx.Err}
+	reader := &answerReader{Response: response, passage: passage, server: server, sent: sent, last: passage.now(), over: ctx.Err}
 	switch {
 	case passage.route.Kind == policy.KindStream && response.Status < http.StatusMultipleChoices:
 		return passage.streamOut(ctx, server, reader)
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -16,6 +16,8 @@
 	server  *pool.Server
 	// sent is when the request was sent.
 	sent time.Time
+	// last is when bytes last came.
+	last time.Time
 	// over fails once the request has ended by its deadline or its caller.
 	over func() error
 }
@@ -24,11 +26,16 @@
 func (answerReader *answerReader) Read(buffer []byte) (int, error) {
 	count, err := answerReader.Response.Read(buffer)
 	if count > 0 {
-		answerReader.passage.relay.config.Pool.Heard(answerReader.server.ID, answerReader.sent, answerReader.passage.now())
+		answerReader.last = answerReader.passage.now()
+		answerReader.passage.relay.config.Pool.Heard(answerReader.server.ID, answerReader.sent, answerReader.last)
 	}
 	var brokenError *trunk.BrokenError
-	if errors.As(err, &brokenError) && answerReader.over() == nil {
+	switch {
+	case !errors.As(err, &brokenError):
+	case answerReader.over() == nil:
 		answerReader.passage.suspect(answerReader.server)
+	default:
+		answerReader.passage.suspectSilent(answerReader.server, answerReader.last)
 	}
 	return count, err
 }
