The wait for a crashed server follows from the deployment's contact time

The silence after which a server counts as crashed was 1.5 s on every deployment; within contactMs all entries have to refuse the request. It is now at most half of contactMs, which leaves the other half to a report, a reply and one of them lost.

--- a/node/relay.go
+++ b/node/relay.go
@@ -44,6 +44,9 @@
 	// peerBuffer is the buffer of a connection between entries; messages are a few
 	// kilobytes.
 	peerBuffer = 8 << 10
+	// longestCrashSilence is enough for a server that lives to answer somebody, and less
+	// than the seconds after which crashed ones are back.
+	longestCrashSilence = 1500 * time.Millisecond
 	// firstRedial and lastRedial bound the pause before an entry is dialled again.
 	firstRedial = 50 * time.Millisecond
 	lastRedial  = 500 * time.Millisecond
@@ -146,10 +149,19 @@
 	return relay.New(relay.Config{
 		Codec: platform.Headers{}, Pool: parts.Pool, Trunk: parts.Trunk, Shares: parts.Shares, Crashes: parts.Crashes,
 		Clock: parts.Clock, Log: parts.Log, Metrics: parts.Metrics, Domain: names.FailureDomain(parts.Host.Domain),
-		RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
+		CrashSilence: crashSilence(bounds.Contact), RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
 	})
 }
 
+// crashSilence leaves half of the time in which instances have to act to the
+// exchange of reports.
+func crashSilence(contact time.Duration) time.Duration {
+	if contact <= 0 {
+		return longestCrashSilence
+	}
+	return min(longestCrashSilence, contact/2)
+}
+
 func newPeerConnections() *conns.Pool {
 	dialer := trunk.NewDialer()
 	return conns.NewPool(conns.PoolConfig{Options: []grpc.DialOption{
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -13,11 +13,6 @@
 	"github.com/basilkeel/basilkeel/pool"
 )
 
-// crashSilence is how long after it broke off an answer a server must have given no
-// sign of life to count as crashed. Crashed servers are back after some
-// seconds, others answer within a fraction of one.
-const crashSilence = 1500 * time.Millisecond
-
 func (passage *passage) fingerprint() crash.Fingerprint {
 	account := names.ClientAccount("")
 	if passage.account != nil {
@@ -35,7 +30,7 @@
 // suspect notes that a server broke off, in case that it crashed.
 func (passage *passage) suspect(server *pool.Server) {
 	relay, suspicion, broke := passage.relay, passage.suspicion(server), passage.now()
-	passed := relay.config.Clock.After(crashSilence)
+	passed := relay.config.Clock.After(relay.config.CrashSilence)
 	go func() {
 		<-passed
 		if heard, alive := relay.config.Pool.AliveAfter(server, broke); alive {
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -149,6 +149,7 @@
 	carrier := relay.New(relay.Config{
 		Codec: plainCodec{}, Pool: servers, Trunk: trunk.New(trunk.Config{Clock: times}), Shares: share.NewHolder(), Coordinator: asked, Crashes: crashes,
 		Clock: times, Log: logger, Metrics: metrics.NewRegistry(), Domain: "a", RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
+		CrashSilence: 1500 * time.Millisecond,
 	})
 	engine := &policy.Engine{Slots: 4, Models: map[names.Model]policy.Model{"notes": {Name: "notes"}}}
 	carrier.Adopt(policy.NewSnapshot(policy.SnapshotConfig{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,10 @@
 	Log         logrus.FieldLogger
 	Metrics     metrics.Registry
 	Domain      names.FailureDomain
+	// CrashSilence is how long after it broke off an answer a server must have given no
+	// sign of life to count as crashed. Crashed servers are back after some seconds,
+	// others answer within a fraction of one.
+	CrashSilence time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound requests sent again over all
 	// entries.
 	RetryRatio  float64
--- a/setup/host.go
+++ b/setup/host.go
@@ -36,6 +36,9 @@
 
 // HostBounds are figures that operators promise for a whole deployment.
 type HostBounds struct {
+	// Contact is the time after which instances have to act on what has happened; zero
+	// means not told.
+	Contact time.Duration
 	// StopGrace is the time from SIGTERM to SIGKILL.
 	StopGrace time.Duration
 	// RetryRatio and RetrySlack bound resent requests of a service in RetryWindow.
