News that a server leaves outlives the coordinator

Sought as the same cause elsewhere: what one entry knows and others have to act on was told for 2 s from when it was heard, to whichever coordinator there was. Between two coordinators (2 s of lease and an election) nobody took it, and entries that had not heard it themselves went on sending.

An entry now tells each term's coordinator until it has answered.

go test ./pool ./coord

--- a/coord/client.go
+++ b/coord/client.go
@@ -221,7 +221,7 @@
 	}
 	asked := client.config.Clock.Now()
 	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own(), Revision: client.config.Mirror.Revision()}
-	report.Holdings, report.Departures = client.holdings, client.config.Pool.Departures(asked)
+	report.Holdings, report.Departures = client.holdings, client.config.Pool.Departures(client.holdings.Term)
 	var reported int64
 	report.Suspects = client.suspects
 	report.Sightings, reported = client.config.Crashes.Since(client.reported)
@@ -238,6 +238,7 @@
 	client.settle(report)
 	client.learn(reply, reported, asked)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
+	client.config.Pool.DeparturesTold(report.Departures, reply.Term)
 	client.config.Pool.Depart(reply.Departures, asked)
 	client.config.Pool.Inform(pool.Told{
 		Holdings: reply.Holdings, Whole: reply.Term != client.holdings.Term, Others: reply.Loads, Until: asked.Add(holdingLifetime),
--- a/pool/leave.go
+++ b/pool/leave.go
@@ -13,9 +13,6 @@
 	// departedLifetime is how long a server that said that it leaves is remembered
 	// after its entry has gone; it ends within minutes.
 	departedLifetime = 10 * time.Minute
-	// newsLifetime is how long other instances are told of a departure: several
-	// reports, as some are lost.
-	newsLifetime = 2 * time.Second
 )
 
 // Departure names an incarnation of a server that said that it leaves.
@@ -30,6 +27,8 @@
 	at   time.Time
 	// own tells that this instance heard it from the server.
 	own bool
+	// told is the term whose coordinator has been told.
+	told int64
 }
 
 // Leaving tells that a server said in an answer that it leaves. It gets no further
@@ -57,20 +56,32 @@
 	return found && known.born == born
 }
 
-// Departures lists what servers said to this instance lately.
-func (pool *Pool) Departures(now time.Time) []Departure {
+// Departures lists what servers said to this instance and the coordinator of a term
+// has not been told.
+func (pool *Pool) Departures(term int64) []Departure {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	var departures []Departure
 	for id, departure := range pool.departures {
-		if !departure.own || now.Sub(departure.at) > newsLifetime {
-			continue
+		if departure.own && departure.told != term {
+			departures = append(departures, Departure{Server: id, Born: departure.born})
 		}
-		departures = append(departures, Departure{Server: id, Born: departure.born})
 	}
 	return departures
 }
 
+// DeparturesTold notes that the coordinator of a term has been told.
+func (pool *Pool) DeparturesTold(departures []Departure, term int64) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for _, told := range departures {
+		if known, found := pool.departures[told.Server]; found && known.born == told.Born {
+			known.told = term
+			pool.departures[told.Server] = known
+		}
+	}
+}
+
 // Depart takes over which servers said to other instances that they leave.
 func (pool *Pool) Depart(departures []Departure, now time.Time) {
 	pool.mutex.Lock()
