The retry budget of all entries together keeps the deployment's bound

Each entry had 1/24 of the slack a window, began with as much, and could save up twice that and four more. The sum passes the bound from two dozen entries on: a figure that was right on four entries.

The coordinator tells how many entries there are.

--- a/coord/client.go
+++ b/coord/client.go
@@ -82,6 +82,7 @@
 	answered     time.Time
 	unansweredAt time.Time
 	lost         bool
+	entries      int
 }
 
 var _ relay.Coordinator = (*Client)(nil)
@@ -138,6 +139,13 @@
 	client.demands[target] = demand
 }
 
+// Entries implements [relay.Coordinator].
+func (client *Client) Entries() int {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	return client.entries
+}
+
 // Reachable implements [relay.Coordinator].
 func (client *Client) Reachable() bool {
 	client.mutex.Lock()
@@ -235,7 +243,7 @@
 		return
 	}
 	client.follow(ctx, reply, asked)
-	client.settle(report)
+	client.settle(report, reply)
 	client.learn(reply, reported, asked)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.DeparturesTold(report.Departures, reply.Term)
@@ -326,9 +334,12 @@
 }
 
 // settle takes out the work that a report has told.
-func (client *Client) settle(report Report) {
+func (client *Client) settle(report Report, reply Reply) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
+	if reply.Entries > 0 {
+		client.entries = reply.Entries
+	}
 	for target, told := range report.Demands {
 		demand := client.demands[target]
 		demand.Work -= told.Work
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -64,7 +64,7 @@
 
 func encodeReply(reply Reply, now time.Time) *wire.CoordExchangeReply {
 	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
-	message.LoadsTold = reply.Loads != nil
+	message.LoadsTold, message.Entries = reply.Loads != nil, int32(reply.Entries)
 	message.ChangesTo, message.Whole, message.Fresh = int64(reply.ChangesTo), reply.Whole, reply.Fresh
 	message.Suspects, message.SuspectsVersion = encodeSightings(reply.Suspects, now), reply.SuspectsNumber
 	for _, entry := range reply.Changes {
@@ -98,6 +98,7 @@
 		Revision: store.Revision(message.GetRevision()), ChangesTo: store.Revision(message.GetChangesTo()),
 		Whole: message.GetWhole(), Fresh: message.GetFresh(),
 	}
+	reply.Entries = int(message.GetEntries())
 	if message.GetLoadsTold() {
 		reply.Loads = decodeLoads(message.GetLoads())
 	}
--- a/coord/desk.go
+++ b/coord/desk.go
@@ -131,6 +131,7 @@
 // term is the state of one election.
 type term struct {
 	number  int64
+	began   time.Time
 	cancel  context.CancelFunc
 	keeper  *copies.Keeper
 	planner map[names.Service]*copies.Planner
@@ -142,6 +143,8 @@
 	// kept is up to which sighting the record of suspects has been written.
 	kept    int64
 	reports map[names.Instance]received
+	// known is how many entries had reported when reports were swept last.
+	known int
 	// totals are the loads of all reports that count.
 	totals map[names.BackendServer]int
 	swept  time.Time
@@ -173,6 +176,7 @@
 	divider := share.NewDivider(share.DividerConfig{Term: number, Now: now, Record: desk.config.Shares.Recorded()})
 	begun := &term{
 		number: number,
+		began:  now,
 		cancel: cancel,
 		keeper: copies.NewKeeper(copies.KeeperConfig{
 			Engine: desk.config.Engine, Clock: desk.config.Clock, Log: desk.config.Log, Holder: string(desk.config.Instance),
@@ -243,6 +247,15 @@
 	return 2*fresh > known
 }
 
+// entries is how many entries have reported in the last minute, or zero until all
+// that live have had the time to. It is called with the desk's mutex held.
+func (term *term) entries(now time.Time) int {
+	if now.Sub(term.began) < reportLifetime {
+		return 0
+	}
+	return term.known
+}
+
 // divide moves shares, once the record of them is kept.
 func (desk *Desk) divide(ctx context.Context, current *term, now time.Time) {
 	snapshot := desk.config.Policy()
@@ -321,7 +334,7 @@
 		entry.waiting[target] = demand.Waiting
 	}
 	current.replace(report.Instance, entry, now)
-	reply := Reply{Term: current.number, Revision: desk.revision}
+	reply := Reply{Term: current.number, Revision: desk.revision, Entries: current.entries(now)}
 	reply.Suspects, reply.SuspectsNumber = current.suspects(report, now)
 	if report.Instance != desk.config.Instance {
 		reply.Changes, reply.ChangesTo, reply.Whole, reply.Fresh = desk.config.Mirror.Since(report.Revision)
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -50,6 +50,8 @@
 type Reply struct {
 	Term     int64
 	Assigned share.Assigned
+	// Entries is how many entries there are, or zero where that is not known yet.
+	Entries int
 	// Loads are those of all other entries; nil leaves those told before in force.
 	Loads map[names.BackendServer]int
 	// Holdings are those that changed up to a version since the one that the entry
--- a/coord/loads.go
+++ b/coord/loads.go
@@ -19,8 +19,11 @@
 	if now.Sub(term.swept) < reportLifetime/4 {
 		return
 	}
-	term.swept = now
+	term.swept, term.known = now, 0
 	for other, report := range term.reports {
+		if now.Sub(report.at) < memberLifetime {
+			term.known++
+		}
 		if now.Sub(report.at) > reportLifetime && report.loads != nil {
 			term.count(report.loads, -1)
 			report.loads = nil
--- a/coord/size_test.go
+++ b/coord/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -86,3 +87,21 @@
 		}
 	}
 }
+
+// TestEntriesAreCounted tells entries how many share what is bounded over all.
+func TestEntriesAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	desk := newDesk(t, &lease{})
+	reports := fleetReports(20, 30, 4)
+	count := func() int {
+		told := 0
+		for _, report := range reports {
+			reply, err := desk.Exchange(report)
+			g.Expect(err).NotTo(HaveOccurred())
+			told = reply.Entries
+		}
+		return told
+	}
+	g.Expect(count()).To(BeZero(), "others may still have to report")
+	g.Eventually(count, 5*time.Second, 100*time.Millisecond).Should(Equal(20))
+}
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -120,6 +120,9 @@
 // Demand implements [relay.Coordinator].
 func (*coordinator) Demand(names.Service, names.Model, float64) {}
 
+// Entries implements [relay.Coordinator].
+func (*coordinator) Entries() int { return 0 }
+
 // Reachable implements [relay.Coordinator].
 func (coordinator *coordinator) Reachable() bool {
 	coordinator.mutex.Lock()
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -94,6 +94,7 @@
 // run sends the request until there is a final answer.
 func (passage *passage) run(ctx context.Context) {
 	relay := passage.relay
+	relay.budget.among(relay.config.Coordinator.Entries())
 	relay.budget.earn(passage.service, passage.now())
 	if passage.call.Model != "" {
 		relay.config.Coordinator.Demand(passage.service, passage.call.Model, passage.work())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,6 +31,8 @@
 	Borrow(ctx context.Context, account names.ClientAccount, cost float64) (time.Duration, bool, error)
 	// Demand counts a request's work for a model, in seconds of an engine.
 	Demand(service names.Service, model names.Model, work float64)
+	// Entries returns how many entries there are, or zero where that is not known.
+	Entries() int
 	// Reachable tells whether the coordinator has answered lately.
 	Reachable() bool
 }
