Connections that were refused cost no retry

The retry budget counts what arrives at servers beyond the first attempt. Going on from a server whose connection was refused was charged to it, too, although nothing had arrived: after a crash the budget went on attempts that cost nothing, and callers were refused.

Before: TestRefusedConnectionsCostNoRetry refused the seventh request with 503. After: all 40 are served; what a server took and refused still counts (TestFleetKeepsItsRetryBudget). go test ./relay -run 'TestRefusedConnections|TestWhatMay|TestUnsent'

--- a/relay/passage.go
+++ b/relay/passage.go
@@ -144,7 +144,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonBroken}
 	case passage.sends >= mostSends:
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNotRun, after: fullPause}
-	case !relay.budget.spend(passage.service, passage.now()):
+	case !neverSent(passage.cause) && !relay.budget.spend(passage.service, passage.now()):
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNotRun, after: fullPause}
 	}
 	passage.resent()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -500,3 +500,18 @@
 		})
 	}
 }
+
+// TestRefusedConnectionsCostNoRetry has servers refuse connections until the retries
+// of the entry would be used up many times.
+func TestRefusedConnectionsCostNoRetry(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("order", policy.KindUnsafe, "desk"))
+	world.server("desk-1", "desk", ok)
+	for index := range 40 {
+		id := names.BackendServer(fmt.Sprintf("desk-0%d", index))
+		world.pool.Put(&pool.Server{ID: id, Service: "desk", Address: "127.0.0.1:1", Domain: "a", Slots: 4})
+		result := world.call(http.MethodPost, "/order/1", "", nil)
+		g.Expect(result.status).To(Equal(http.StatusOK), string(id))
+		world.pool.Remove(id, time.Now())
+	}
+}
