A refusal by the successor at an address is no sign of life

Addresses are used again; a server that is asked for another one answers 421. That answer counted as one of the server that had crashed there, and cleared the suspicion.

Before: TestSuccessorAtTheAddressIsNoSignOfLife 0 sightings where 1 is due; after: 1. go test ./relay -run 'TestSuccessorAt|TestServerThatLives'

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -190,3 +190,25 @@
 	removed(world, world.pool.Servers(time.Now())[0])
 	g.Consistently(func() int { return len(world.crashes.Sightings(time.Now())) }, 5*time.Second).Should(BeZero())
 }
+
+// TestSuccessorAtTheAddressIsNoSignOfLife has another instance answer at the address
+// of a server that has crashed.
+func TestSuccessorAtTheAddressIsNoSignOfLife(t *testing.T) {
+	g := NewWithT(t)
+	world := newWorld(t, route("order", policy.KindUnsafe, "desk"))
+	var once sync.Once
+	world.server("desk-1", "desk", func(writer http.ResponseWriter, _ *http.Request) {
+		crashed := false
+		once.Do(func() {
+			crashed = true
+			hijack(writer).Close()
+		})
+		if !crashed {
+			writer.Header().Set("Not-Run", "1")
+			writer.WriteHeader(http.StatusMisdirectedRequest)
+		}
+	})
+	world.call(http.MethodPost, "/order/1", "deadly", nil)
+	g.Expect(world.call(http.MethodPost, "/order/2", "other", nil).status).To(Equal(http.StatusServiceUnavailable))
+	g.Eventually(func() int { return len(world.crashes.Sightings(time.Now())) }, 5*time.Second).Should(Equal(1))
+}
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -179,7 +179,10 @@
 	}
 	defer response.Close()
 	answer := relay.config.Codec.ReadAnswer(response.Header)
-	relay.config.Pool.Heard(server.ID, sent, passage.now())
+	// Another server that has taken over the address answers so, too.
+	if response.Status != http.StatusMisdirectedRequest {
+		relay.config.Pool.Heard(server.ID, sent, passage.now())
+	}
 	passage.heed(server, answer, response.Status)
 	if answer.NotRun {
 		passage.notRun(server, response.Status)
