--- a/coord/client.go
+++ b/coord/client.go
@@ -66,8 +66,9 @@
 	looked time.Time
 	// holdings is the version that the pool has; only exchanges use it.
 	holdings Version
-	// reported is up to which of this entry's sightings the coordinator of that term
-	// has answered, suspects up to which of its own it has told; only exchanges use them.
+	// reported is the number of this entry's last sighting that the coordinator of the
+	// same term has answered, suspects that of the last one that it has told; only
+	// exchanges use them.
 	reported int64
 	suspects int64
 	// mutex guards all below.
@@ -228,11 +229,11 @@
 		return
 	}
 	asked := client.config.Clock.Now()
+	client.expire(asked)
 	report := Report{Instance: client.config.Instance, Held: client.config.Shares.Held(asked), Loads: client.config.Pool.Own(), Revision: client.config.Mirror.Revision()}
 	report.Holdings, report.Departures = client.holdings, client.config.Pool.Departures(client.holdings.Term)
-	var reported int64
-	report.Suspects = client.suspects
-	report.Sightings, reported = client.config.Crashes.Since(client.reported)
+	sightings, reported := client.config.Crashes.Since(client.reported)
+	report.Sightings, report.Suspects = sightings, client.suspects
 	client.mutex.Lock()
 	report.Demands = maps.Clone(client.demands)
 	client.mutex.Unlock()
@@ -244,7 +245,7 @@
 	}
 	client.follow(ctx, reply, asked)
 	client.settle(report, reply)
-	client.learn(reply, reported, asked)
+	client.learn(reply, reported)
 	client.config.Shares.Apply(reply.Assigned, snapshot, asked)
 	client.config.Pool.DeparturesTold(report.Departures, reply.Term)
 	client.config.Pool.Depart(reply.Departures, asked)
@@ -256,7 +257,7 @@
 
 // learn takes in the coordinator's sightings. The coordinator of another term has to
 // be told all of this entry's again.
-func (client *Client) learn(reply Reply, reported int64, now time.Time) {
+func (client *Client) learn(reply Reply, reported int64) {
 	client.suspects, client.reported = reply.SuspectsNumber, reported
 	if reply.Term != client.holdings.Term {
 		client.reported = 0
@@ -265,8 +266,12 @@
 	for _, fingerprint := range client.config.Crashes.Learn(reply.Suspects...) {
 		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String(), "term": reply.Term})
 	}
+}
+
+// expire ends quarantines that have lasted long enough, also without a coordinator.
+func (client *Client) expire(now time.Time) {
 	for _, fingerprint := range client.config.Crashes.Expire(now) {
-		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String(), "term": reply.Term})
+		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String()})
 	}
 }
 
--- a/coord/suspects.go
+++ b/coord/suspects.go
@@ -12,6 +12,7 @@
 
 // CrashKeeper keeps the record of suspects in the platform's service.
 type CrashKeeper interface {
+	// KeepCrashes writes a record in place of the one that was read last.
 	KeepCrashes(ctx context.Context, record crash.Record) error
 }
 
