The reproduction also kills entries, in turn and all at once

TestCrashingRequestStopsAfterThirdServer restarts entries every two seconds, and all three every four, with what the coordinator wrote to the service as their only memory. As in the platform's rule, requests that an entry sends within the contact time after its start do not count; the three older cases know no restarts and are as strict as before, over six seconds instead of three.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -40,12 +41,11 @@
 func (unusedParts) Report(context.Context, string, names.BackendServer) (copies.Report, error) {
 	return copies.Report{}, nil
 }
-func (unusedParts) Recorded() share.Record                          { return share.Record{} }
-func (unusedParts) Keep(context.Context, share.Record) error        { return nil }
-func (unusedParts) KeepCrashes(context.Context, crash.Record) error { return nil }
-func (unusedParts) Revision() store.Revision                        { return 1 }
-func (unusedParts) Verify(store.Revision)                           {}
-func (unusedParts) Confirm(store.Revision)                          {}
+func (unusedParts) Recorded() share.Record                   { return share.Record{} }
+func (unusedParts) Keep(context.Context, share.Record) error { return nil }
+func (unusedParts) Revision() store.Revision                 { return 1 }
+func (unusedParts) Verify(store.Revision)                    {}
+func (unusedParts) Confirm(store.Revision)                   {}
 func (unusedParts) Since(store.Revision) ([]store.Entry, store.Revision, bool, bool) {
 	return nil, 1, false, false
 }
@@ -59,14 +59,21 @@
 	desk   *coord.Desk
 	client *coord.Client
 	value  string
+	stop   func()
+	// started is when the entry was last started anew.
+	started time.Time
 }
 
 // entries are a few that coordinate, in front of the same backend servers.
 type entries struct {
-	t   *testing.T
-	all []*entry
+	t      *testing.T
+	routes []*policy.Route
 	// mutex guards all below.
-	mutex    sync.Mutex
+	mutex   sync.Mutex
+	all     []*entry
+	servers map[names.BackendServer]*pool.Server
+	// record is what the coordinator wrote to the platform's service.
+	record   crash.Record
 	term     int64
 	leader   *entry
 	born     int
@@ -76,14 +83,66 @@
 
 func newEntries(t *testing.T, count int, routes ...*policy.Route) *entries {
 	t.Helper()
-	fleet := &entries{t: t}
+	fleet := &entries{t: t, routes: routes, servers: map[names.BackendServer]*pool.Server{}}
 	for index := range count {
-		fleet.all = append(fleet.all, fleet.entry(names.Instance(fmt.Sprintf("edge-%d", index)), newWorld(t, routes...)))
+		fleet.all = append(fleet.all, fleet.start(index))
 	}
+	t.Cleanup(func() {
+		for index := range count {
+			fleet.at(index).stop()
+		}
+	})
 	fleet.elect(0)
 	return fleet
 }
 
+// KeepCrashes implements [coord.CrashKeeper].
+func (fleet *entries) KeepCrashes(_ context.Context, record crash.Record) error {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.record = record
+	return nil
+}
+
+func (fleet *entries) at(index int) *entry {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.all[index%len(fleet.all)]
+}
+
+// restart kills an entry, elects another one if it coordinated, and starts it anew.
+func (fleet *entries) restart(index int) {
+	former := fleet.at(index)
+	former.stop()
+	former.front.CloseClientConnections()
+	started := fleet.start(index)
+	started.started = time.Now()
+	fleet.mutex.Lock()
+	fleet.all[index] = started
+	led := fleet.leader == former
+	leader := fleet.leader
+	fleet.mutex.Unlock()
+	if led {
+		fleet.elect((index + 1) % len(fleet.all))
+		return
+	}
+	started.client.Follow(leader.value)
+}
+
+// start starts an entry that knows the registry and what the platform's service
+// keeps.
+func (fleet *entries) start(index int) *entry {
+	world := newWorld(fleet.t, fleet.routes...)
+	made := fleet.entry(names.Instance(fmt.Sprintf("edge-%d", index)), world)
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, server := range fleet.servers {
+		world.pool.Put(server)
+	}
+	world.crashes.Learn(fleet.record.Sightings()...)
+	return made
+}
+
 func (fleet *entries) entry(instance names.Instance, world *world) *entry {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -103,7 +162,7 @@
 	}
 	made.desk = coord.NewDesk(coord.DeskConfig{
 		Engine: unusedParts{}, Clock: times, Log: log, Instance: instance, Policy: world.relay.Policy, Servers: world.pool.Servers,
-		Term: term, Doubtful: term, Shares: unusedParts{}, Crashes: unusedParts{}, Mirror: unusedParts{}, LoadWindow: time.Second,
+		Term: term, Doubtful: term, Shares: unusedParts{}, Crashes: fleet, Mirror: unusedParts{}, LoadWindow: time.Second,
 		Head: func(context.Context) (store.Revision, error) { return 0, errors.New("no answer") },
 	})
 	connections := conns.NewPool(conns.PoolConfig{Options: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}})
@@ -118,13 +177,13 @@
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	running.Go(func() { made.client.Run(ctx) })
-	fleet.t.Cleanup(func() {
+	made.stop = func() {
 		cancel()
 		made.desk.Ended()
 		server.Stop()
 		connections.Close()
 		running.Wait()
-	})
+	}
 	return made
 }
 
@@ -134,14 +193,14 @@
 	former := fleet.leader
 	fleet.term++
 	fleet.leader = fleet.all[index]
-	term := fleet.term
+	leader, all, term := fleet.leader, slices.Clone(fleet.all), fleet.term
 	fleet.mutex.Unlock()
 	if former != nil {
 		former.desk.Ended()
 	}
-	fleet.all[index].desk.Elected(context.Background(), term)
-	for _, each := range fleet.all {
-		each.client.Follow(fleet.all[index].value)
+	leader.desk.Elected(context.Background(), term)
+	for _, each := range all {
+		each.client.Follow(leader.value)
 	}
 }
 
@@ -169,22 +228,29 @@
 		}
 		once.Do(func() {
 			fleet.note(&fleet.ends)
-			go fleet.restart(id, backend, begin)
+			go fleet.crash(id, backend, begin)
 		})
 		<-request.Context().Done()
 	}))
 	fleet.t.Cleanup(backend.Close)
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.servers[id] = &pool.Server{ID: id, Service: "notes", Address: backend.Listener.Addr().String(), Domain: "a", Slots: 40, Born: int64(born)}
 	for _, each := range fleet.all {
-		each.pool.Put(&pool.Server{ID: id, Service: "notes", Address: backend.Listener.Addr().String(), Domain: "a", Slots: 40, Born: int64(born)})
+		each.pool.Put(fleet.servers[id])
 	}
 }
 
-func (fleet *entries) restart(id names.BackendServer, backend *httptest.Server, begin string) {
+// crash ends a server and starts another one a second later.
+func (fleet *entries) crash(id names.BackendServer, backend *httptest.Server, begin string) {
 	_ = backend.Config.Close()
 	time.Sleep(time.Second)
+	fleet.mutex.Lock()
+	delete(fleet.servers, id)
 	for _, each := range fleet.all {
 		each.pool.Remove(id, time.Now())
 	}
+	fleet.mutex.Unlock()
 	fleet.engine(begin)
 }
 
@@ -194,41 +260,42 @@
 	*times = append(*times, time.Now())
 }
 
-// after counts the deadly requests that reached a server later than wait after the
-// third one ended, and tells whether that time has passed by more than wait.
-func (fleet *entries) after(wait time.Duration) (late int, done bool) {
+// arrived counts the deadly requests that have reached a server, and returns when
+// the third server ended; zero before that.
+func (fleet *entries) arrived() (int, time.Time) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	if len(fleet.ends) < 3 {
-		return 0, false
+		return len(fleet.arrivals), time.Time{}
 	}
-	limit := fleet.ends[2].Add(wait)
-	for _, at := range fleet.arrivals {
-		if at.After(limit) {
-			late++
-		}
-	}
-	return late, time.Since(limit) > wait
+	return len(fleet.arrivals), fleet.ends[2]
 }
 
 // TestCrashingRequestStopsAfterThirdServer sends a request that ends each server
 // which runs it again and again, to all entries, among streams of others.
 func TestCrashingRequestStopsAfterThirdServer(t *testing.T) {
 	const (
-		// contact is how long the platform allows from the third end on, and allowed how
-		// many times the request may reach a server later.
+		// contact is how long the platform allows from the third end on, and from an entry's
+		// start on; allowed is how many times the request may reach a server later.
 		contact = 3 * time.Second
 		allowed = 3
+		watched = 6 * time.Second
 	)
 	cases := []struct {
 		name  string
 		begin string
-		// handOver has another entry coordinate while the request still comes.
-		handOver bool
+		// disturb is called every two seconds, with how often it was before.
+		disturb func(fleet *entries, times int)
 	}{
 		{name: "before its first event"},
 		{name: "after its first event", begin: events(1, 1)},
-		{name: "around a change of coordinators", begin: events(1, 1), handOver: true},
+		{name: "around changes of coordinators", begin: events(1, 1), disturb: func(fleet *entries, times int) { fleet.elect(times % 3) }},
+		{name: "while entries are killed in turn", begin: events(1, 1), disturb: func(fleet *entries, times int) { fleet.restart(times % 3) }},
+		{name: "while all entries are killed at once", disturb: func(fleet *entries, times int) {
+			for index := range 3 * (times % 2) {
+				fleet.restart(index)
+			}
+		}},
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
@@ -249,24 +316,30 @@
 						case <-stop:
 							return
 						default:
-							fleet.all[index%3].call(http.MethodPost, fmt.Sprintf("/draft/%d-%d", index, number), "calm", nil)
+							fleet.at(index).call(http.MethodPost, fmt.Sprintf("/draft/%d-%d", index, number), "calm", nil)
 							time.Sleep(10 * time.Millisecond)
 						}
 					}
 				})
 			}
+			late := 0
 			for number := 0; ; number++ {
 				time.Sleep(250 * time.Millisecond)
-				fleet.all[number%3].call(http.MethodPost, "/draft/1", "deadly", nil)
-				if each.handOver && number%8 == 7 {
-					fleet.elect(number / 8 % 3)
+				front, sent := fleet.at(number), time.Now()
+				before, _ := fleet.arrived()
+				front.call(http.MethodPost, "/draft/1", "deadly", nil)
+				after, third := fleet.arrived()
+				if !third.IsZero() && sent.After(third.Add(contact)) && sent.After(front.started.Add(contact)) {
+					late += after - before
 				}
-				late, done := fleet.after(contact)
-				if done || late > allowed {
-					g.Expect(late).To(BeNumerically("<=", allowed))
+				if !third.IsZero() && sent.After(third.Add(contact+watched)) {
 					break
 				}
+				if each.disturb != nil && number%8 == 7 {
+					each.disturb(fleet, number/8)
+				}
 			}
+			g.Expect(late).To(BeNumerically("<=", allowed))
 			close(stop)
 			callers.Wait()
 		})
