--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -13,6 +13,7 @@
 	"github.com/basilkeel/basilkeel/pool"
 )
 
+// fingerprint is the same for all requests of the caller that are alike.
 func (passage *passage) fingerprint() crash.Fingerprint {
 	account := names.ClientAccount("")
 	if passage.account != nil {
@@ -34,10 +35,10 @@
 	go func() {
 		<-passed
 		if heard, alive := relay.config.Pool.AliveAfter(server, broke); alive {
-			relay.clear(suspicion, heard.Sub(broke))
+			relay.dismiss(suspicion, heard.Sub(broke))
 			return
 		}
-		relay.sight(suspicion)
+		relay.confirm(suspicion)
 	}()
 }
 
@@ -54,7 +55,7 @@
 	go func() {
 		<-passed
 		if _, alive := relay.config.Pool.AliveAfter(server, since); !alive && relay.config.Pool.Crashed(server, relay.config.Clock.Now()) {
-			relay.sight(suspicion)
+			relay.confirm(suspicion)
 		}
 	}()
 }
@@ -77,16 +78,16 @@
 	}
 }
 
-// clear drops a suspicion: the server sent bytes that long after it broke off.
-func (relay *Relay) clear(suspicion suspicion, heard time.Duration) {
+// dismiss drops a suspicion: the server sent bytes that long after it broke off.
+func (relay *Relay) dismiss(suspicion suspicion, heard time.Duration) {
 	metrics.GetOrRegisterCounter("relay.crash.cleared", relay.config.Metrics).Inc(1)
 	fields := suspicion.fields()
 	fields["heardMs"] = heard.Milliseconds()
 	event.SuspicionCleared.Log(relay.config.Log, fields)
 }
 
-// sight notes that the server has crashed.
-func (relay *Relay) sight(suspicion suspicion) {
+// confirm notes that the server has crashed.
+func (relay *Relay) confirm(suspicion suspicion) {
 	metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
 	event.RequestSuspected.Log(relay.config.Log, suspicion.fields())
 	incarnation := string(suspicion.server.ID) + "/" + strconv.FormatInt(suspicion.server.Born, 10)
