The end of an unframed answer is suspected like a break

An answer without a length or chunks ends with its connection. A server that crashes in it looks like one that has finished, and gave no sighting; a request that is answered so was never quarantined. Such an end is passed on to the caller as before and raises a suspicion, which the server's next sign of life clears.

Before: TestCrashThatLooksLikeAnEndIsSuspected 0 sightings where 1 is due; after: 1, and 0 for a server that answers others. go test ./trunk ./relay

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 )
@@ -212,3 +213,43 @@
 	g.Expect(world.call(http.MethodPost, "/order/2", "other", nil).status).To(Equal(http.StatusServiceUnavailable))
 	g.Eventually(func() int { return len(world.crashes.Sightings(time.Now())) }, 5*time.Second).Should(Equal(1))
 }
+
+// TestCrashThatLooksLikeAnEndIsSuspected ends a server whose answer has neither a
+// length nor chunks, so that its connection's end is the answer's.
+func TestCrashThatLooksLikeAnEndIsSuspected(t *testing.T) {
+	cases := []struct {
+		name  string
+		lives bool
+		seen  int
+	}{
+		{name: "nothing more comes from the server", seen: 1},
+		{name: "the server answers others", lives: true},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			world := newWorld(t, route("draft", policy.KindStream, "desk"))
+			world.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+				conn := hijack(writer)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\n%s", request.Header.Get("Id"), events(1, 1))
+				conn.Close()
+			})
+			g.Expect(world.call(http.MethodPost, "/draft/1", "deadly", nil).body).To(Equal(events(1, 1)))
+			if each.lives {
+				g.Expect(world.call(http.MethodPost, "/draft/2", "other", nil).status).To(Equal(http.StatusOK))
+			}
+			sightings := func() int {
+				count := 0
+				for _, sighting := range world.crashes.Sightings(time.Now()) {
+					if sighting.Fingerprint == crash.Of("crew", http.MethodPost, "/draft/1", []byte("deadly")) {
+						count++
+					}
+				}
+				return count
+			}
+			g.Eventually(sightings, 3*time.Second).Should(Equal(each.seen))
+			g.Consistently(sightings, 2*time.Second).Should(Equal(each.seen))
+		})
+	}
+}
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"time"
 
 	"github.com/basilkeel/basilkeel/pool"
@@ -30,8 +31,9 @@
 		answerReader.passage.relay.config.Pool.Heard(answerReader.server.ID, answerReader.sent, answerReader.last)
 	}
 	var brokenError *trunk.BrokenError
+	broke := errors.As(err, &brokenError) || (errors.Is(err, io.EOF) && answerReader.EndsWithConnection)
 	switch {
-	case !errors.As(err, &brokenError):
+	case !broke:
 	case answerReader.over() == nil:
 		answerReader.passage.suspect(answerReader.server)
 	default:
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -12,6 +12,9 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// EndsWithConnection tells that the body has neither a length nor chunks, so that its
+	// end cannot be told from a break.
+	EndsWithConnection bool
 
 	trunk   *Trunk
 	line    *line
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -97,6 +97,8 @@
 		release: release,
 		written: written,
 		keep:    !answer.Close,
+
+		EndsWithConnection: answer.ContentLength < 0 && len(answer.TransferEncoding) == 0,
 	}, nil
 }
 
