--- a/relay/codec.go
+++ b/relay/codec.go
@@ -68,8 +68,13 @@
 
 // ResponseInfo is what the headers of a server's response contain.
 type ResponseInfo struct {
-	// RequestID is the ID of the request that the response belongs to.
+	// RequestID is the ID of the request that the response belongs to; empty means that
+	// it names none.
 	RequestID string
+	// Stamped reports whether the response bears the mark that only servers set.
+	Stamped bool
+	// Encoding is the encoding of the body, such as "gzip"; empty means none.
+	Encoding string
 	// NotRun reports whether the server refused the request without running it.
 	NotRun bool
 	// Leaving reports whether the server is shutting down and accepts no further
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -237,7 +237,7 @@
 			fixture := newFixture(t, route("draft", policy.KindStream, "desk"))
 			fixture.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
 				conn := hijack(writer)
-				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\n%s", request.Header.Get("Id"), events(1, 1))
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nConnection: close\r\n\r\n%s", request.Header.Get("Id"), events(1, 1))
 				conn.Close()
 			})
 			g.Expect(fixture.call(http.MethodPost, "/draft/1", "deadly", nil).body).To(Equal(events(1, 1)))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -59,6 +59,8 @@
 	cause error
 	// lastEventID is the ID of the last event that the caller has been sent.
 	lastEventID string
+	// responseBegun reports whether the caller has been sent the header of a response.
+	responseBegun bool
 	// streamStarted reports whether the caller has been sent the header of a stream.
 	streamStarted bool
 	// firstByteAt is when the header of a stream was sent to the caller.
@@ -181,6 +183,9 @@
 	}
 	defer response.Close()
 	responseInfo := relay.config.Codec.ReadResponse(response.Header)
+	if err := exchange.validateSuccess(response.Status, responseInfo); err != nil {
+		exchange.recordUnproven(server, err)
+	}
 	// Status 421 does not show that the server is alive: another server that has taken
 	// over the address responds with it, too.
 	if response.Status != http.StatusMisdirectedRequest {
@@ -287,6 +292,7 @@
 			echoed := relay.config.Codec.ReadResponse(header).RequestID
 			return echoed == "" || echoed == wanted
 		},
+		Skipped:     func(status int, header http.Header) { exchange.recordSkipped(server, status, header) },
 		StillWanted: func() bool { return exchange.usePermit(server) },
 	})
 }
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -221,6 +221,7 @@
 	backend = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		body, _ := io.ReadAll(request.Body)
 		writer.Header().Set("Id", request.Header.Get("Id"))
+		writer.Header().Set("Stamp", "s")
 		if string(body) != "deadly" {
 			trickle("id: 1\ndata: piece\n\n", 50)(writer, request)
 			return
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -60,7 +60,7 @@
 
 // ReadResponse implements [relay.Codec].
 func (plainCodec) ReadResponse(header http.Header) relay.ResponseInfo {
-	responseInfo := relay.ResponseInfo{RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != ""}
+	responseInfo := relay.ResponseInfo{RequestID: header.Get("Id"), Stamped: header.Get("Stamp") != "", Encoding: header.Get("Content-Encoding"), NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != ""}
 	if rest, err := time.ParseDuration(header.Get("Rest")); err == nil {
 		responseInfo.Backoff = rest
 	}
@@ -197,6 +197,7 @@
 		body, _ := io.ReadAll(request.Body)
 		seen.add(request.Header.Clone(), string(body), request.RequestURI)
 		writer.Header().Set("Id", request.Header.Get("Id"))
+		writer.Header().Set("Stamp", string(id))
 		handle(writer, request)
 	}))
 	fixture.t.Cleanup(backend.Close)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -82,7 +82,7 @@
 	failed := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusInternalServerError) }
 	short := func(writer http.ResponseWriter, _ *http.Request) {
 		conn := hijack(writer)
-		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nContent-Length: 100\r\n\r\nshort")
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nContent-Length: 100\r\n\r\nshort")
 		conn.Close()
 	}
 	cases := []struct {
@@ -177,7 +177,7 @@
 		if request.Header.Get("Resume") == "" {
 			conn := hijack(writer)
 			text := events(1, 2) + "id: 3\ndata: pie"
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
 			time.Sleep(50 * time.Millisecond)
 			conn.Close()
 			return
@@ -239,7 +239,7 @@
 				if request.Header.Get("Resume") == "" {
 					conn := hijack(writer)
 					text := events(1, 2)
-					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
 					time.Sleep(50 * time.Millisecond)
 					conn.Close()
 					return
@@ -276,7 +276,7 @@
 	fixture.server("notes-1", "notes", func(writer http.ResponseWriter, _ *http.Request) {
 		conn := hijack(writer)
 		text := events(1, 2)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
 		time.Sleep(50 * time.Millisecond)
 		conn.Close()
 	})
--- a/relay/requestrate_test.go
+++ b/relay/requestrate_test.go
@@ -65,6 +65,7 @@
 	id := request.Header.Get("Id")
 	process, _, _ := strings.Cut(id, "/")
 	writer.Header().Set("Id", id)
+	writer.Header().Set("Stamp", "s")
 	rated.mutex.Lock()
 	now := time.Now()
 	rated.arrivals = append(rated.arrivals, rateArrival{process: process, at: now})
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -89,9 +89,9 @@
 		name   string
 		header string
 	}{
-		{"a body in chunks", "HTTP/1.1 200 OK\r\nId: call-1\r\nTransfer-Encoding: chunked\r\n\r\n"},
-		{"a body without a length", "HTTP/1.1 200 OK\r\nId: call-1\r\n\r\n"},
-		{"a head", "HTTP/1.1 200 OK\r\nId: call-1\r\nMore: "},
+		{"a body in chunks", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"a body without a length", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\n\r\n"},
+		{"a head", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nMore: "},
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -96,6 +96,9 @@
 		if skipped == maxMismatched || response.ContentLength < 0 && response.Close {
 			return nil, &MismatchError{Responses: skipped + 1}
 		}
+		if request.Skipped != nil {
+			request.Skipped(response.StatusCode, response.Header)
+		}
 		connection.limiter.disable()
 		if _, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes); !errors.Is(err, io.EOF) {
 			return nil, &MismatchError{Responses: skipped + 1}
--- a/trunk/request.go
+++ b/trunk/request.go
@@ -17,6 +17,9 @@
 	// Matches reports whether a response with header belongs to this request; nil
 	// accepts any.
 	Matches func(header http.Header) bool
+	// Skipped is called for each response that is skipped because it does not belong to
+	// this request; nil means no call.
+	Skipped func(status int, header http.Header)
 	// StillWanted is called when the connection is ready, right before the first byte
 	// is written. The request is sent if it returns true or StillWanted is nil.
 	StillWanted func() bool
