--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -152,6 +152,7 @@
 	t           *testing.T
 	relay       *relay.Relay
 	pool        *pool.Pool
+	trunk       *trunk.Trunk
 	coordinator *fakeCoordinator
 	front       *httptest.Server
 	logs        *test.Hook
@@ -166,8 +167,9 @@
 	servers := pool.New(pool.Config{RegistryPeriod: time.Second, Random: func() float64 { return 0 }})
 	coordinator := &fakeCoordinator{pool: servers}
 	crashes := crash.NewTracker()
+	connections := trunk.New(trunk.Config{Clock: clockService})
 	handler := relay.New(relay.Config{
-		Codec: plainCodec{}, Pool: servers, Trunk: trunk.New(trunk.Config{Clock: clockService}), Limiter: share.NewLimiter(), Coordinator: coordinator, Crashes: crashes,
+		Codec: plainCodec{}, Pool: servers, Trunk: connections, Limiter: share.NewLimiter(), Coordinator: coordinator, Crashes: crashes,
 		Clock: clockService, Log: logger, Metrics: metrics.NewRegistry(), Domain: "a", RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
 		CrashConfirmDelay: 1500 * time.Millisecond,
 	})
@@ -179,7 +181,7 @@
 	}))
 	front := httptest.NewServer(handler)
 	t.Cleanup(front.Close)
-	return &fixture{t: t, relay: handler, pool: servers, coordinator: coordinator, front: front, logs: hook, crashes: crashes}
+	return &fixture{t: t, relay: handler, pool: servers, trunk: connections, coordinator: coordinator, front: front, logs: hook, crashes: crashes}
 }
 
 func route(name string, kind policy.Kind, service names.Service) *policy.Route {
