relay: close the connection of a request that gets no response

Callers saw 200 with an empty body and no stamp. Cause: when the caller seemed to be gone, giveUp and refuse returned without writing, and net/http completes such a handler with 200 OK. It takes a caller for gone when reading from its connection ends, which a caller that has shut down only its sending side causes, too. Class: the absence of a response has a meaning that the library chooses. Now every request ends in one place, which closes the connection if no response has begun; package reply holds what other handlers need for the same. A caller that has shut down its sending side counts as gone, since it cannot be told from one that closed the connection, whose work has to stop.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -44,7 +44,7 @@
 	if exchange.request.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	exchange.writeHeader(response.Status)
+	exchange.writer.WriteHeader(response.Status)
 	if _, err := exchange.writer.Write(body); err != nil {
 		exchange.recordCallerLeft()
 		return true
@@ -56,7 +56,7 @@
 // forwardLarge forwards a response that is too large to buffer, beginning with what has
 // been read.
 func (exchange *exchange) forwardLarge(response *responseReader, read []byte) {
-	exchange.writeHeader(response.Status)
+	exchange.writer.WriteHeader(response.Status)
 	written, err := exchange.writer.Write(read)
 	if err != nil {
 		exchange.recordCallerLeft()
@@ -122,7 +122,7 @@
 		}
 		header.Del("Content-Length")
 		exchange.closeWhenDraining(header)
-		exchange.writeHeader(response.Status)
+		exchange.writer.WriteHeader(response.Status)
 		exchange.firstByteAt = exchange.now()
 		exchange.recordFirstByte()
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/trunk"
 )
 
@@ -32,7 +33,7 @@
 // exchange is one caller's request with its response and all attempts to serve it.
 type exchange struct {
 	relay         *Relay
-	writer        http.ResponseWriter
+	writer        *reply.Writer
 	request       *http.Request
 	info          RequestInfo
 	body          []byte
@@ -59,8 +60,6 @@
 	cause error
 	// lastEventID is the ID of the last event that the caller has been sent.
 	lastEventID string
-	// responseBegun reports whether the caller has been sent the header of a response.
-	responseBegun bool
 	// streamStarted reports whether the caller has been sent the header of a stream.
 	streamStarted bool
 	// firstByteAt is when the header of a stream was sent to the caller.
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -86,7 +86,7 @@
 	exchange.closeWhenDraining(header)
 	body := `{"error":"` + reason + `"}`
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	exchange.writeHeader(status)
+	exchange.writer.WriteHeader(status)
 	// The error is ignored, as a caller that has disconnected needs no response.
 	_, _ = exchange.writer.Write([]byte(body))
 }
@@ -138,7 +138,7 @@
 // recordCallerLeft records that the caller disconnected before its response was complete.
 func (exchange *exchange) recordCallerLeft() {
 	exchange.count("left", "")
-	event.RequestLeft.Log(exchange.relay.config.Log, exchange.fields(logrus.Fields{"begun": exchange.responseBegun}))
+	event.RequestLeft.Log(exchange.relay.config.Log, exchange.fields(logrus.Fields{"begun": exchange.writer.Begun()}))
 }
 
 // recordResent records that the request is sent to another server.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/basilkeel/basilkeel/permit"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/share"
 	"github.com/basilkeel/basilkeel/trunk"
 )
@@ -107,16 +108,22 @@
 	defer relay.active.Add(-1)
 	exchange := &exchange{
 		relay:   relay,
-		writer:  writer,
+		writer:  reply.NewWriter(writer, request),
 		request: request,
 		started: relay.config.Clock.Now(),
 		info:    relay.config.Codec.ReadRequest(request),
 	}
+	exchange.serve()
+	exchange.writer.Finish()
+}
+
+// serve admits the request and forwards it.
+func (exchange *exchange) serve() {
 	if refusal := exchange.admit(); refusal != nil {
 		exchange.refuse(refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(request.Context(), exchange.deadline)
+	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
 	defer cancel()
 	exchange.forward(ctx)
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -63,9 +63,3 @@
 		"named": exchange.relay.config.Codec.ReadResponse(header).RequestID,
 	})
 }
-
-// writeHeader writes the header of the caller's response.
-func (exchange *exchange) writeHeader(status int) {
-	exchange.responseBegun = true
-	exchange.writer.WriteHeader(status)
-}
