relay: reset the connection of an aborted HTTP/1.0 response

To a caller of HTTP/1.0 a response without a length ends with its connection, so a stream that its server broke off, or that was aborted for any other reason, looked complete (seen on the way, not reported). Its connection is reset now; callers of HTTP/1.1 miss the last chunk as before. A response that can't be written any more is aborted, too, instead of being ended as usual.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -46,8 +46,7 @@
 	}
 	exchange.writer.WriteHeader(response.Status)
 	if _, err := exchange.writer.Write(body); err != nil {
-		exchange.recordCallerLeft()
-		return true
+		exchange.abortLeft()
 	}
 	exchange.recordDone(response.Status, int64(len(body)))
 	return true
@@ -59,8 +58,7 @@
 	exchange.writer.WriteHeader(response.Status)
 	written, err := exchange.writer.Write(read)
 	if err != nil {
-		exchange.recordCallerLeft()
-		return
+		exchange.abortLeft()
 	}
 	copied, err := io.Copy(exchange.writer, response)
 	if err != nil {
@@ -69,8 +67,8 @@
 	exchange.recordDone(response.Status, int64(written)+copied)
 }
 
-// abort records why a response that has begun can't be completed, and closes the
-// caller's connection. It panics with [http.ErrAbortHandler].
+// abort records why a response that has begun can't be completed, and ends it so that it
+// does not look complete. It panics with [http.ErrAbortHandler].
 func (exchange *exchange) abort(cause error) {
 	exchange.cause = cause
 	if exchange.request.Context().Err() != nil {
@@ -79,7 +77,14 @@
 		exchange.count("cut", ReasonAnswerBroken)
 		event.RequestCut.Log(exchange.relay.config.Log, exchange.fields(logrus.Fields{}))
 	}
-	panic(http.ErrAbortHandler)
+	exchange.writer.Abort()
+}
+
+// abortLeft ends a response that can't be written any more. It panics with
+// [http.ErrAbortHandler].
+func (exchange *exchange) abortLeft() {
+	exchange.recordCallerLeft()
+	exchange.writer.Abort()
 }
 
 // recordDone records that the caller has been sent a complete response.
@@ -136,8 +141,7 @@
 	case err == nil:
 		err = io.ErrUnexpectedEOF
 	case !errors.As(err, &brokenError):
-		exchange.recordCallerLeft()
-		return true
+		exchange.abortLeft()
 	}
 	if events.lastID != "" {
 		exchange.lastEventID = events.lastID
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -285,6 +286,25 @@
 	g.Expect(result.body).To(Equal(events(1, 2)))
 }
 
+// TestBrokenStreamDoesNotLookWholeInHTTP10 does the same for a caller to whom the end of the
+// connection is the end of the response.
+func TestBrokenStreamDoesNotLookWholeInHTTP10(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newFixture(t, route("draft", policy.KindStream, "notes"))
+	fixture.server("notes-1", "notes", func(writer http.ResponseWriter, _ *http.Request) {
+		conn := hijack(writer)
+		text := events(1, 2)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+		time.Sleep(50 * time.Millisecond)
+		conn.Close()
+	})
+	conn := fixture.dialFront()
+	g.Expect(writeRequest(conn, "HTTP/1.0", "/draft/1", "notes", "prompt")).To(Succeed())
+	received, err := io.ReadAll(conn)
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
+	g.Expect(string(received)).To(HaveSuffix(events(1, 2)), "what came is forwarded")
+}
+
 func TestRequestWaitsForItsModel(t *testing.T) {
 	g := NewWithT(t)
 	fixture := newFixture(t, route("draft", policy.KindStream, "notes"))
