Take a response for a request only if it names it

Callers saw 200 without a stamp: the body of a report, or an empty one of an order. Cause: a response was accepted if it named no request, and reports and orders, whose responses never do, shared their connections with callers' requests; so the late second response to a report became the response to the next request on its connection. The same way a late refusal became 'not run' for a request that ran, and a caller's late response the outcome of an order. Class: a response is identified by its place on a connection. Now a response has to name the request's identifier, exactly one; others are skipped and logged. A request that no response can name (reports, orders, a caller's request without an identifier) opens a connection, on which nothing earlier can arrive; afterwards that connection serves requests that are named.

--- a/relay/codec.go
+++ b/relay/codec.go
@@ -68,8 +68,8 @@
 
 // ResponseInfo is what the headers of a server's response contain.
 type ResponseInfo struct {
-	// RequestID is the ID of the request that the response belongs to; empty means that
-	// it names none.
+	// RequestID is the ID of the request that the response belongs to. It is empty if the
+	// response names no request, or several.
 	RequestID string
 	// Stamped reports whether the response bears the mark that only servers set.
 	Stamped bool
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -276,21 +276,17 @@
 	if exchange.account != nil {
 		attempt.Account = exchange.account.Name
 	}
-	wanted := exchange.info.ID
 	if exchange.route.Kind == policy.KindStream {
 		stop := exchange.watchFirstByte(server)
 		defer stop()
 	}
 	return relay.config.Trunk.Do(ctx, server.Address, &trunk.Request{
-		Method: exchange.request.Method,
-		Target: exchange.request.RequestURI,
-		Host:   exchange.request.Host,
-		Header: relay.config.Codec.ServerHeader(exchange.request, attempt),
-		Body:   exchange.body,
-		Matches: func(header http.Header) bool {
-			echoed := relay.config.Codec.ReadResponse(header).RequestID
-			return echoed == "" || echoed == wanted
-		},
+		Method:      exchange.request.Method,
+		Target:      exchange.request.RequestURI,
+		Host:        exchange.request.Host,
+		Header:      relay.config.Codec.ServerHeader(exchange.request, attempt),
+		Body:        exchange.body,
+		Matches:     exchange.matcher(),
 		Skipped:     func(status int, header http.Header) { exchange.recordSkipped(server, status, header) },
 		StillWanted: func() bool { return exchange.usePermit(server) },
 	})
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -60,7 +60,10 @@
 
 // ReadResponse implements [relay.Codec].
 func (plainCodec) ReadResponse(header http.Header) relay.ResponseInfo {
-	responseInfo := relay.ResponseInfo{RequestID: header.Get("Id"), Stamped: header.Get("Stamp") != "", Encoding: header.Get("Content-Encoding"), NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != ""}
+	responseInfo := relay.ResponseInfo{Stamped: header.Get("Stamp") != "", Encoding: header.Get("Content-Encoding"), NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != ""}
+	if ids := header.Values("Id"); len(ids) == 1 {
+		responseInfo.RequestID = ids[0]
+	}
 	if rest, err := time.ParseDuration(header.Get("Rest")); err == nil {
 		responseInfo.Backoff = rest
 	}
--- a/relay/response.go
+++ b/relay/response.go
@@ -11,8 +11,7 @@
 	"github.com/basilkeel/basilkeel/pool"
 )
 
-// UnprovenError reports a success that a server did not demonstrably give to the
-// request.
+// UnprovenError reports a success that a server did not demonstrably give.
 type UnprovenError struct {
 	Status int
 	// Defect is what the response lacks or contradicts.
@@ -24,14 +23,23 @@
 	return fmt.Sprintf("response with status %d %s", unprovenError.Status, unprovenError.Defect)
 }
 
+// matcher returns whether a response belongs to the request, or nil if the request has no
+// ID by which its response can be recognized.
+func (exchange *exchange) matcher() func(http.Header) bool {
+	if exchange.info.ID == "" {
+		return nil
+	}
+	return func(header http.Header) bool {
+		return exchange.relay.config.Codec.ReadResponse(header).RequestID == exchange.info.ID
+	}
+}
+
 // validateSuccess returns a *[UnprovenError] if a response has a status of success
 // without the properties of a server's success.
 func (exchange *exchange) validateSuccess(status int, responseInfo ResponseInfo) error {
 	defect := ""
 	switch {
 	case status < http.StatusOK || status >= http.StatusMultipleChoices:
-	case exchange.info.ID != "" && responseInfo.RequestID != exchange.info.ID:
-		defect = "does not name the request"
 	case !responseInfo.Stamped:
 		defect = "has no server's stamp"
 	case responseInfo.NotRun:
--- a/trunk/request.go
+++ b/trunk/request.go
@@ -14,8 +14,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with header belongs to this request; nil
-	// accepts any.
+	// Matches reports whether a response with header belongs to this request. It is nil
+	// if responses don't tell; the request then opens a connection, on which no response
+	// to an earlier request can arrive.
 	Matches func(header http.Header) bool
 	// Skipped is called for each response that is skipped because it does not belong to
 	// this request; nil means no call.
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -66,7 +66,7 @@
 // read. It returns an *[UnsentError] or a *[BrokenError]. When ctx ends, the connection
 // is closed.
 func (trunk *Trunk) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	connection, err := trunk.connect(ctx, address)
+	connection, err := trunk.connect(ctx, address, request)
 	if err != nil {
 		return nil, &UnsentError{Address: address, Cause: err}
 	}
@@ -102,9 +102,10 @@
 	}, nil
 }
 
-// connect returns an idle connection that is still usable, or a new one.
-func (trunk *Trunk) connect(ctx context.Context, address string) (*connection, error) {
-	for {
+// connect returns an idle connection that is still usable, or a new one. A request whose
+// response cannot be identified gets a new one.
+func (trunk *Trunk) connect(ctx context.Context, address string, request *Request) (*connection, error) {
+	for request.Matches != nil {
 		connection := trunk.takeIdle(address)
 		if connection == nil {
 			break
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -355,3 +355,40 @@
 		})
 	}
 }
+
+// TestRequestsThatResponsesDoNotNameGetNoEarlierResponse checks requests without Matches: no
+// response to an earlier request arrives on their connection, and theirs, if it comes
+// twice, is skipped by later requests.
+func TestRequestsThatResponsesDoNotNameGetNoEarlierResponse(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		former := ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = fmt.Fprint(conn, former)
+			former = answer(request.Header.Get("X-Id"), "body of "+request.Header.Get("X-Id"))
+			_, _ = fmt.Fprint(conn, former)
+		}
+	})
+	client := newTrunk()
+	for number, each := range []struct {
+		id    string
+		named bool
+	}{{"1", true}, {"2", false}, {"3", true}, {"4", false}, {"5", true}, {"6", true}} {
+		request := get(each.id)
+		if !each.named {
+			request.Matches = nil
+		}
+		response, err := client.Do(context.Background(), address, request)
+		g.Expect(err).NotTo(HaveOccurred(), "request %d", number)
+		body, err := io.ReadAll(response)
+		response.Close()
+		g.Expect(err).NotTo(HaveOccurred(), "request %d", number)
+		g.Expect(string(body)).To(Equal("body of "+each.id), "request %d", number)
+	}
+	g.Expect(connections.Load()).To(Equal(int64(3)), "the first, and one for each request without Matches")
+}
