trunk: bound skipped responses by themselves; fail on a switch of protocols

Interim responses counted towards the bound of skipped responses, which was compared for equality: three of them switched it off, and a server could hold a request with responses to others until its deadline. A switch of protocols was skipped like an interim response, although what follows it is no response. Before: TestBoundOfSkippedResponsesHoldsAfterInterimOnes failed in five cases.

--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -17,8 +17,7 @@
 const (
 	// bufferBytes is enough for a header and for most events of a stream.
 	bufferBytes = 4 << 10
-	// maxMismatched bounds the responses to other requests that are skipped. Interim
-	// responses count towards it.
+	// maxMismatched bounds the responses to other requests that are skipped.
 	maxMismatched = 2
 	// maxMismatchedBytes bounds the body of a response that is skipped.
 	maxMismatchedBytes = 1 << 20
@@ -77,36 +76,47 @@
 
 // readResponse reads the header of the response to request. It skips interim responses
 // and responses to other requests. It fails with a *[MismatchError] at a response to
-// another request if exactly [maxMismatched] responses of either kind were skipped
-// before, or if the body of that response cannot be skipped.
+// another request if [maxMismatched] such responses were skipped before, or if that
+// response cannot be skipped.
 func (connection *connection) readResponse(request *Request) (*http.Response, error) {
 	connection.limiter.enable()
 	defer connection.limiter.disable()
-	for skipped := 0; ; skipped++ {
+	for mismatched := 0; ; {
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, &StatusError{Status: response.StatusCode}
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
 			return response, nil
 		}
-		if skipped == maxMismatched || response.ContentLength < 0 && response.Close {
-			return nil, &MismatchError{Responses: skipped + 1}
-		}
+		mismatched++
 		if request.Skipped != nil {
 			request.Skipped(response.StatusCode, response.Header)
 		}
-		connection.limiter.disable()
-		if _, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes); !errors.Is(err, io.EOF) {
-			return nil, &MismatchError{Responses: skipped + 1}
+		if mismatched > maxMismatched || !connection.skipBody(response) {
+			return nil, &MismatchError{Responses: mismatched}
 		}
-		connection.limiter.enable()
 	}
 }
 
+// skipBody reads the body of a response to another request. It reports whether the next
+// response on the connection can be read.
+func (connection *connection) skipBody(response *http.Response) bool {
+	if response.Close {
+		return false
+	}
+	connection.limiter.disable()
+	defer connection.limiter.enable()
+	_, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes)
+	return errors.Is(err, io.EOF)
+}
+
 // readIdleLimit sets the idle limit from the Keep-Alive header of a response.
 func (connection *connection) readIdleLimit(header http.Header) {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -392,3 +392,46 @@
 	}
 	g.Expect(connections.Load()).To(Equal(int64(3)), "the first, and one for each request without Matches")
 }
+
+// TestBoundOfSkippedResponsesHoldsAfterInterimOnes checks that interim responses don't raise
+// the number of responses to other requests that are skipped.
+func TestBoundOfSkippedResponsesHoldsAfterInterimOnes(t *testing.T) {
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	cases := []struct {
+		name    string
+		sent    string
+		skipped int
+		broken  bool
+	}{
+		{name: "interim responses", sent: strings.Repeat(interim, 20)},
+		{name: "two others", sent: answer("0", "a") + interim + answer("0", "b"), skipped: 2},
+		{name: "two others after interim responses", sent: strings.Repeat(interim, 3) + answer("0", "a") + answer("0", "b"), skipped: 2},
+		{name: "three others", sent: strings.Repeat(answer("0", "a"), 3), skipped: 3, broken: true},
+		{name: "three others after interim responses", sent: strings.Repeat(interim, 3) + strings.Repeat(answer("0", "a"), 3), skipped: 3, broken: true},
+		{name: "a switch of protocols", sent: "HTTP/1.1 101 Switching Protocols\r\n\r\n", broken: true},
+		{name: "another that closes the connection", sent: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", skipped: 1, broken: true},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				id := readRequest(reader)
+				_, _ = fmt.Fprint(conn, each.sent+answer(id, "mine"))
+				readRequest(reader)
+			})
+			skipped := 0
+			request := get("1")
+			request.Skipped = func(status int, _ http.Header) {
+				skipped++
+				g.Expect(status).To(Equal(http.StatusOK))
+			}
+			response, err := newTrunk().Do(context.Background(), address, request)
+			g.Expect(skipped).To(Equal(each.skipped))
+			var brokenError *trunk.BrokenError
+			g.Expect(errors.As(err, &brokenError)).To(Equal(each.broken), "%v", err)
+			if err == nil {
+				response.Close()
+			}
+		})
+	}
+}
