trunk: carry no request on a connection after HEAD

A late second response to HEAD has a length and no body; read in front of another response, it swallowed that one's beginning. And what is skipped while waiting for the response to HEAD may have a body, which was read as the next response. Before: TestConnectionsAreNotUsedAfterHead failed.

--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -99,16 +99,17 @@
 		if request.Skipped != nil {
 			request.Skipped(response.StatusCode, response.Header)
 		}
-		if mismatched > maxMismatched || !connection.skipBody(response) {
+		if mismatched > maxMismatched || !connection.skipBody(request, response) {
 			return nil, &MismatchError{Responses: mismatched}
 		}
 	}
 }
 
 // skipBody reads the body of a response to another request. It reports whether the next
-// response on the connection can be read.
-func (connection *connection) skipBody(response *http.Response) bool {
-	if response.Close {
+// response on the connection can be read. After a HEAD request that is not so, as the
+// other response may have a body.
+func (connection *connection) skipBody(request *Request, response *http.Response) bool {
+	if response.Close || request.Method == http.MethodHead {
 		return false
 	}
 	connection.limiter.disable()
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -96,7 +97,8 @@
 		body:       response.Body,
 		stopCancel: stopCancel,
 		written:    written,
-		keepAlive:  !response.Close,
+		// A late second response to HEAD would be read with a body that it does not have.
+		keepAlive: !response.Close && request.Method != http.MethodHead,
 
 		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}, nil
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -435,3 +435,28 @@
 		})
 	}
 }
+
+// TestConnectionsAreNotUsedAfterHead checks that a late response to HEAD, which has a length
+// and no body, does not meet another request.
+func TestConnectionsAreNotUsedAfterHead(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\n"
+		readRequest(reader)
+		_, _ = fmt.Fprint(conn, head)
+		if id := readRequest(reader); id != "" {
+			_, _ = fmt.Fprint(conn, head+answer(id, "mine"))
+		}
+	})
+	client := newTrunk()
+	request := get("1")
+	request.Method = http.MethodHead
+	for range 2 {
+		response, err := client.Do(context.Background(), address, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(response)
+		g.Expect(err).NotTo(HaveOccurred())
+		response.Close()
+	}
+	g.Expect(connections.Load()).To(Equal(int64(2)))
+}
