relay: forward a success only with a server's stamp

A success that names the request but has no stamp, has an encoding that the caller did not offer, or is marked as not run is no server's answer as meant; it was forwarded, and the last of these made a request that may have run count as not run, so that an order was sent again. Such a response is a broken one now: the request counts as run, is repeated only where that is allowed, and event 9112 names the defect. Before: TestSuccessesThatNoServerVouchesForAreNotForwarded failed in 15 cases, now none.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -182,8 +182,11 @@
 	}
 	defer response.Close()
 	responseInfo := relay.config.Codec.ReadResponse(response.Header)
-	if err := exchange.validateSuccess(response.Status, responseInfo); err != nil {
+	if err := exchange.validateResponse(response.Status, responseInfo); err != nil {
+		exchange.possibleRuns++
 		exchange.recordUnproven(server, err)
+		exchange.recordFailure(ctx, server, err)
+		return false
 	}
 	// Status 421 does not show that the server is alive: another server that has taken
 	// over the address responds with it, too.
--- a/relay/response.go
+++ b/relay/response.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -11,7 +12,7 @@
 	"github.com/basilkeel/basilkeel/pool"
 )
 
-// UnprovenError reports a success that a server did not demonstrably give.
+// UnprovenError reports a response that a server cannot have meant as it reads.
 type UnprovenError struct {
 	Status int
 	// Defect is what the response lacks or contradicts.
@@ -34,27 +35,40 @@
 	}
 }
 
-// validateSuccess returns a *[UnprovenError] if a response has a status of success
-// without the properties of a server's success.
-func (exchange *exchange) validateSuccess(status int, responseInfo ResponseInfo) error {
-	defect := ""
+// validateResponse returns a *[UnprovenError] if a response has a status of success
+// without the properties of a server's success, or says that the request was not run
+// although its status is no refusal.
+func (exchange *exchange) validateResponse(status int, responseInfo ResponseInfo) error {
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
 	switch {
-	case status < http.StatusOK || status >= http.StatusMultipleChoices:
-	case !responseInfo.Stamped:
-		defect = "has no server's stamp"
-	case responseInfo.NotRun:
-		defect = "says that the request was not run"
-	case responseInfo.Encoding != "" && exchange.request.Header.Get("Accept-Encoding") == "":
-		defect = fmt.Sprintf("has the encoding %q, which the caller did not offer", responseInfo.Encoding)
-	}
-	if defect == "" {
+	case responseInfo.NotRun && status < http.StatusBadRequest:
+		return &UnprovenError{Status: status, Defect: "says that the request was not run"}
+	case success && !responseInfo.Stamped:
+		return &UnprovenError{Status: status, Defect: "has no server's stamp"}
+	case success && !acceptsEncoding(exchange.request.Header, responseInfo.Encoding):
+		return &UnprovenError{Status: status, Defect: fmt.Sprintf("has the encoding %q, which the caller did not offer", responseInfo.Encoding)}
+	default:
 		return nil
 	}
-	return &UnprovenError{Status: status, Defect: defect}
 }
 
-// recordUnproven records a success that a server did not demonstrably give to the
-// request.
+// acceptsEncoding reports whether the header of a request offers the encoding of a body.
+func acceptsEncoding(header http.Header, encoding string) bool {
+	if encoding == "" || strings.EqualFold(encoding, "identity") {
+		return true
+	}
+	for _, offer := range strings.Split(strings.Join(header.Values("Accept-Encoding"), ","), ",") {
+		name, _, _ := strings.Cut(offer, ";")
+		name = strings.TrimSpace(name)
+		if name == "*" || strings.EqualFold(name, encoding) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordUnproven records a response that is not forwarded since it fails
+// [exchange.validateResponse].
 func (exchange *exchange) recordUnproven(server *pool.Server, cause error) {
 	metrics.GetOrRegisterCounter("relay.responses.unproven", exchange.relay.config.Metrics).Inc(1)
 	event.ResponseUnproven.Log(exchange.relay.config.Log, logrus.Fields{
