platform: a request with several identifiers has none by which its response is known

Such a request's response was matched by the first of them, and the server may return both or another.

--- a/relay/codec.go
+++ b/relay/codec.go
@@ -27,7 +27,7 @@
 
 // RequestInfo is what the headers of a caller's request contain.
 type RequestInfo struct {
-	// ID identifies one attempt of a caller.
+	// ID identifies one attempt of a caller. It is empty if the request has none, or several.
 	ID string
 	// Timeout is how long the caller waits for the response; zero means unspecified.
 	Timeout time.Duration
