reply: leave no response looking complete after a panic

A panic in the middle of a response to an HTTP/1.0 caller closed the connection in the usual way, which ends such a response. Serve does for any panic what Abort does. Before: TestAbsentOrAbortedResponsesDoNotLookComplete failed in the case of HTTP/1.0 and a panic in the middle of a response.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,15 +106,16 @@
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	relay.active.Add(1)
 	defer relay.active.Add(-1)
-	exchange := &exchange{
-		relay:   relay,
-		writer:  reply.NewWriter(writer, request),
-		request: request,
-		started: relay.config.Clock.Now(),
-		info:    relay.config.Codec.ReadRequest(request),
-	}
-	exchange.serve()
-	exchange.writer.Finish()
+	reply.Serve(writer, request, func(writer *reply.Writer) {
+		exchange := &exchange{
+			relay:   relay,
+			writer:  writer,
+			request: request,
+			started: relay.config.Clock.Now(),
+			info:    relay.config.Codec.ReadRequest(request),
+		}
+		exchange.serve()
+	})
 }
 
 // serve admits the request and forwards it.
--- a/reply/writer.go
+++ b/reply/writer.go
@@ -48,15 +48,16 @@
 // Abort closes the connection so that the response does not look complete. It panics
 // with [http.ErrAbortHandler].
 func (writer *Writer) Abort() {
-	if writer.begun && !writer.request.ProtoAtLeast(1, 1) {
-		writer.reset()
-	}
+	writer.reset()
 	panic(http.ErrAbortHandler)
 }
 
-// reset makes the connection end with a reset, as HTTP/1.0 has no chunks: a response
-// without a length would be complete when its connection is closed.
+// reset makes the connection of a response that has begun end with a reset if the
+// protocol has no chunks: the response would be complete when its connection is closed.
 func (writer *Writer) reset() {
+	if !writer.begun || writer.request.ProtoAtLeast(1, 1) {
+		return
+	}
 	conn, _, err := http.NewResponseController(writer.ResponseWriter).Hijack()
 	if err != nil {
 		// The connection is closed or belongs to another protocol, which has frames.
@@ -69,12 +70,25 @@
 	}
 }
 
-// Explicit returns a handler that closes the connection if handler returns without
-// having written a response.
+// Serve calls handle with a writer of the response to request. It closes the connection
+// if handle returns without having written a response, and leaves no response looking
+// complete if handle panics.
+func Serve(writer http.ResponseWriter, request *http.Request, handle func(writer *Writer)) {
+	tracked := NewWriter(writer, request)
+	returned := false
+	defer func() {
+		if !returned {
+			tracked.reset()
+		}
+	}()
+	handle(tracked)
+	returned = true
+	tracked.Finish()
+}
+
+// Explicit returns a handler that serves each request with handler through [Serve].
 func Explicit(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		tracked := NewWriter(writer, request)
-		handler.ServeHTTP(tracked, request)
-		tracked.Finish()
+		Serve(writer, request, func(writer *Writer) { handler.ServeHTTP(writer, request) })
 	})
 }
--- a/reply/writer_test.go
+++ b/reply/writer_test.go
@@ -50,6 +50,11 @@
 			_ = http.NewResponseController(tracked).Flush()
 			tracked.Abort()
 		}},
+		{name: "a panic in the middle of a response", status: http.StatusOK, body: "part", handle: func(writer http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprint(writer, "part")
+			_ = http.NewResponseController(writer).Flush()
+			panic(http.ErrAbortHandler)
+		}},
 		{name: "a response that is aborted before it begins", handle: func(writer http.ResponseWriter, request *http.Request) {
 			reply.NewWriter(writer, request).Abort()
 		}},
