node: leave no request of callers to net/http

net/http itself responds to OPTIONS * with 200 and an empty body: a success without a server's stamp, by the same class of fault (found by reading; not the operators' case, whose request was a POST). Before: TestCallersGetNoSuccessFromTheLibrary failed in both cases of general options.

--- /dev/null
+++ b/node/callerserver_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/basilkeel/basilkeel/clock"
+)
+
+// TestCallersGetNoSuccessFromTheLibrary checks requests that net/http can complete without
+// the handler.
+func TestCallersGetNoSuccessFromTheLibrary(t *testing.T) {
+	cases := []struct {
+		name    string
+		request string
+	}{
+		{"general options", "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"general options in HTTP/1.0", "OPTIONS * HTTP/1.0\r\n\r\n"},
+		{"options of a path", "OPTIONS /a HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"a tunnel", "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n"},
+		{"a trace", "TRACE / HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"no host", "GET / HTTP/1.1\r\n\r\n"},
+		{"the preface of HTTP/2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"},
+		{"no request", "garbage\r\n\r\n"},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			log, _ := test.NewNullLogger()
+			handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNotFound) })
+			server := newCallerServer(handler, newIdleConnections(clock.NewService(clock.ServiceConfig{})), log)
+			listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+			conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", listener.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, err = fmt.Fprint(conn, each.request)
+			g.Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return
+			}
+			defer response.Body.Close()
+			g.Expect(response.StatusCode).To(BeNumerically(">=", http.StatusBadRequest))
+		})
+	}
+}
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -82,13 +82,7 @@
 // ready.
 func serveRelay(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, clock *clock.Service, log logrus.FieldLogger) {
 	idleConnections := newIdleConnections(clock)
-	server := &http.Server{
-		Handler:           relay,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ConnState:         idleConnections.setState,
-		ErrorLog:          stdlog.New(httpErrorWriter{log: log}, "", 0),
-	}
+	server := newCallerServer(relay, idleConnections, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(startCtx context.Context) error {
@@ -114,6 +108,19 @@
 	})
 }
 
+// newCallerServer returns the server of callers' requests. It leaves all requests to
+// handler: net/http would itself respond to OPTIONS * with success.
+func newCallerServer(handler http.Handler, idleConnections *idleConnections, log logrus.FieldLogger) *http.Server {
+	return &http.Server{
+		Handler:                      handler,
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            headerTimeout,
+		MaxHeaderBytes:               headerBytes,
+		ConnState:                    idleConnections.setState,
+		ErrorLog:                     stdlog.New(httpErrorWriter{log: log}, "", 0),
+	}
+}
+
 // drain waits until no request is in progress, but at least for minDrain and at
 // most until shortly before the end of the stop grace.
 func drain(ctx context.Context, host *setup.Host, relay *relay.Relay, idleConnections *idleConnections, clock *clock.Service) {
