--- a/event/platform.go
+++ b/event/platform.go
@@ -17,6 +17,8 @@
 	RevisionUnread = define(9003, logrus.WarnLevel, "revisionUnread", "The current revision of the platform's key-value service cannot be read; until it can, it is unknown whether the watch lags.")
 	// RevisionRead is logged when the service's current revision can be read again.
 	RevisionRead = define(9004, logrus.InfoLevel, "revisionRead", "The current revision of the platform's key-value service can be read again.")
+	// StoreItemUnread is logged when an item of a list or watch cannot be decoded.
+	StoreItemUnread = define(9005, logrus.WarnLevel, "storeItemUnread", "An item of the platform's key-value service has no readable key or revision and is left out; the other items of the answer are used.")
 	// PolicyInForce is logged when a version of the operators' policy takes effect.
 	PolicyInForce = define(9010, logrus.InfoLevel, "policyInForce", "A version of the operators' routes, services and accounts is in force in this process.")
 	// PolicyUnread is logged when a version of the policy cannot be used.
--- a/node/relay.go
+++ b/node/relay.go
@@ -115,11 +115,12 @@
 	return logger.WithField("instance", host.Instance)
 }
 
-func newPlatformStore(host *setup.Host, registry metrics.Registry) *platform.Store {
+func newPlatformStore(host *setup.Host, registry metrics.Registry, log logrus.FieldLogger) *platform.Store {
 	return platform.NewStore(platform.StoreConfig{
 		Address:   host.StoreAddress,
 		Transport: platform.NewTransport(trunk.NewDialer().DialContext),
 		Metrics:   registry,
+		Log:       log,
 	})
 }
 
