platform, pool: use no server whose entry is odd

An entry that became unusable around an outage of the registry stayed in use as if it had lapsed.

Such an entry now names no server, serverEntryUnread names the field, and its server counts as gone until its next entry.

--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -106,7 +106,8 @@
 		server, err := platform.DecodeServer(entry.Key(), entry.Value())
 		if err != nil {
 			event.ServerEntryUnread.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": err.Error()})
-			registryHandler.remove(id)
+			delete(registryHandler.known, id)
+			registryHandler.pool.Reject(id, registryHandler.clock.Now())
 			continue
 		}
 		registryHandler.known[id] = true
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -151,6 +151,22 @@
 		(!pool.registryRecoveredAt.IsZero() && now.Sub(pool.registryRecoveredAt) < expiryPeriods*pool.config.RegistryPeriod)
 }
 
+// Reject records that the registry's entry of a server does not describe a usable one.
+// The server counts as gone until it has another entry; unlike a missing entry, no
+// outage explains that.
+func (pool *Pool) Reject(id names.BackendServer, now time.Time) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	known, found := pool.members[id]
+	if !found {
+		return
+	}
+	if known.delistedAt.IsZero() {
+		known.delistedAt = now
+	}
+	known.outagePossible = false
+}
+
 // RegistryLost records that the registry has stopped responding. Servers that were gone
 // before remain gone.
 func (pool *Pool) RegistryLost(now time.Time) {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -367,3 +367,46 @@
 		})
 	}
 }
+
+// TestUnusableEntryIsNoLapsedEntry guards against a server that stays in use because an
+// outage could explain a missing entry, although its entry is there and names no server.
+func TestUnusableEntryIsNoLapsedEntry(t *testing.T) {
+	g := NewWithT(t)
+	cases := []struct {
+		name   string
+		before func(*pool.Pool)
+	}{
+		{name: "without an outage", before: func(*pool.Pool) {}},
+		{name: "in an outage", before: func(servers *pool.Pool) { servers.RegistryLost(at(0)) }},
+		{name: "after an outage", before: func(servers *pool.Pool) {
+			servers.RegistryLost(at(0))
+			servers.RegistryRecovered(at(time.Second))
+		}},
+		{name: "after it lapsed in an outage", before: func(servers *pool.Pool) {
+			servers.RegistryLost(at(0))
+			servers.Remove("e1", at(time.Second))
+		}},
+	}
+	for _, each := range cases {
+		servers := newPool(engine("e1", "m"), engine("e2", "m"))
+		each.before(servers)
+		servers.Reject("e1", at(time.Second))
+		servers.Reject("unknown", at(time.Second))
+		g.Expect(picked(servers, query, at(time.Second))).To(Equal("e2"), each.name)
+		servers.Put(engine("e1", "m"))
+		servers.Reject("e2", at(time.Second))
+		g.Expect(picked(servers, query, at(time.Second))).To(Equal("e1"), "%s: its next entry counts", each.name)
+	}
+}
+
+// TestDepartureOutlivesAnUnusableEntry checks that a server that has announced its end
+// gets no requests when its entry becomes unusable and usable again.
+func TestDepartureOutlivesAnUnusableEntry(t *testing.T) {
+	g := NewWithT(t)
+	servers := newPool(engine("e1", "m"))
+	servers.RecordDeparture(engine("e1", "m"), at(0))
+	servers.Reject("e1", at(time.Second))
+	servers.Sweep(at(time.Minute))
+	servers.Put(engine("e1", "m"))
+	g.Expect(picked(servers, query, at(time.Minute))).To(Equal("no server"))
+}
