--- a/copies/planner_test.go
+++ b/copies/planner_test.go
@@ -410,3 +410,19 @@
 		})
 	}
 }
+
+// TestModelsWithoutSizeAreLoaded guards against loads of engines that are not numbers.
+func TestModelsWithoutSizeAreLoaded(t *testing.T) {
+	g := NewWithT(t)
+	spec := engineSpec()
+	for name, model := range spec.Models {
+		model.WeightsMB = 0
+		spec.Models[name] = model
+	}
+	demand := map[names.Model]copies.Demand{"a": {Work: 0.9}, "b": {Work: 0.1}}
+	steps := newPlanner().Plan(copies.PlanInput{
+		Engine: spec, Engines: enginesWith([]names.Model{"a", "b"}, []names.Model{"b"}), Demand: demand, Now: epoch.Add(time.Minute),
+	})
+	g.Expect(steps).NotTo(BeEmpty())
+	g.Expect(steps[0]).To(Equal(copies.Step{Server: "engine-1", Load: "a", FromStore: true}))
+}
--- a/copies/view.go
+++ b/copies/view.go
@@ -80,7 +80,10 @@
 	}
 	for name, demand := range planInput.Demand {
 		size := planInput.Engine.Models[name].WeightsMB
-		view.work[name] = demand.Work * math.Pow(size/view.largestMB, sizeExponent)
+		view.work[name] = demand.Work
+		if view.largestMB > 0 {
+			view.work[name] *= math.Pow(size/view.largestMB, sizeExponent)
+		}
 		view.total += view.work[name]
 	}
 	view.mean = view.total / max(view.computeCapacities(), minCapacity)
