node: elect a coordinator in place of a value of no process

A value of the coordinator's key that no process wrote, such as empty text or bytes that cannot be read, was taken for a coordinator without end: no entry became a candidate, as the key existed and named no predecessor of its own, and a value without a lease does not expire.

Such a value is now replaced, with the revision it has as condition. A process whose value was overwritten ends its term when it sees that, as before, and orders carry the term as fence.

--- a/node/relay.go
+++ b/node/relay.go
@@ -91,10 +91,11 @@
 }
 
 // isPredecessor reports whether value identifies a coordinator that was a previous
-// process of this instance.
+// process of this instance, or no process: a coordinator whose value is overwritten
+// ends its term.
 func (relaySelf *relaySelf) isPredecessor(value string) bool {
 	other, err := coord.DecodeIdentity(value)
-	return err == nil && relaySelf.identity.Replaces(other)
+	return err != nil || other == coord.Identity{} || relaySelf.identity.Replaces(other)
 }
 
 func newRelaySelf(host *setup.Host) *relaySelf {
--- a/node/relayfollow_test.go
+++ b/node/relayfollow_test.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/coord"
 	"github.com/basilkeel/basilkeel/mirror"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/platform"
@@ -270,3 +271,18 @@
 	g.Eventually(listedServers(servers), 10*time.Second).Should(Equal([]string{"i-1", "i-2"}))
 	g.Expect(countEvents(logged, "storeLost")).To(BeZero())
 }
+
+// TestValueOfNoProcessDoesNotPreventElections checks which values of the coordinator's key
+// an entry replaces.
+func TestValueOfNoProcessDoesNotPreventElections(t *testing.T) {
+	g := NewWithT(t)
+	self := coord.Identity{Instance: "edge-1", Address: "10.1.0.1:7600", Process: "p-2"}
+	relaySelf := &relaySelf{identity: self, value: self.Encode()}
+	for _, value := range []string{"", "\xff", "{", "7", "{}", "null"} {
+		g.Expect(relaySelf.isPredecessor(value)).To(BeTrue(), "%q", value)
+	}
+	for _, other := range []coord.Identity{self, {Instance: "edge-2", Address: "10.1.0.2:7600", Process: "p-1"}} {
+		g.Expect(relaySelf.isPredecessor(other.Encode())).To(BeFalse(), "%+v", other)
+	}
+	g.Expect(relaySelf.isPredecessor(coord.Identity{Instance: "edge-1", Address: "10.1.0.1:7600", Process: "p-1"}.Encode())).To(BeTrue())
+}
