coord: count no demand for a model whose name is not UTF-8 text

A caller's X-Model with a byte such as 0xFF cut its entry off from the coordinator for good: the name went into the demand of each report, the report could not be encoded, and the demand stayed as no report was answered. The entry then had no loans, holdings, permits or keys from the coordinator.

No model has such a name, as names come from JSON. Accounts, servers and models of the registry are JSON text as well; an adapter's name fails only its own call.

--- a/coord/client.go
+++ b/coord/client.go
@@ -5,6 +5,7 @@
 	"maps"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -149,7 +150,12 @@
 	}
 }
 
+// updateDemand edits the demand for a model. The name comes from the caller; one that
+// is not UTF-8 text is that of no model, and no report could be encoded with it.
 func (client *Client) updateDemand(service names.Service, model names.Model, edit func(*Demand)) {
+	if !utf8.ValidString(string(model)) {
+		return
+	}
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	target := Target{Service: service, Model: model}
