coord: bound the bytes of holdings in a reply

Replies to entries held up to 200 engines whatever the length of their models' names. A few engines that report names of a megabyte made replies longer than the four megabytes that a message may have, so that no entry got any.

A reply now holds at most 1 MiB of names, or one engine; the rest comes with the next ones.

--- a/coord/holdings.go
+++ b/coord/holdings.go
@@ -27,6 +27,10 @@
 // holdingsPerReply bounds the engines in one reply.
 const holdingsPerReply = 200
 
+// holdingBytesPerReply bounds the names of models and adapters in one reply, unless one
+// engine has more: a message may have four megabytes.
+const holdingBytesPerReply = 1 << 20
+
 // minStaleChanges is the least number of outdated changes that are kept before they
 // are removed, so that they are not removed on each update.
 const minStaleChanges = 256
@@ -63,7 +67,7 @@
 
 // since returns the holdings that have changed since version, or all if version
 // belongs to another term, and the version that they lead to. It returns at most
-// holdingsPerReply at a time: a reply that takes too long to make would time out at
+// holdingsPerReply, and holdingBytesPerReply of names, at a time: a reply that takes too long to make would time out at
 // the entry, which would ask for the same again.
 func (holdings *holdings) since(version Version, term int64) ([]pool.Holding, int64) {
 	after := version.Number
@@ -74,11 +78,13 @@
 		return cmp.Compare(change.version, version)
 	})
 	var changed []pool.Holding
+	bytes := 0
 	for _, change := range holdings.changes[first:] {
 		if !holdings.isLatest(change) {
 			continue
 		}
-		if len(changed) == holdingsPerReply {
+		bytes += nameBytes(&change.holding)
+		if len(changed) == holdingsPerReply || (len(changed) > 0 && bytes > holdingBytesPerReply) {
 			return changed, change.version - 1
 		}
 		changed = append(changed, change.holding)
@@ -86,6 +92,18 @@
 	return changed, holdings.version
 }
 
+// nameBytes returns the size of the names of a holding's models and adapters.
+func nameBytes(holding *pool.Holding) int {
+	bytes := 0
+	for _, model := range holding.Models {
+		bytes += len(model)
+	}
+	for _, adapter := range holding.Adapters {
+		bytes += len(adapter.Model) + len(adapter.Name)
+	}
+	return bytes
+}
+
 // refreshHoldings updates the holdings, at most once in holdingsPeriod. It is called
 // with the coordinator's mutex held.
 func (term *term) refreshHoldings(snapshot *policy.Snapshot, now time.Time) {
--- a/coord/holdings_test.go
+++ b/coord/holdings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -42,3 +43,30 @@
 		g.Expect(known[holding.Server]).To(Equal(holding))
 	}
 }
+
+// TestLongHoldingsFitIntoReplies guards against replies that no entry can receive because
+// of engines that report very long names.
+func TestLongHoldingsFitIntoReplies(t *testing.T) {
+	g := NewWithT(t)
+	holdings := newHoldings()
+	var current []pool.Holding
+	for index := range 9 {
+		current = append(current, pool.Holding{
+			Server: names.BackendServer(fmt.Sprintf("engine-%d", index)), Models: []names.Model{names.Model(strings.Repeat("m", 900_000))},
+		})
+	}
+	holdings.update(current)
+	told := map[names.BackendServer]bool{}
+	version := Version{Term: 1}
+	for range current {
+		changed, number := holdings.since(version, 1)
+		bytes := 0
+		for _, holding := range changed {
+			told[holding.Server] = true
+			bytes += len(holding.Models[0])
+		}
+		g.Expect(bytes).To(BeNumerically("<", 2<<20))
+		version.Number = number
+	}
+	g.Expect(told).To(HaveLen(len(current)))
+}
