mirror: forward no more than two megabytes of entries

The coordinator passed all changed entries to the others in one reply. Large entries under any key, together more than the four megabytes that a message may have, made every such reply fail, and with it loans, holdings and permits.

The mirror now counts as not fresh for such a reply, and the other entry watches the service by itself.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -45,6 +45,9 @@
 	// minChangesKept is the least number of obsolete changes that are kept before they
 	// are removed, so that they are not removed at each change.
 	minChangesKept = 256
+	// maxSinceBytes bounds the entries that are passed to another mirror at a time. A
+	// message to another process may have four megabytes.
+	maxSinceBytes = 2 << 20
 )
 
 // Source reads from the key-value service.
@@ -127,8 +130,8 @@
 
 // Since returns the changes after a revision and the revision that they lead to. If
 // whole is set, it returns all entries instead. It reports whether the mirror is
-// fresh: if the service has not confirmed lately that the mirror is up to date,
-// Since returns no changes.
+// fresh: if the service has not confirmed lately that the mirror is up to date, or the
+// changes are longer than maxSinceBytes, Since returns no changes.
 func (mirror *Mirror) Since(after store.Revision) (entries []store.Entry, to store.Revision, whole, fresh bool) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -136,14 +139,19 @@
 		return nil, 0, false, false
 	}
 	whole = after < mirror.deletionsAfter
+	bytes := 0
 	for _, entry := range slices.Backward(mirror.changes) {
 		if !whole && entry.Revision() <= after {
 			break
 		}
 		if mirror.isLatest(entry) && (entry.Revision() > after || !entry.Deleted()) {
 			entries = append(entries, entry)
+			bytes += len(entry.Key()) + len(entry.Value())
 		}
 	}
+	if bytes > maxSinceBytes {
+		return nil, 0, false, false
+	}
 	slices.Reverse(entries)
 	return entries, mirror.revision, whole, true
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -334,3 +335,26 @@
 	_, watches := service.counts()
 	g.Expect(watches).To(BeNumerically("<=", 2+time.Since(began)/(50*time.Millisecond)))
 }
+
+// TestLargeEntriesAreNotForwarded guards against messages between processes that are too
+// long because of entries that no process needs. The other mirrors then watch themselves.
+func TestLargeEntriesAreNotForwarded(t *testing.T) {
+	g := NewWithT(t)
+	service := newFakeService()
+	first, _ := startMirror(t, service)
+	g.Eventually(first.Revision, waitTimeout).Should(Equal(store.Revision(1)))
+	for _, key := range []string{"a", "b", "c", "d", "e"} {
+		service.put(key, strings.Repeat("x", store.MaxValueBytes), false)
+	}
+	g.Eventually(first.Revision, waitTimeout).Should(Equal(store.Revision(6)))
+	first.Confirm(6)
+	for _, after := range []store.Revision{0, 1, 2} {
+		entries, _, _, fresh := first.Since(after)
+		g.Expect(fresh).To(BeFalse())
+		g.Expect(entries).To(BeEmpty())
+	}
+	entries, to, _, fresh := first.Since(5)
+	g.Expect(fresh).To(BeTrue())
+	g.Expect(entries).To(HaveLen(1))
+	g.Expect(to).To(Equal(store.Revision(6)))
+}
