share: read no record with shares below zero or above one

A recorded share of 1e300 gave a restarted entry a burst of 1e300 tokens for five seconds. Such a record is now unreadable, which counts as empty and is logged as sharesUnread.

--- a/share/record.go
+++ b/share/record.go
@@ -39,6 +39,9 @@
 	for instance, shares := range document.Holders {
 		amounts := Amounts{}
 		for account, part := range shares {
+			if part < 0 || part > 1 {
+				return nil, &RecordError{Cause: fmt.Errorf("share %v of account %q at instance %q is not between 0 and 1", part, account, instance)}
+			}
 			amounts[names.ClientAccount(account)] = part
 		}
 		record[names.Instance(instance)] = amounts
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -171,3 +171,15 @@
 		})
 	}
 }
+
+func TestRecordWithSharesThatCannotBeIsUnreadable(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{
+		`{"holders":{"entry-1":{"notes":1e300}}}`, `{"holders":{"entry-1":{"notes":-1}}}`, `{"holders":{"entry-1":{"notes":1.5}}}`,
+		`{"holders":{"entry-1":{"notes":"0.5"}}}`, `{"holders":{"entry-1":{"notes":1e400}}}`, `{"holders":[]}`, "", "\xff",
+	} {
+		_, err := share.DecodeRecord([]byte(text))
+		var recordError *share.RecordError
+		g.Expect(err).To(BeAssignableToTypeOf(recordError), "%q", text)
+	}
+}
