--- a/event/platform.go
+++ b/event/platform.go
@@ -30,7 +30,7 @@
 	// registry.
 	ServerUnlisted = define(9021, logrus.InfoLevel, "serverUnlisted", "A backend server's entry was removed from the registry; the server gets no new requests, except in the grace period after an outage of the service.")
 	// ServerEntryUnread is logged when an entry of the registry cannot be used.
-	ServerEntryUnread = define(9022, logrus.WarnLevel, "serverEntryUnread", "An entry of the registry does not describe a usable backend server and is ignored.")
+	ServerEntryUnread = define(9022, logrus.WarnLevel, "serverEntryUnread", "An entry of the registry does not describe a usable backend server and is ignored; a server that had a usable one gets no new requests until it has one again.")
 	// ServerEjected is logged when a backend server gets no requests for a time
 	// because it failed some.
 	ServerEjected = define(9030, logrus.WarnLevel, "serverEjected", "A backend server failed requests and gets no new ones until the time given.")
