--- a/node/relay.go
+++ b/node/relay.go
@@ -91,10 +91,11 @@
 }
 
 // isPredecessor reports whether value identifies a coordinator that was a previous
-// process of this instance.
+// process of this instance, or no process: a coordinator whose value is overwritten
+// ends its term.
 func (relaySelf *relaySelf) isPredecessor(value string) bool {
 	other, err := coord.DecodeIdentity(value)
-	return err == nil && relaySelf.identity.Replaces(other)
+	return err != nil || other == coord.Identity{} || relaySelf.identity.Replaces(other)
 }
 
 func newRelaySelf(host *setup.Host) *relaySelf {
@@ -115,11 +116,12 @@
 	return logger.WithField("instance", host.Instance)
 }
 
-func newPlatformStore(host *setup.Host, registry metrics.Registry) *platform.Store {
+func newPlatformStore(host *setup.Host, registry metrics.Registry, log logrus.FieldLogger) *platform.Store {
 	return platform.NewStore(platform.StoreConfig{
 		Address:   host.StoreAddress,
 		Transport: platform.NewTransport(trunk.NewDialer().DialContext),
 		Metrics:   registry,
+		Log:       log,
 	})
 }
 
