relay: forward nothing of a run that does not continue its stream

Callers of a resumable stream that broke would see, in the middle of it or as its end: the body of whatever the next server sent with a status below 300 (a page, an error in an event, another type or encoding), the stream again from its first event, the last event twice, a gap, or a stream that ends as complete because the next server sent an empty body, 204 or only a comment. Events without IDs were joined with a run from the beginning. A stream that a server ended cleanly within an event looked complete where it can't be resumed. Streams with CRLF or CR were held back to their end and then broken off, and so was a complete JSON body on a resumable route. An event without end was held back without bound.

Cause: forwardStream took every success on a stream route for a continuation once the header was sent, eventBuffer knew only LF LF as the end of an event, and the last ID outlived events without one.

Ruled out (these passed before): an error status with an event-stream body, a JSON body with no blank line in it, breaks at each byte of a stream with LF, within chunk sizes, a length not reached, a reset of a response without a length, responses behind a complete stream on its connection, the header of the second run.

Now a run that resumes must have the stream's status, type and encoding, and its first event the ID after the last one that was forwarded (for numbers with gaps a higher one, for other IDs one not sent before); until then nothing of it is forwarded. Else it is logged as 9112, counts as run, and a further server is tried within the limits of attempts and the retry budget, or the stream is aborted. A stream isn't resumed after an event without an ID. A resumed run without any event is not taken for the rest of the stream, as it can't be told from a lost one: a stream that broke after its last event is visibly broken.

A response without a length or chunks that is closed between two events still counts as complete: the platform's pages allow such responses, and only a reset shows that it is not.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/basilkeel/basilkeel/event"
-	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/trunk"
 )
@@ -116,36 +115,32 @@
 }
 
 // forwardStream forwards a stream as it arrives. A resumable stream is forwarded in whole
-// events, so that another server can continue after the last one. It always returns
-// true, as the caller's response has begun, and panics if that can't be completed.
-func (exchange *exchange) forwardStream(ctx context.Context, server *pool.Server, response *responseReader) bool {
-	if !exchange.streamStarted {
-		exchange.streamStarted = true
-		header := exchange.writer.Header()
-		for name, values := range exchange.relay.config.Codec.CallerHeader(response.Header) {
-			header[name] = values
-		}
-		header.Del("Content-Length")
-		exchange.closeWhenDraining(header)
-		exchange.writer.WriteHeader(response.Status)
-		exchange.firstByteAt = exchange.now()
-		exchange.recordFirstByte()
-	}
-	events := &eventBuffer{wholeEvents: exchange.route.Resumable}
-	bytes, err := exchange.copyEvents(response, events)
-	var brokenError *trunk.BrokenError
+// events, so that another server can continue after the last one. It returns true once
+// the caller's response is complete, panics if that can't be completed, and returns false
+// if nothing of the response was forwarded as it doesn't continue the stream.
+func (exchange *exchange) forwardStream(ctx context.Context, server *pool.Server, response *responseReader, encoding string) bool {
+	if exchange.stream == nil {
+		exchange.beginStream(response, encoding)
+	} else if err := exchange.stream.checkHeader(response, encoding); err != nil {
+		exchange.rejectContinuation(ctx, server, response, err)
+		return false
+	}
+	bytes, err := exchange.copyEvents(response, newEventBuffer(exchange.stream))
+	var (
+		brokenError        *trunk.BrokenError
+		midEvent           *midEventError
+		discontinuityError *discontinuityError
+	)
 	switch {
-	case err == nil && events.pendingBytes() == 0:
+	case err == nil:
 		exchange.recordDone(response.Status, bytes)
 		return true
-	case err == nil:
-		err = io.ErrUnexpectedEOF
-	case !errors.As(err, &brokenError):
+	case errors.As(err, &discontinuityError):
+		exchange.rejectContinuation(ctx, server, response, err)
+		return false
+	case !errors.As(err, &brokenError) && !errors.As(err, &midEvent):
 		exchange.abortLeft()
 	}
-	if events.lastID != "" {
-		exchange.lastEventID = events.lastID
-	}
 	response.Close()
 	if !exchange.reserveResume(ctx) {
 		exchange.abort(err)
@@ -155,9 +150,31 @@
 	return true
 }
 
+// beginStream sends the caller the header of a stream.
+func (exchange *exchange) beginStream(response *responseReader, encoding string) {
+	exchange.stream = newStream(response, encoding, exchange.route.Resumable)
+	header := exchange.writer.Header()
+	for name, values := range exchange.relay.config.Codec.CallerHeader(response.Header) {
+		header[name] = values
+	}
+	header.Del("Content-Length")
+	exchange.closeWhenDraining(header)
+	exchange.writer.WriteHeader(response.Status)
+	exchange.firstByteAt = exchange.now()
+	exchange.recordFirstByte()
+}
+
+// rejectContinuation records a response that doesn't continue the caller's stream.
+func (exchange *exchange) rejectContinuation(ctx context.Context, server *pool.Server, response *responseReader, err error) {
+	response.Close()
+	exchange.recordUnproven(server, err)
+	exchange.recordFailure(ctx, server, err)
+}
+
 // copyEvents forwards a stream's events and returns the number of bytes written. Its
 // error is nil at the end of the stream, a *[trunk.BrokenError] if the server broke the
-// response, and another error if the caller has disconnected.
+// response, a *[midEventError] if it ended within an event, a *[discontinuityError] if it
+// doesn't continue the stream, and another error if the caller has disconnected.
 func (exchange *exchange) copyEvents(response *responseReader, events *eventBuffer) (int64, error) {
 	controller := http.NewResponseController(exchange.writer)
 	buffer := make([]byte, readBufferBytes)
@@ -168,7 +185,10 @@
 		now := exchange.now()
 		exchange.longestGap = max(exchange.longestGap, now.Sub(last))
 		last = now
-		ready := events.add(buffer[:count])
+		ready, addErr := events.add(buffer[:count])
+		if addErr != nil {
+			return total, addErr
+		}
 		if len(ready) > 0 {
 			total += int64(len(ready))
 			if _, writeErr := exchange.writer.Write(ready); writeErr != nil {
@@ -179,7 +199,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return total, nil
+			return total, events.finish()
 		}
 		if err != nil {
 			return total, err
@@ -190,7 +210,7 @@
 // reserveResume reports whether a broken stream may be resumed at another server. If so,
 // it takes the retry from the budget.
 func (exchange *exchange) reserveResume(ctx context.Context) bool {
-	return exchange.route.Kind == policy.KindStream && exchange.route.Resumable && ctx.Err() == nil &&
+	return exchange.stream.resumable() && ctx.Err() == nil &&
 		exchange.possibleRuns < exchange.route.MaxAttempts && exchange.relay.budget.tryWithdraw(exchange.service, exchange.now())
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -58,10 +58,8 @@
 	waited time.Duration
 	// cause is the error of the last failed step.
 	cause error
-	// lastEventID is the ID of the last event that the caller has been sent.
-	lastEventID string
-	// streamStarted reports whether the caller has been sent the header of a stream.
-	streamStarted bool
+	// stream is the stream whose header the caller has been sent; nil means none.
+	stream *stream
 	// firstByteAt is when the header of a stream was sent to the caller.
 	firstByteAt time.Time
 	// longestGap is the longest time between two reads of a stream.
@@ -213,8 +211,8 @@
 	reader := &responseReader{Response: response, exchange: exchange, server: server, sentAt: sentAt, lastReadAt: exchange.now(), requestErr: ctx.Err}
 	switch {
 	case exchange.route.Kind == policy.KindStream && response.Status < http.StatusMultipleChoices:
-		return exchange.forwardStream(ctx, server, reader)
-	case exchange.streamStarted:
+		return exchange.forwardStream(ctx, server, reader, responseInfo.Encoding)
+	case exchange.stream != nil:
 		// The caller has been sent the beginning of a stream, which this response doesn't
 		// continue.
 		exchange.tried = append(exchange.tried, server.ID)
@@ -274,7 +272,10 @@
 func (exchange *exchange) send(ctx context.Context, server *pool.Server) (*trunk.Response, error) {
 	relay := exchange.relay
 	now := exchange.now()
-	attempt := Attempt{Server: server.ID, TimeLeft: exchange.deadline.Sub(now), ResumeAfter: exchange.lastEventID}
+	attempt := Attempt{Server: server.ID, TimeLeft: exchange.deadline.Sub(now)}
+	if exchange.stream != nil {
+		attempt.ResumeAfter = exchange.stream.lastID
+	}
 	attempt.Prioritized, attempt.Priority = exchange.info.Model != "", exchange.priority()
 	if exchange.account != nil {
 		attempt.Account = exchange.account.Name
--- a/relay/response.go
+++ b/relay/response.go
@@ -68,7 +68,7 @@
 }
 
 // recordUnproven records a response that is not forwarded since it fails
-// [exchange.validateResponse].
+// [exchange.validateResponse] or doesn't continue the caller's stream.
 func (exchange *exchange) recordUnproven(server *pool.Server, cause error) {
 	metrics.GetOrRegisterCounter("relay.responses.unproven", exchange.relay.config.Metrics).Inc(1)
 	event.ResponseUnproven.Log(exchange.relay.config.Log, logrus.Fields{
