engine: take no error and no unnumbered piece for the rest of a stream

Callers of the entries would see an error's text as a piece of their completion, or a complete stream after an error, if an engine sent an error event whose data looks like a piece, is the done event or is missing, or an error beside a choice. An engine that does not number its pieces and starts again at the first one when it is asked to go on would have its beginning joined to what came before.

Cause: readPieces skipped the name of events, DecodePiece ignored an error field, and a piece without a number was given the expected one also as the first of a resumed generation.

Ruled out (passed before): an error status, an error in JSON, 204, an empty stream, pieces repeated, skipped or from the beginning with numbers, an error as data, breaks and clean ends without the done event.

An engine that does not number its pieces can now start a generation but not go on with one: the attempt breaks, and the caller's stream ends with an error event. That is what can be proven of such an engine.

--- a/engine/codec.go
+++ b/engine/codec.go
@@ -27,6 +27,7 @@
 	errNoRequest = errors.New("requestId is missing")
 	errNoModel   = errors.New("model is missing")
 	errNoChoice  = errors.New("choices are empty")
+	errFailed    = errors.New("engine reported an error")
 )
 
 // EncodeOrder returns the JSON form of order.
@@ -176,6 +177,9 @@
 	if err := json.Unmarshal(data, &chunkWire); err != nil {
 		return Piece{}, &CodecError{MessageType: "chunk", Cause: err}
 	}
+	if chunkWire.Error != nil {
+		return Piece{}, &CodecError{MessageType: "chunk", Cause: errFailed}
+	}
 	if len(chunkWire.Choices) == 0 {
 		return Piece{}, &CodecError{MessageType: "chunk", Cause: errNoChoice}
 	}
--- a/engine/httpengine.go
+++ b/engine/httpengine.go
@@ -24,13 +24,18 @@
 
 const (
 	eventPrefix   = "data:"
+	namePrefix    = "event:"
+	errorName     = "error"
 	eventDone     = "[DONE]"
 	maxEventBytes = 1 << 20
+	// unnumbered is the index that pieces without a number get where they need one.
+	unnumbered = -1
 )
 
 var (
 	errNoDoneEvent = errors.New("stream ended without its done event")
 	errPieceOrder  = errors.New("a piece is missing or out of order")
+	errErrorEvent  = errors.New("engine sent an error event")
 )
 
 // HTTPEngineConfig configures an [HTTPEngine].
@@ -79,12 +84,16 @@
 }
 
 // readPieces reads server-sent events up to the done event and passes their
-// pieces to sink. The first piece has to have the index offset.
+// pieces to sink. The first piece has to have the index offset. Unless that is zero, the
+// piece must be numbered, as it may otherwise be the first of all.
 func readPieces(ctx context.Context, reader io.Reader, offset int, sink func(Piece) error) error {
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(nil, maxEventBytes)
 	next := offset
 	for scanner.Scan() {
+		if name, isName := bytes.CutPrefix(scanner.Bytes(), []byte(namePrefix)); isName && string(bytes.TrimSpace(name)) == errorName {
+			return &BrokenError{Pieces: next, Cause: errErrorEvent}
+		}
 		data, isData := bytes.CutPrefix(scanner.Bytes(), []byte(eventPrefix))
 		if !isData {
 			continue
@@ -93,7 +102,11 @@
 		if string(data) == eventDone {
 			return nil
 		}
-		piece, err := DecodePiece(data, next)
+		expected := next
+		if next == offset && offset > 0 {
+			expected = unnumbered
+		}
+		piece, err := DecodePiece(data, expected)
 		if err != nil {
 			return &BrokenError{Pieces: next, Cause: err}
 		}
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -54,13 +54,14 @@
 }
 
 // chunkWire is one event of a streamed completion. PieceIndex is absent from
-// engines that do not number their pieces.
+// engines that do not number their pieces. Error is present if the engine failed.
 type chunkWire struct {
 	ID         string       `json:"id"`
 	Object     string       `json:"object"`
 	Model      string       `json:"model"`
 	Choices    []choiceWire `json:"choices"`
 	PieceIndex *int         `json:"pieceIndex,omitempty"`
+	Error      any          `json:"error,omitempty"`
 }
 
 type cancelWire struct {
