--- a/relay/answer.go
+++ b/relay/answer.go
@@ -189,6 +189,13 @@
 		if addErr != nil {
 			return total, addErr
 		}
+		ended := errors.Is(err, io.EOF)
+		var endErr error
+		if ended {
+			var rest []byte
+			rest, endErr = events.finish()
+			ready = append(ready, rest...)
+		}
 		if len(ready) > 0 {
 			total += int64(len(ready))
 			if _, writeErr := exchange.writer.Write(ready); writeErr != nil {
@@ -198,8 +205,8 @@
 				return total, flushErr
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			return total, events.finish()
+		if ended {
+			return total, endErr
 		}
 		if err != nil {
 			return total, err
--- a/relay/events.go
+++ b/relay/events.go
@@ -179,14 +179,15 @@
 	return result, nil
 }
 
-// finish returns an error if the run can't end here.
-func (buffer *eventBuffer) finish() error {
+// finish returns what is left to be forwarded at the end of the run, or an error if the
+// run can't end here.
+func (buffer *eventBuffer) finish() ([]byte, error) {
 	switch {
 	case buffer.unverified:
-		return &discontinuityError{lastID: buffer.stream.lastID, defect: "ends without an event"}
+		return nil, &discontinuityError{lastID: buffer.stream.lastID, defect: "ends without an event"}
 	case buffer.stream.format == formatEvents && buffer.scanner.midEvent():
-		return &midEventError{}
+		return nil, &midEventError{}
 	default:
-		return nil
+		return buffer.pending, nil
 	}
 }
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -265,6 +265,14 @@
 			runs: []run{{bytes: chunked(eventStream, "id: a\ndata: 1\n\nid: b\ndata: 2\n\n")}, {bytes: chunked(eventStream, "id: a\ndata: 1\n\n") + lastChunk}},
 			want: "id: a\ndata: 1\n\nid: b\ndata: 2\n\n", resumes: []string{"", "b"},
 		},
+		{
+			name: "a comment at the end of the first run", maxAttempts: 2,
+			runs: []run{{bytes: chunked(eventStream, events(1, 2)+": bye") + lastChunk}, {bytes: rest}}, want: events(1, 2) + ": bye", whole: true, resumes: []string{""},
+		},
+		{
+			name: "a comment at the end of the second run", maxAttempts: 2,
+			runs: []run{first, {bytes: chunked(eventStream, events(3, 4)+": bye") + lastChunk}}, want: events(1, 4) + ": bye", whole: true, resumes: []string{"", "2"},
+		},
 		{
 			name: "a clean end within an event", maxAttempts: 2,
 			runs: []run{{bytes: chunked(eventStream, events(1, 2)+"id: 3\ndata") + lastChunk}, {bytes: rest}},
