trunk: take no response whose header encloses another one

A server that sends an earlier response once more, cut within its header, and then the response to the request: the status line of the latter becomes part of a header or of the reason of the former, and what was read has the earlier status and the request's own identifier and stamp. A request that ran was refused as not run, or ran twice. Such a response is broken now.

--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -86,6 +87,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if line := enclosedStatusLine(response); line != "" {
+			return nil, &SplicedError{StatusLine: line}
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &StatusError{Status: response.StatusCode}
 		}
@@ -105,6 +109,26 @@
 	}
 }
 
+// statusLine matches the status line of a response.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [1-5][0-9][0-9]`)
+
+// enclosedStatusLine returns the status line of another response in the reason or a
+// header of response, or an empty string. One is there if response was cut within its
+// header, so that what follows it was read as a part of it.
+func enclosedStatusLine(response *http.Response) string {
+	if line := statusLine.FindString(response.Status); line != "" {
+		return line
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if line := statusLine.FindString(value); line != "" {
+				return line
+			}
+		}
+	}
+	return ""
+}
+
 // skipBody reads the body of a response to another request. It reports whether the next
 // response on the connection can be read. After a HEAD request that is not so, as the
 // other response may have a body.
--- a/trunk/errors.go
+++ b/trunk/errors.go
@@ -51,6 +51,17 @@
 	return fmt.Sprintf("response header exceeds %d bytes", headerSizeError.Bytes)
 }
 
+// SplicedError reports a response whose header encloses the beginning of another one.
+type SplicedError struct {
+	// StatusLine is the beginning of the enclosed response.
+	StatusLine string
+}
+
+// Error implements [error].
+func (splicedError *SplicedError) Error() string {
+	return fmt.Sprintf("response header encloses another response, which begins with %q", splicedError.StatusLine)
+}
+
 // MismatchError reports responses on a connection that belong to other requests.
 type MismatchError struct {
 	Responses int
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -460,3 +460,25 @@
 	}
 	g.Expect(connections.Load()).To(Equal(int64(2)))
 }
+
+// TestStatusLineInsideEarlierHeaderIsNoResponse checks responses that follow a copy of an
+// earlier one that was cut within its header.
+func TestStatusLineInsideEarlierHeaderIsNoResponse(t *testing.T) {
+	for _, cut := range []string{
+		"HTTP/1.1 503 ", "HTTP/1.1 503 Service Unav", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: ", "HTTP/1.1 200 OK\r\nContent-Type: te",
+		"HTTP/1.1 503 Service Unavailable\r\n", "HTTP/1.1 503 Service Unavailable\r\nNot-R", "HTTP/1.1 50", "HTTP",
+		"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n ", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nOther: ",
+	} {
+		t.Run(cut, func(t *testing.T) {
+			g := NewWithT(t)
+			address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				id := readRequest(reader)
+				_, _ = fmt.Fprint(conn, cut+answer(id, "mine"))
+				readRequest(reader)
+			})
+			_, err := newTrunk().Do(context.Background(), address, get("1"))
+			var brokenError *trunk.BrokenError
+			g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
+		})
+	}
+}
