relay: pass on no promise that a server did not give

408, 421, 429 and 503 promise callers that the request has not run. A server's response with such a status and without the mark that it did not run the request was forwarded, although it counts as run. It is a broken response now, and the caller gets 502 unless the request may go elsewhere.

--- a/event/platform.go
+++ b/event/platform.go
@@ -86,9 +86,9 @@
 	// ResponseSkipped is logged when a response on a connection is skipped because it
 	// belongs to no current request.
 	ResponseSkipped = define(9111, logrus.WarnLevel, "responseSkipped", "A backend server sent a response that does not belong to the request on its connection; it was skipped. The fields give its status and the request that it names, if any.")
-	// ResponseUnproven is logged when a success is not forwarded because it lacks what
+	// ResponseUnproven is logged when a response is not forwarded because it lacks what
 	// proves that a server gave it, or contradicts itself.
-	ResponseUnproven = define(9112, logrus.WarnLevel, "responseUnproven", "A success from the address of a backend server lacks what proves that the server gave it, or contradicts itself, or does not continue the stream that it was to resume; it was not forwarded, and the request counts as run. The cause names the defect.")
+	ResponseUnproven = define(9112, logrus.WarnLevel, "responseUnproven", "A response from the address of a backend server is a success without what proves that the server gave it, or contradicts itself on whether the request was run, or does not continue the stream that it was to resume; it was not forwarded, and the request counts as run. The cause names the defect.")
 	// RequestWaits is logged when a request waits for a model to be loaded.
 	RequestWaits = define(9106, logrus.InfoLevel, "requestWaits", "A request waits until its model or adapter is loaded.")
 )
--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -213,16 +213,35 @@
 // TestSuccessesThatNoServerVouchesForAreNotForwarded checks responses that name the request
 // and are not a server's success.
 func TestSuccessesThatNoServerVouchesForAreNotForwarded(t *testing.T) {
-	cases := []struct {
-		name     string
-		response string
-	}{
+	expectFailure(t, []namedResponse{
 		{"no stamp", framed(http.StatusOK, "Id: call-1\r\n", events(1, 2))},
 		{"no stamp, and no content", "HTTP/1.1 204 No Content\r\nId: call-1\r\n\r\n"},
 		{"an encoding that the caller did not offer", framed(http.StatusOK, "Id: call-1\r\nStamp: s\r\nContent-Encoding: gzip\r\n", events(1, 2))},
 		{"a success that was not run", framed(http.StatusOK, "Id: call-1\r\nStamp: s\r\nNot-Run: 1\r\n", events(1, 2))},
 		{"two identifiers", framed(http.StatusOK, "Id: call-1\r\nId: call-2\r\nStamp: s\r\n", events(1, 2))},
+	})
+}
+
+// TestRefusalsWithoutProofAreNotForwarded checks statuses that promise callers that the
+// request has not run, from servers that don't say so.
+func TestRefusalsWithoutProofAreNotForwarded(t *testing.T) {
+	var cases []namedResponse
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		cases = append(cases, namedResponse{http.StatusText(status), framed(status, "Id: call-1\r\nStamp: s\r\n", "")})
 	}
+	expectFailure(t, cases)
+}
+
+// namedResponse is a server's response.
+type namedResponse struct {
+	name     string
+	response string
+}
+
+// expectFailure checks that callers get a failure that may have run in place of each
+// response.
+func expectFailure(t *testing.T, cases []namedResponse) {
+	t.Helper()
 	for _, path := range []string{"/look/1", "/order/1", "/draft/1"} {
 		for _, each := range cases {
 			t.Run(path+" "+each.name, func(t *testing.T) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -36,13 +36,15 @@
 }
 
 // validateResponse returns a *[UnprovenError] if a response has a status of success
-// without the properties of a server's success, or says that the request was not run
-// although its status is no refusal.
+// without the properties of a server's success, or if its status and its header
+// contradict each other on whether the request was run.
 func (exchange *exchange) validateResponse(status int, responseInfo ResponseInfo) error {
 	success := status >= http.StatusOK && status < http.StatusMultipleChoices
 	switch {
 	case responseInfo.NotRun && status < http.StatusBadRequest:
 		return &UnprovenError{Status: status, Defect: "says that the request was not run"}
+	case !responseInfo.NotRun && promisesNotRun(status):
+		return &UnprovenError{Status: status, Defect: "does not say that the request was not run"}
 	case success && !responseInfo.Stamped:
 		return &UnprovenError{Status: status, Defect: "has no server's stamp"}
 	case success && !acceptsEncoding(exchange.request.Header, responseInfo.Encoding):
@@ -52,6 +54,17 @@
 	}
 }
 
+// promisesNotRun reports whether callers take a status for a promise that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // acceptsEncoding reports whether the header of a request offers the encoding of a body.
 func acceptsEncoding(header http.Header, encoding string) bool {
 	if encoding == "" || strings.EqualFold(encoding, "identity") {
