node: catch SIGHUP from the start to the end of the process

SIGHUP during a planned stop, or before the settings were watched, ended the process at once and with it its requests: the handler was removed when stopping began.

--- a/node/relay.go
+++ b/node/relay.go
@@ -57,6 +57,7 @@
 // RunRelay runs an entry of a prepared deployment until it receives a signal or
 // ctx is done. The settings are read from the file at path.
 func RunRelay(ctx context.Context, path string) error {
+	hangUps := catchHangUps()
 	host, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -69,7 +70,7 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(host.Bounds.StopGrace+stopMargin),
-		fx.Supply(host, output, settingsPath(path)),
+		fx.Supply(host, output, hangUps, settingsPath(path)),
 		fx.Provide(
 			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newLimiter, crash.NewTracker,
 			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newMirror,
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -206,12 +206,22 @@
 	})
 }
 
+// hangUps receives SIGHUP.
+type hangUps <-chan os.Signal
+
+// catchHangUps catches SIGHUP until the process ends, as it would end a process that is
+// starting or stopping.
+func catchHangUps() hangUps {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // watchSettings reads and validates the settings file again at SIGHUP and when it
 // has changed, and logs the result. The settings of the running process do not
 // change until it restarts.
-func watchSettings(lifecycle fx.Lifecycle, path settingsPath, host *setup.Host, clock *clock.Service, log logrus.FieldLogger) {
+func watchSettings(lifecycle fx.Lifecycle, hangUps hangUps, path settingsPath, host *setup.Host, clock *clock.Service, log logrus.FieldLogger) {
 	ctx, cancel := context.WithCancel(context.Background())
-	hangUps := make(chan os.Signal, 1)
 	var modified atomic.Int64
 	reload := func(reason string) {
 		fresh, err := platform.ReadSettings(string(path))
@@ -224,7 +234,6 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			modified.Store(modifiedAt(string(path)))
-			signal.Notify(hangUps, syscall.SIGHUP)
 			go func() {
 				for {
 					select {
@@ -244,7 +253,6 @@
 			return nil
 		},
 		OnStop: func(context.Context) error {
-			signal.Stop(hangUps)
 			cancel()
 			return nil
 		},
