reply: reset connections of unfinished HTTP/1.0 responses, also when the process is killed

The kernel closes the connections of a killed process in the usual way, which ends a response of HTTP/1.0. Such a connection is set to be reset from the first byte of its response until the last one is written; this serves panics and aborted responses, too, and replaces taking over the connection for them.

--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -23,6 +23,7 @@
 	"github.com/basilkeel/basilkeel/platform"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/relay"
+	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/setup"
 	"github.com/basilkeel/basilkeel/spool"
 	"github.com/basilkeel/basilkeel/trunk"
@@ -116,6 +117,7 @@
 		DisableGeneralOptionsHandler: true,
 		ReadHeaderTimeout:            headerTimeout,
 		MaxHeaderBytes:               headerBytes,
+		ConnContext:                  reply.ConnContext,
 		ConnState:                    idleConnections.setState,
 		ErrorLog:                     stdlog.New(httpErrorWriter{log: log}, "", 0),
 	}
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -25,6 +25,7 @@
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/proof"
 	"github.com/basilkeel/basilkeel/relay"
+	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/share"
 	"github.com/basilkeel/basilkeel/trunk"
 )
@@ -182,7 +183,9 @@
 		Services: []*policy.Service{{Name: "desk"}, {Name: "notes", Engine: engine}},
 		Accounts: []*policy.Account{{Name: "crew", Keys: []string{"secret"}}},
 	}))
-	front := httptest.NewServer(handler)
+	front := httptest.NewUnstartedServer(handler)
+	front.Config.ConnContext = reply.ConnContext
+	front.Start()
 	t.Cleanup(front.Close)
 	return &fixture{t: t, relay: handler, pool: servers, trunk: connections, coordinator: coordinator, front: front, logs: hook, crashes: crashes}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,16 +106,15 @@
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	relay.active.Add(1)
 	defer relay.active.Add(-1)
-	reply.Serve(writer, request, func(writer *reply.Writer) {
-		exchange := &exchange{
-			relay:   relay,
-			writer:  writer,
-			request: request,
-			started: relay.config.Clock.Now(),
-			info:    relay.config.Codec.ReadRequest(request),
-		}
-		exchange.serve()
-	})
+	exchange := &exchange{
+		relay:   relay,
+		writer:  reply.NewWriter(writer, request),
+		request: request,
+		started: relay.config.Clock.Now(),
+		info:    relay.config.Codec.ReadRequest(request),
+	}
+	exchange.serve()
+	exchange.writer.Finish()
 }
 
 // serve admits the request and forwards it.
--- a/reply/writer.go
+++ b/reply/writer.go
@@ -1,11 +1,11 @@
 package reply
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
-// Writer is a [http.ResponseWriter] that records whether a response has begun.
+// Writer is a [http.ResponseWriter] that records whether a response has begun. A response
+// to HTTP/1.0, which has no chunks, may be complete when its connection is closed; so the
+// connection is reset unless the response is finished, also if the process is killed. The
+// server needs [ConnContext] for that.
 type Writer struct {
 	http.ResponseWriter
 	request *http.Request
@@ -20,17 +20,32 @@
 // WriteHeader implements [http.ResponseWriter].
 func (writer *Writer) WriteHeader(status int) {
 	if status >= http.StatusOK {
-		writer.begun = true
+		writer.begin()
 	}
 	writer.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements [http.ResponseWriter].
 func (writer *Writer) Write(data []byte) (int, error) {
-	writer.begun = true
+	writer.begin()
 	return writer.ResponseWriter.Write(data)
 }
 
+func (writer *Writer) begin() {
+	if !writer.begun && writer.endsWithConnection() {
+		setLinger(writer.request, 0)
+	}
+	writer.begun = true
+}
+
+func (writer *Writer) endsWithConnection() bool { return !writer.request.ProtoAtLeast(1, 1) }
+
+// FlushError flushes the response for [http.ResponseController], which writes its header.
+func (writer *Writer) FlushError() error {
+	writer.begin()
+	return http.NewResponseController(writer.ResponseWriter).Flush()
+}
+
 // Unwrap returns the underlying writer, for [http.ResponseController].
 func (writer *Writer) Unwrap() http.ResponseWriter { return writer.ResponseWriter }
 
@@ -41,54 +56,27 @@
 // [http.ErrAbortHandler].
 func (writer *Writer) Finish() {
 	if !writer.begun {
-		panic(http.ErrAbortHandler)
+		writer.Abort()
 	}
-}
-
-// Abort closes the connection so that the response does not look complete. It panics
-// with [http.ErrAbortHandler].
-func (writer *Writer) Abort() {
-	writer.reset()
-	panic(http.ErrAbortHandler)
-}
-
-// reset makes the connection of a response that has begun end with a reset if the
-// protocol has no chunks: the response would be complete when its connection is closed.
-func (writer *Writer) reset() {
-	if !writer.begun || writer.request.ProtoAtLeast(1, 1) {
+	if !writer.endsWithConnection() {
 		return
 	}
-	conn, _, err := http.NewResponseController(writer.ResponseWriter).Hijack()
-	if err != nil {
-		// The connection is closed or belongs to another protocol, which has frames.
-		return
-	}
-	defer conn.Close()
-	if tcpConn, ok := conn.(*net.TCPConn); ok {
-		// An error means that the connection has ended already.
-		_ = tcpConn.SetLinger(0)
+	if err := http.NewResponseController(writer.ResponseWriter).Flush(); err != nil {
+		writer.Abort()
 	}
+	setLinger(writer.request, defaultLinger)
 }
 
-// Serve calls handle with a writer of the response to request. It closes the connection
-// if handle returns without having written a response, and leaves no response looking
-// complete if handle panics.
-func Serve(writer http.ResponseWriter, request *http.Request, handle func(writer *Writer)) {
-	tracked := NewWriter(writer, request)
-	returned := false
-	defer func() {
-		if !returned {
-			tracked.reset()
-		}
-	}()
-	handle(tracked)
-	returned = true
-	tracked.Finish()
-}
+// Abort closes the connection so that the response does not look complete. It panics
+// with [http.ErrAbortHandler].
+func (*Writer) Abort() { panic(http.ErrAbortHandler) }
 
-// Explicit returns a handler that serves each request with handler through [Serve].
+// Explicit returns a handler that closes the connection if handler returns without
+// having written a response.
 func Explicit(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		Serve(writer, request, func(writer *Writer) { handler.ServeHTTP(writer, request) })
+		tracked := NewWriter(writer, request)
+		handler.ServeHTTP(tracked, request)
+		tracked.Finish()
 	})
 }
--- a/reply/writer_test.go
+++ b/reply/writer_test.go
@@ -44,6 +44,13 @@
 		{name: "a body only", complete: true, status: http.StatusOK, body: "fine", handle: func(writer http.ResponseWriter, _ *http.Request) {
 			_, _ = fmt.Fprint(writer, "fine")
 		}},
+		{name: "a header that is flushed", complete: true, status: http.StatusOK, handle: func(writer http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(writer).Flush()
+		}},
+		{name: "a header that is flushed before a panic", status: http.StatusOK, handle: func(writer http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(writer).Flush()
+			panic(http.ErrAbortHandler)
+		}},
 		{name: "an aborted response", status: http.StatusOK, body: "part", handle: func(writer http.ResponseWriter, request *http.Request) {
 			tracked := reply.NewWriter(writer, request)
 			_, _ = fmt.Fprint(tracked, "part")
@@ -63,7 +70,9 @@
 		for _, each := range cases {
 			t.Run(version+" "+each.name, func(t *testing.T) {
 				g := NewWithT(t)
-				server := httptest.NewServer(reply.Explicit(each.handle))
+				server := httptest.NewUnstartedServer(reply.Explicit(each.handle))
+				server.Config.ConnContext = reply.ConnContext
+				server.Start()
 				defer server.Close()
 				conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", server.Listener.Addr().String())
 				g.Expect(err).NotTo(HaveOccurred())
