--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,425 @@
+package soak_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/basilkeel/basilkeel/proof"
+)
+
+var (
+	seedFlag     = flag.Uint64("soak.seed", 1, "seed of the soak")
+	durationFlag = flag.Duration("soak.duration", 60*time.Second, "time during which requests are sent")
+	entriesFlag  = flag.Int("soak.entries", 4, "number of entry processes")
+	serversFlag  = flag.Int("soak.servers", 12, "number of backend servers")
+	callersFlag  = flag.Int("soak.callers", 24, "number of callers")
+	binaryFlag   = flag.String("soak.binary", "", "program to run; the default is built from this module")
+	logsFlag     = flag.String("soak.logs", "", "directory for the logs of the entries; the default is removed")
+	calmFlag     = flag.Bool("soak.calm", false, "leave out disturbances of entries, store and registry")
+)
+
+const (
+	// liveTimeout bounds waits for what has to happen at some time.
+	liveTimeout = 90 * time.Second
+	stopTimeout = 40 * time.Second
+)
+
+func TestMain(m *testing.M) { os.Exit(proof.Main(m)) }
+
+// TestSoakOfRealProcesses checks what callers and servers see while servers stutter, break
+// off and refuse, callers end in all ways, and entries, servers and the store fail.
+func TestSoakOfRealProcesses(t *testing.T) {
+	soak := newSoak(t)
+	soak.play(*durationFlag, !*calmFlag)
+}
+
+// TestStatusLineInsideHeaderOfEarlierResponse plays servers that cut an earlier response
+// off inside a header's value, so that the next status line becomes a part of the value.
+func TestStatusLineInsideHeaderOfEarlierResponse(t *testing.T) {
+	soak := newSoak(t)
+	soak.splices = true
+	soak.play(min(*durationFlag, 15*time.Second), false)
+}
+
+// play sends requests for some time and reports.
+func (soak *soak) play(duration time.Duration, disturbed bool) {
+	for _, entry := range soak.entries {
+		entry.start()
+	}
+	soak.expectService()
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	for range *callersFlag {
+		random := soak.random.fork()
+		soak.callers.Go(func() {
+			for ctx.Err() == nil {
+				soak.call(ctx, soak.entries[random.IntN(len(soak.entries))].address(frontPort), random)
+			}
+		})
+	}
+	if disturbed {
+		for range 3 {
+			random := soak.random.fork()
+			soak.disturbers.Go(func() { soak.disturb(ctx, random) })
+		}
+	}
+	<-ctx.Done()
+	soak.disturbers.Wait()
+	soak.callers.Wait()
+	soak.store.setMode(storeSound)
+	soak.expectService()
+	for _, entry := range soak.entries {
+		entry.stop(syscall.SIGTERM)
+	}
+	soak.ledger.report(soak.t)
+}
+
+// program returns the program to run, which it builds unless one is given.
+func program(t *testing.T) string {
+	t.Helper()
+	if *binaryFlag != "" {
+		return *binaryFlag
+	}
+	binary := filepath.Join(t.TempDir(), "basilkeel")
+	if output, err := exec.Command("go", "build", "-o", binary, "../cmd/basilkeel").CombinedOutput(); err != nil {
+		t.Fatalf("building the program: %v\n%s", err, output)
+	}
+	return binary
+}
+
+// soak is one play.
+type soak struct {
+	t      *testing.T
+	random *random
+	store  *keyValue
+	ledger *ledger
+	// splices makes servers cut earlier responses off inside their headers.
+	splices bool
+	// number counts requests, lingering the connections that wait for their end.
+	number     atomic.Int64
+	lingering  atomic.Int64
+	entries    []*entry
+	servers    []*backend
+	callers    sync.WaitGroup
+	disturbers sync.WaitGroup
+	// mutex guards version and serializes the publication of configurations.
+	mutex   sync.Mutex
+	version int
+}
+
+func newSoak(t *testing.T) *soak {
+	t.Helper()
+	binary := program(t)
+	soak := &soak{t: t, random: newRandom(*seedFlag), store: newKeyValue(), ledger: newLedger()}
+	logs := *logsFlag
+	if logs == "" {
+		logs = t.TempDir()
+	}
+	t.Cleanup(func() {
+		for _, entry := range soak.entries {
+			entry.kill()
+		}
+		soak.store.setMode(storeRefusing)
+		soak.store.server.CloseClientConnections()
+		soak.store.server.Close()
+		for _, server := range soak.servers {
+			server.listener.Close()
+		}
+	})
+	soak.publish(soak.random)
+	services := []string{engineService, engineService, engineService, lookService, orderService, lookService, engineService, orderService, spareService}
+	for number := range *serversFlag {
+		soak.servers = append(soak.servers, newBackend(soak, services[number%len(services)], number))
+	}
+	network := fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, (os.Getpid()/200)%250)
+	for number := range *entriesFlag {
+		soak.entries = append(soak.entries, &entry{
+			soak: soak, binary: binary, name: fmt.Sprintf("entry-%03d", number), ip: fmt.Sprintf("%s.%d", network, number+1), logs: logs,
+		})
+	}
+	return soak
+}
+
+func (soak *soak) pause(duration time.Duration) { time.Sleep(duration) }
+
+// publish writes a newer version of the configuration.
+func (soak *soak) publish(random *random) {
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+	soak.version += 1 + random.IntN(5)
+	split := random.IntN(100)
+	route := func(kind routeKind, protocol string, attempts int, more map[string]any) map[string]any {
+		route := map[string]any{
+			"name": "r-" + string(kind), "host": callerHost, "pathPrefix": "/" + string(kind) + "/", "kind": protocol,
+			"timeoutMs": 3000 + random.IntN(2000), "targetLatencyMs": 300 + random.IntN(500), "priority": 1, "maxAttempts": attempts, "public": false,
+		}
+		for name, value := range more {
+			route[name] = value
+		}
+		return route
+	}
+	models := []map[string]any{}
+	for _, name := range engineModels {
+		models = append(models, map[string]any{"name": name, "weightsMb": 16000.0, "loadS": 0.5, "adapters": 6, "adapterMb": 14.0, "warmS": 0.2, "diskS": 0.3})
+	}
+	soak.store.put("op/config", map[string]any{
+		"version": soak.version,
+		"routes": []map[string]any{
+			route(kindLook, "safe", 2, map[string]any{"trafficSplit": []map[string]any{{"service": lookService, "weight": 100 - split/2}, {"service": spareService, "weight": split / 2}}}),
+			route(kindOrder, "unsafe", 2, map[string]any{"service": orderService}),
+			route(kindDraft, "streaming", 2, map[string]any{"service": engineService, "sticky": true, "resumable": false, "gapAimMs": 250}),
+			route(kindResume, "streaming", 3, map[string]any{"service": engineService, "sticky": true, "resumable": true, "gapAimMs": 250}),
+			route(routeKind(fmt.Sprintf("new%d", soak.version)), "safe", 1, map[string]any{"service": lookService}),
+		},
+		"services": []map[string]any{
+			{
+				"name": engineService, "healthPath": "/healthz", "maxConns": 200, "protocol": "h1", "tls": false,
+				"engine": map[string]any{"slots": 16, "kvCapacity": 100000, "weightsMb": 40000.0, "adapterSlots": 3, "loadsPerS": 5.0, "models": models},
+			},
+			{"name": lookService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
+			{"name": spareService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
+			{"name": orderService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []map[string]any{{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000}},
+	})
+}
+
+// expectService waits until every entry serves every kind of request.
+func (soak *soak) expectService() {
+	deadline := time.Now().Add(liveTimeout)
+	for _, entry := range soak.entries {
+		for _, kind := range routeKinds {
+			for !soak.serves(entry, kind) {
+				if time.Now().After(deadline) {
+					soak.ledger.fault("DEAD", "%s serves no %s", entry.name, kind)
+					return
+				}
+				soak.pause(100 * time.Millisecond)
+			}
+		}
+	}
+}
+
+// serves sends one ordinary request and reports whether it succeeds.
+func (soak *soak) serves(entry *entry, kind routeKind) bool {
+	conn, err := net.DialTimeout("tcp", entry.address(frontPort), time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(responseTimeout))
+	caller := &caller{soak: soak, random: newRandom(uint64(soak.number.Add(1))), mode: "ordinary"}
+	asked := caller.draw()
+	asked.kind, asked.method, asked.model = kind, http.MethodPost, ""
+	asked.target = "/" + string(kind) + "/last"
+	if kind.streaming() {
+		asked.model = engineModels[0]
+	}
+	_, _ = io.WriteString(conn, caller.format(asked, "1.0"))
+	text, _ := io.ReadAll(conn)
+	return bytes.HasPrefix(text, []byte("HTTP/1.0 200"))
+}
+
+// disturb causes disturbances until ctx is done, and undoes them.
+func (soak *soak) disturb(ctx context.Context, random *random) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(random.IntN(1500)) * time.Millisecond):
+		}
+		entry := soak.entries[random.IntN(len(soak.entries))]
+		server := soak.servers[random.IntN(len(soak.servers))]
+		kind := random.IntN(11)
+		soak.ledger.count(fmt.Sprintf("disturbances of kind %02d", kind))
+		switch kind {
+		case 0, 1:
+			entry.restart(syscall.SIGTERM, random)
+		case 2:
+			entry.restart(syscall.SIGKILL, random)
+		case 3:
+			soak.coordinator().restart(syscall.SIGKILL, random)
+		case 4:
+			entry.hangUp()
+		case 5:
+			soak.publish(random)
+		case 6:
+			mode := storeMode(1 + random.IntN(int(storeModes)-1))
+			soak.store.setMode(mode)
+			soak.pause(time.Duration(random.IntN(4000)) * time.Millisecond)
+			soak.store.setMode(storeSound)
+		case 7:
+			server.replace(true, true, random)
+		case 8:
+			server.replace(false, random.IntN(2) == 0, random)
+		case 9:
+			server.reincarnate(server.usual, random.IntN(2) == 0)
+		case 10:
+			// Another service has the address for a while.
+			server.reincarnate([]string{lookService, orderService, engineService, spareService}[random.IntN(4)], true)
+			soak.pause(time.Duration(random.IntN(3000)) * time.Millisecond)
+			server.reincarnate(server.usual, true)
+		}
+	}
+}
+
+// coordinator returns the entry that is the coordinator, or any.
+func (soak *soak) coordinator() *entry {
+	for _, entry := range soak.entries {
+		key := soak.store.find(func(key string) bool { return strings.Contains(key, "coordinator") }, `"`+entry.name+`"`)
+		if key != "" {
+			return entry
+		}
+	}
+	return soak.entries[rand.IntN(len(soak.entries))]
+}
+
+const (
+	frontPort = 8221
+	readyPort = 8224
+	firstPort = 7600
+)
+
+// entry is a process of the program.
+type entry struct {
+	soak   *soak
+	binary string
+	name   string
+	ip     string
+	logs   string
+	// turn is held by the disturbance that stops and starts the process.
+	turn sync.Mutex
+	// mutex guards the fields below.
+	mutex    sync.Mutex
+	command  *exec.Cmd
+	ended    chan struct{}
+	expected bool
+}
+
+func (entry *entry) address(port int) string { return fmt.Sprintf("%s:%d", entry.ip, port) }
+
+func (entry *entry) settingsPath() string { return filepath.Join(entry.logs, entry.name+".yaml") }
+
+func (entry *entry) writeSettings() {
+	settings := fmt.Sprintf(`nodeName: %q
+role: "entry"
+ip: %q
+zone: "zone-a"
+listenAddrs: {front: "%s", ready: "%s", control: "%s"}
+portRange: [%d, %d]
+limits: {cpuShare: 1, cores: 1, memoryMb: 300, linkMbps: 1000}
+heartbeatMs: 1200
+bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5}
+platform: {address: %q, form: "kv", ttlMinMs: 1000}
+`, entry.name, entry.ip, entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, entry.soak.store.address())
+	if err := os.WriteFile(entry.settingsPath(), []byte(settings), 0o600); err != nil {
+		entry.soak.t.Error(err)
+	}
+}
+
+// start starts the process and watches for an end that nobody asked for.
+func (entry *entry) start() {
+	entry.writeSettings()
+	log, err := os.OpenFile(filepath.Join(entry.logs, entry.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		entry.soak.t.Error(err)
+		return
+	}
+	defer log.Close()
+	command := exec.Command(entry.binary, "serve", "--settings", entry.settingsPath())
+	command.Stdout, command.Stderr = log, log
+	command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	if err := command.Start(); err != nil {
+		entry.soak.t.Error(err)
+		return
+	}
+	ended := make(chan struct{})
+	entry.mutex.Lock()
+	entry.command, entry.ended, entry.expected = command, ended, false
+	entry.mutex.Unlock()
+	go func() {
+		err := command.Wait()
+		entry.mutex.Lock()
+		expected := entry.expected
+		entry.mutex.Unlock()
+		if !expected {
+			entry.soak.ledger.fault("ENDED", "%s ended by itself: %v\n%s", entry.name, err, entry.tail())
+		}
+		close(ended)
+	}()
+}
+
+// tail returns the end of the log.
+func (entry *entry) tail() string {
+	data, err := os.ReadFile(filepath.Join(entry.logs, entry.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(len(data)-3000, 0):])
+}
+
+// stop stops the process with a signal and waits for its end.
+func (entry *entry) stop(signal syscall.Signal) {
+	entry.mutex.Lock()
+	command, ended := entry.command, entry.ended
+	entry.expected = true
+	entry.mutex.Unlock()
+	if command == nil {
+		return
+	}
+	_ = command.Process.Signal(signal)
+	select {
+	case <-ended:
+	case <-time.After(stopTimeout):
+		entry.soak.ledger.fault("ENDLESS", "%s did not end for %v after %v", entry.name, stopTimeout, signal)
+		entry.kill()
+		<-ended
+	}
+	if strings.Contains(entry.tail(), "goroutine 1 [") {
+		entry.soak.ledger.fault("ENDED", "%s ended in a panic:\n%s", entry.name, entry.tail())
+	}
+}
+
+// kill kills the process without waiting for its end.
+func (entry *entry) kill() {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	entry.expected = true
+	if entry.command != nil {
+		_ = entry.command.Process.Kill()
+	}
+}
+
+// restart stops the process and starts it again after a while.
+func (entry *entry) restart(signal syscall.Signal, random *random) {
+	entry.turn.Lock()
+	defer entry.turn.Unlock()
+	entry.stop(signal)
+	entry.soak.pause(time.Duration(random.IntN(1000)) * time.Millisecond)
+	entry.start()
+}
+
+// hangUp makes the process read its settings again.
+func (entry *entry) hangUp() {
+	entry.turn.Lock()
+	defer entry.turn.Unlock()
+	entry.writeSettings()
+	_ = entry.command.Process.Signal(syscall.SIGHUP)
+	entry.soak.pause(200 * time.Millisecond)
+}
