--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,9 @@
 		stopped.Go(func() { entry.stop(syscall.SIGTERM) })
 	}
 	stopped.Wait()
+	for _, entry := range soak.entries {
+		entry.checkLog()
+	}
 	soak.ledger.report(soak.t)
 }
 
@@ -460,8 +463,18 @@
 		entry.kill()
 		<-ended
 	}
-	if strings.Contains(entry.tail(), "goroutine 1 [") {
-		entry.soak.ledger.fault("ENDED", "%s ended in a panic:\n%s", entry.name, entry.tail())
+}
+
+// checkLog checks that no process of the entry has panicked or found a data race.
+func (entry *entry) checkLog() {
+	data, err := os.ReadFile(filepath.Join(entry.logs, entry.name+".log"))
+	if err != nil {
+		entry.soak.t.Error(err)
+	}
+	for _, sign := range []string{"DATA RACE", "\npanic: ", "\nfatal error: ", "panic serving"} {
+		if at := bytes.Index(data, []byte(sign)); at >= 0 {
+			entry.soak.ledger.fault("PANIC", "%s wrote:\n%s", entry.name, data[at:min(at+3000, len(data))])
+		}
 	}
 }
 
