--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -96,12 +96,12 @@
 }
 
 // begin records that a server runs a request and checks that it may. It returns nil if no
-// caller sent the request.
+// caller sent the request. The body is nil if the server has not read it yet.
 func (ledger *ledger) begin(server, service string, request *http.Request, body []byte, plan func(asked *asked, number int) run) *run {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	asked := ledger.requests[request.Header.Get(keyHeader)]
-	if asked == nil || asked.method != request.Method || asked.target != request.RequestURI || !bytes.Equal(asked.body, body) ||
+	if asked == nil || asked.method != request.Method || asked.target != request.RequestURI || (body != nil && !bytes.Equal(asked.body, body)) ||
 		asked.id != request.Header.Get("X-Attempt-Id") || asked.model != request.Header.Get("X-Model") ||
 		request.Header.Get("X-Tenant") != tenantName || request.Header.Get("Authorization") != "" {
 		ledger.addFault("UNASKED", "server %s got %s %s with header %v", server, request.Method, request.RequestURI, request.Header)
@@ -123,6 +123,17 @@
 	return &run
 }
 
+// checkBody checks a body that a server has read after its response.
+func (ledger *ledger) checkBody(request *http.Request, body []byte) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.counts["bodies read after the response"]++
+	asked := ledger.requests[request.Header.Get(keyHeader)]
+	if asked == nil || !bytes.Equal(asked.body, body) {
+		ledger.addFault("UNASKED", "%s %s got other bytes after its response", request.Method, request.RequestURI)
+	}
+}
+
 // check checks a response that a caller got.
 func (ledger *ledger) check(asked *asked, received received) {
 	ledger.mutex.Lock()
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -23,6 +23,9 @@
 	orderBody = `"order":`
 	// skippedBytes is more than entries skip of a response to another request.
 	skippedBytes = 1<<20 + 4<<10
+	// earlyBytes is the length of a body above which servers may answer before they have
+	// read it.
+	earlyBytes = 8 << 10
 )
 
 var engineModels = []string{"alder", "birch"}
@@ -212,9 +215,12 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
+		early := request.ContentLength > earlyBytes && random.IntN(3) == 0
+		var body []byte
+		if !early {
+			if body, err = io.ReadAll(request.Body); err != nil {
+				return
+			}
 		}
 		answer, known := serverConn.answer(request, body)
 		if !known {
@@ -226,7 +232,7 @@
 		if random.Float64() < 0.1 {
 			backend.soak.pause(time.Duration(random.IntN(200)) * time.Millisecond)
 		}
-		if !serverConn.send(answer) {
+		if !serverConn.send(answer) || (early && !serverConn.readOn(request)) {
 			return
 		}
 		serverConn.earlier = append(serverConn.earlier, answer)
@@ -242,6 +248,17 @@
 	}
 }
 
+// readOn reads the body of a request that has been answered, and reports whether it came
+// whole.
+func (serverConn *serverConn) readOn(request *http.Request) bool {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return false
+	}
+	serverConn.backend.soak.ledger.checkBody(request, body)
+	return true
+}
+
 // send writes a response and reports whether the connection goes on.
 func (serverConn *serverConn) send(answer answer) bool {
 	random := serverConn.random
