--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -314,7 +314,7 @@
 	answer := serverConn.earlier[random.IntN(len(serverConn.earlier))]
 	form := random.IntN(15)
 	if serverConn.backend.soak.splices && random.IntN(4) == 0 {
-		form = 20 + random.IntN(2)
+		form = 20 + random.IntN(3)
 	}
 	answer.head = answer.head && form == 14
 	serverConn.backend.soak.ledger.count(fmt.Sprintf("late responses of form %02d", form))
@@ -354,6 +354,8 @@
 	case 20:
 		// The status line of the next response becomes the end of a header's value.
 		return fmt.Sprintf("HTTP/1.1 %d No\r\nX-Not-Executed: ", refusal)
+	case 22:
+		return "HTTP/1.1 200 O"
 	case 21:
 		return "HTTP/1.1 200 OK\r\nContent-Type: te"
 	default:
