--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -62,20 +62,17 @@
 	conn   *net.TCPConn
 	reader *bufio.Reader
 	entry  *entry
-	// kills is how often the entry had been killed before the connection.
-	kills int64
 }
 
 // call opens a connection to an entry and sends requests over it.
 func (soak *soak) call(ctx context.Context, entry *entry, random *random) {
-	kills := entry.kills.Load()
 	conn, err := net.DialTimeout("tcp", entry.address(frontPort), time.Second)
 	if err != nil {
 		soak.ledger.count("connections refused")
 		soak.pause(50 * time.Millisecond)
 		return
 	}
-	caller := &caller{soak: soak, random: random, mode: soak.modes[random.IntN(len(soak.modes))], conn: conn.(*net.TCPConn), reader: bufio.NewReader(conn), entry: entry, kills: kills}
+	caller := &caller{soak: soak, random: random, mode: soak.modes[random.IntN(len(soak.modes))], conn: conn.(*net.TCPConn), reader: bufio.NewReader(conn), entry: entry}
 	switch caller.mode {
 	case "ordinary", "lingers":
 		for number := 1 + random.IntN(20); number > 0 && ctx.Err() == nil; number-- {
@@ -231,7 +228,7 @@
 	} else if err != nil && !ended(err) {
 		ledger.fault("MIXED: no body in the protocol", "%s [%s, %s]: %v", asked.key, asked.kind, asked.mode, err)
 	}
-	ledger.check(asked, received{status: response.StatusCode, header: response.Header, body: body, complete: err == nil, killed: caller.entry.kills.Load() != caller.kills})
+	ledger.check(asked, received{status: response.StatusCode, header: response.Header, body: body, complete: err == nil})
 	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
 		caller.soak.pause(20 * time.Millisecond)
 	}
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -50,8 +50,6 @@
 	header   http.Header
 	body     []byte
 	complete bool
-	// killed reports whether the entry was killed since the connection was opened.
-	killed bool
 }
 
 // ledger records requests and runs, and checks them against each other.
@@ -61,13 +59,10 @@
 	requests map[string]*asked
 	faults   map[string][]string
 	counts   map[string]int
-	// killsExcused makes responses in HTTP/1.0 that a killed entry ends be counted, as
-	// TestKilledEntryDoesNotCompleteStreamsInHTTP10 checks them.
-	killsExcused bool
 }
 
 func newLedger() *ledger {
-	return &ledger{requests: map[string]*asked{}, faults: map[string][]string{}, counts: map[string]int{}, killsExcused: true}
+	return &ledger{requests: map[string]*asked{}, faults: map[string][]string{}, counts: map[string]int{}}
 }
 
 // count adds to a counter of the report.
@@ -175,9 +170,6 @@
 	case own.status != received.status:
 		ledger.addFault("MIXED: a success where the server had failed", "%s", described)
 	case asked.method == http.MethodHead && len(received.body) == 0:
-	case received.complete && !bytes.Equal(received.body, own.body) && ledger.killsExcused && received.killed &&
-		strings.HasPrefix(asked.mode, "HTTP/1.0") && received.header.Get("Content-Length") == "" && bytes.HasPrefix(own.body, received.body):
-		ledger.counts["responses in HTTP/1.0 that a killed entry ended"]++
 	case received.complete && !bytes.Equal(received.body, own.body):
 		ledger.addFault(fmt.Sprintf("MIXED: a success that is not the server's whole body, %s", way(asked, received)), "%s, want %d bytes", described, len(own.body))
 	case !bytes.HasPrefix(own.body, received.body):
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,7 +62,6 @@
 // their connection, at entries that are killed.
 func TestKilledEntryDoesNotCompleteStreamsInHTTP10(t *testing.T) {
 	soak := newSoak(t)
-	soak.ledger.killsExcused = false
 	soak.modes, soak.kinds = []string{"HTTP/1.0"}, []routeKind{kindDraft, kindResume, kindLook}
 	soak.disturbances = []disturbance{disturbKill}
 	soak.play(min(*durationFlag, shortDuration), true)
@@ -374,8 +373,6 @@
 	command  *exec.Cmd
 	ended    chan struct{}
 	expected bool
-	// kills counts the kills of the process.
-	kills atomic.Int64
 }
 
 func (entry *entry) address(port int) string { return fmt.Sprintf("%s:%d", entry.ip, port) }
@@ -452,9 +449,6 @@
 	if command == nil {
 		return
 	}
-	if signal == syscall.SIGKILL {
-		entry.kills.Add(1)
-	}
 	_ = command.Process.Signal(signal)
 	select {
 	case <-ended:
