trunk: let withdrawn requests not prolong an idle connection

Requests that were withdrawn before they were sent (a permit that was gone, a term that had ended) took an idle connection and put it back with the time of that moment, although nothing had been received on it. A connection could so be kept beyond the server's idle limit, and the next request was sent on it while the server closed it: an unsafe request then failed as one that may have run.

A connection's time is now set when it is opened and when a response is complete. As a connection may come back with an older time than others, idle connections are kept in the order of that time; takeIdle relies on it.

Failed before: go test ./trunk -run TestWithdrawnRequestsDoNotProlongIdleConnections (1 connection, expected 2). TestWithdrawnRequestDoesNotEndFresherConnections passed before; it guards the order.

--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -33,13 +33,13 @@
 	limiter *headerLimiter
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// idleSince is when the connection became idle, and idleLimit how long it may then
-	// be reused.
+	// idleSince is when the connection was opened or last completed a response, and
+	// idleLimit how long it may then be reused.
 	idleSince time.Time
 	idleLimit time.Duration
 }
 
-func newConnection(address string, conn net.Conn) *connection {
+func newConnection(address string, conn net.Conn, openedAt time.Time) *connection {
 	limiter := &headerLimiter{source: conn}
 	return &connection{
 		address:   address,
@@ -47,6 +47,7 @@
 		limiter:   limiter,
 		reader:    bufio.NewReaderSize(limiter, bufferBytes),
 		writer:    bufio.NewWriterSize(conn, bufferBytes),
+		idleSince: openedAt,
 		idleLimit: defaultIdleLimit,
 	}
 }
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -49,6 +49,7 @@
 			response.connection.conn.Close()
 			return
 		}
+		response.connection.idleSince = response.trunk.config.Clock.Now()
 		response.trunk.putIdle(response.connection)
 	})
 }
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,7 +123,7 @@
 		return nil, err
 	}
 	trunk.opened.Inc(1)
-	return newConnection(address, conn), nil
+	return newConnection(address, conn, trunk.config.Clock.Now()), nil
 }
 
 // takeIdle removes and returns the idle connection to address that was used last, or
@@ -149,14 +150,18 @@
 	return last
 }
 
-// putIdle adds a connection to the idle ones, or closes it if there are too many.
+// putIdle adds a connection to the idle ones in the order of idleSince, or closes it if
+// there are too many.
 func (trunk *Trunk) putIdle(connection *connection) {
-	connection.idleSince = trunk.config.Clock.Now()
 	trunk.mutex.Lock()
 	connections := trunk.idle[connection.address]
 	full := len(connections) >= maxIdle
 	if !full {
-		trunk.idle[connection.address] = append(connections, connection)
+		index := len(connections)
+		for index > 0 && connections[index-1].idleSince.After(connection.idleSince) {
+			index--
+		}
+		trunk.idle[connection.address] = slices.Insert(connections, index, connection)
 	}
 	trunk.mutex.Unlock()
 	if full {
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/basilkeel/basilkeel/clock"
@@ -460,3 +461,54 @@
 	}
 	g.Expect(connections.Load()).To(Equal(int64(2)))
 }
+
+// TestWithdrawnRequestsDoNotProlongIdleConnections checks that a connection is not used
+// beyond the server's idle limit because withdrawn requests have taken it and put it back.
+func TestWithdrawnRequestsDoNotProlongIdleConnections(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfine", id)
+		}
+	})
+	fake := clockwork.NewFakeClock()
+	client := trunk.New(trunk.Config{Clock: clock.NewService(clock.ServiceConfig{Clock: fake})})
+	g.Expect(fetch(client, address, "1")).To(Equal("fine"))
+	for range 3 {
+		fake.Advance(2 * time.Second)
+		withdrawn := get("withdrawn")
+		withdrawn.StillWanted = func() bool { return false }
+		_, err := client.Do(context.Background(), address, withdrawn)
+		var unsentError *trunk.UnsentError
+		g.Expect(errors.As(err, &unsentError)).To(BeTrue(), "%v", err)
+	}
+	g.Eventually(connections.Load).Should(Equal(int64(2)), "the first connection has been idle for six seconds")
+	fake.Advance(2 * time.Second)
+	g.Expect(fetch(client, address, "2")).To(Equal("fine"))
+	g.Expect(connections.Load()).To(Equal(int64(2)), "the second one is new enough")
+}
+
+// TestWithdrawnRequestDoesNotEndFresherConnections checks that connections that became
+// idle while a withdrawn request held another are still used.
+func TestWithdrawnRequestDoesNotEndFresherConnections(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for id := readRequest(reader); id != ""; id = readRequest(reader) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfine", id)
+		}
+	})
+	fake := clockwork.NewFakeClock()
+	client := trunk.New(trunk.Config{Clock: clock.NewService(clock.ServiceConfig{Clock: fake})})
+	g.Expect(fetch(client, address, "1")).To(Equal("fine"))
+	fake.Advance(3 * time.Second)
+	withdrawn := get("withdrawn")
+	withdrawn.StillWanted = func() bool {
+		g.Expect(fetch(client, address, "2")).To(Equal("fine"))
+		return false
+	}
+	_, err := client.Do(context.Background(), address, withdrawn)
+	g.Expect(err).To(HaveOccurred())
+	fake.Advance(3 * time.Second)
+	g.Expect(fetch(client, address, "3")).To(Equal("fine"))
+	g.Expect(connections.Load()).To(Equal(int64(2)), "the connection of the second request is three seconds old")
+}
