engine: open a connection for each call to a backend server

A caller could get the response to another caller's request: agents kept connections to model engines and plain services, and a second copy of a response, written late, when the next request was already sent, passed as the response to that request. So did a stream of another prompt, a report from before a restart, an accepted order, a successful cancellation.

The API has requestId in requests and an id in the chunks of a stream, but engines that speak the completions API name their chunks as they like, and plain services, reports and orders have no identifier that comes back. So nothing can be checked, and each call opens a connection; TLS sessions are resumed.

Failed before, on: go test ./engine -run LateCopies (TestLateCopiesAreNoAnswersOfEngines, its 4 cases, and TestLateCopiesAreNoAnswersOfPlainServices).

--- a/engine/client.go
+++ b/engine/client.go
@@ -13,8 +13,6 @@
 
 const (
 	dialTimeout             = 2 * time.Second
-	idleTimeout             = 90 * time.Second
-	maxIdleConnsPerHost     = 256
 	defaultMaxResponseBytes = 4 << 20
 	maxErrorBytes           = 4 << 10
 	contentTypeHeader       = "Content-Type"
@@ -25,7 +23,9 @@
 var errResponseTooLarge = errors.New("response exceeds its size limit")
 
 // newClient returns an HTTP client that follows no redirects and whose
-// connections record whether a request was written.
+// connections record whether a request was written. Each request opens a
+// connection: backend servers are not bound to name the request in a response, so
+// that a late second response to an earlier one would be taken for its response.
 func newClient(tlsConfig *tls.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -37,13 +37,26 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dial, TLSClientConfig: tlsConfig,
-			MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
+			DialContext: dial, TLSClientConfig: resumable(tlsConfig),
+			DisableKeepAlives: true, DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// resumable returns a TLS configuration with which a connection resumes the session of
+// an earlier one, which takes a fraction of a full handshake.
+func resumable(tlsConfig *tls.Config) *tls.Config {
+	if tlsConfig == nil {
+		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	resumable := tlsConfig.Clone()
+	if resumable.ClientSessionCache == nil {
+		resumable.ClientSessionCache = tls.NewLRUClientSessionCache(0)
+	}
+	return resumable
+}
+
 // newRequest returns a request that the transport does not retry by itself.
 func newRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, singleUseBody{Reader: bytes.NewReader(body)})
