node: read the instance list on a connection of its own

An earlier instance list that was written once more, late, passed as the present one. Failed before: go test ./node -run TestLateCopiesAreNoInstanceLists (0 members, expected 1).

--- a/node/lister.go
+++ b/node/lister.go
@@ -22,8 +22,10 @@
 	client *http.Client
 }
 
+// newLister returns a lister that opens a connection for each request, so that no earlier
+// list can arrive in place of the present one.
 func newLister(url string) *lister {
-	return &lister{url: url, client: &http.Client{Timeout: listTimeout}}
+	return &lister{url: url, client: &http.Client{Timeout: listTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 // read fetches the list and returns its members.
