admin: send each call of the operator on a connection of its own

The outcome of an earlier change that was written once more, late, passed as that of the next change. Failed before: go test ./admin -run TestLateCopiesAreNoOutcomesOfChanges.

--- a/admin/client.go
+++ b/admin/client.go
@@ -140,6 +140,8 @@
 	if err != nil {
 		return err
 	}
+	// On a new connection no earlier response can arrive in place of this request's.
+	request.Close = true
 	request.Header.Set("Authorization", "Bearer "+client.config.Token)
 	request.Header.Set("Content-Type", mediaJSON)
 	response, err := client.config.HTTP.Do(request)
