copies: do not believe an answer of an ended incarnation of the next one

An answer to an order that came after the registry had announced a restart of the engine, or another address, was applied to the new incarnation: it counted as known, without a report, with an adapter that it does not hold and with the count of its predecessor. Requests for the adapter were sent there and refused until another order met the wrong count. A report that was overtaken likewise counted as the first of the two that make an engine known.

The order's request now carries the incarnation; answers and reports are applied only while the tracker still follows that incarnation at that address, and no further attempt of the order is sent otherwise. A refusal by fencing token is not taken over either, as a restart clears it.

Ruled out by reading, not by new tests: an order that is executed after its timeout. It carries the count at which it was sent; either a later order has changed the count, so that it is refused, or it changes the count, so that the next order conflicts and the engine is queried (TestMemoryIsNeverOvercommitted plays this). A 200 for the unload of an adapter that was not there is counted too high, which the next order corrects in the same way.

--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -294,7 +294,7 @@
 
 // sendOrder sends an order until the engine accepts or refuses it or the attempts are
 // used up, and reports whether it was accepted or needed no change. It gives up if the
-// order did not reach the engine, or if the engine's count of accepted orders has
+// order did not reach the engine, if the engine has restarted, or if the engine's count of accepted orders has
 // changed, perhaps by an attempt without an answer, since its state has to be read
 // again then. It is called with the tracker's orderMutex held.
 func (dispatcher *Dispatcher) sendOrder(ctx context.Context, tracker *Tracker, order Order, attempts int) bool {
@@ -306,17 +306,16 @@
 	for range attempts {
 		orderRequest := request
 		orderRequest.Holder, orderRequest.Term = dispatcher.config.Holder, dispatcher.config.Term()
-		if orderRequest.Term == 0 || ctx.Err() != nil {
+		if orderRequest.Term == 0 || ctx.Err() != nil || !tracker.concerns(request) {
 			return false
 		}
 		orderRequest.TermValid = func() bool { return dispatcher.config.Term() == orderRequest.Term }
 		outcome := dispatcher.attemptOrder(ctx, orderRequest)
 		switch outcome {
 		case OutcomeAccepted, OutcomeUnchanged:
-			tracker.recordAccepted(order, outcome, known)
-			return true
+			return tracker.recordAccepted(request, outcome, known)
 		case OutcomeFenced, OutcomeInvalid:
-			tracker.markRefusing(outcome == OutcomeFenced)
+			tracker.markRefusing(request, outcome == OutcomeFenced)
 			return false
 		case OutcomeUnsent:
 			return false
@@ -394,7 +393,7 @@
 		event.OrderUnclear.Log(dispatcher.config.Log, logrus.Fields{"server": string(server.ID), "report": true, "cause": err.Error()})
 		return
 	}
-	tracker.applyReport(engineReport, dispatcher.config.Clock.Now())
+	tracker.applyReport(server, engineReport, dispatcher.config.Clock.Now())
 }
 
 // orderRequest returns a request for an order with the current count of accepted
@@ -402,7 +401,10 @@
 func (tracker *Tracker) orderRequest(order Order) (OrderRequest, bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return OrderRequest{Order: order, Server: tracker.server.ID, Address: tracker.server.Address, Accepted: tracker.accepted}, tracker.known
+	return OrderRequest{
+		Order: order, Server: tracker.server.ID, Address: tracker.server.Address,
+		Incarnation: tracker.server.Incarnation, Accepted: tracker.accepted,
+	}, tracker.known
 }
 
 // markUnknown records an order without an answer. The engine may have executed it, or
@@ -416,9 +418,12 @@
 // markRefusing records that the engine has refused an order: if fenced is set, because
 // it has seen a newer coordinator and will refuse all orders of this term; otherwise
 // because its entry in the registry is out of date.
-func (tracker *Tracker) markRefusing(fenced bool) {
+func (tracker *Tracker) markRefusing(request OrderRequest, fenced bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	if !tracker.isIncarnation(request.Incarnation, request.Address) {
+		return
+	}
 	tracker.known = false
 	tracker.fenced = tracker.fenced || fenced
 }
--- a/copies/order.go
+++ b/copies/order.go
@@ -22,6 +22,8 @@
 	// Server is the only server that may accept the order.
 	Server  names.BackendServer
 	Address string
+	// Incarnation is that of the server whose state the order is based on.
+	Incarnation int64
 	// Accepted is the number of orders that the engine must have accepted before.
 	Accepted int64
 	// Holder and Term identify the coordinator.
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -67,7 +67,7 @@
 	if tracker.server == server {
 		return
 	}
-	if tracker.server.Incarnation != server.Incarnation || tracker.server.Address != server.Address {
+	if !tracker.isIncarnation(server.Incarnation, server.Address) {
 		tracker.known, tracker.loading, tracker.unloading, tracker.accepted = false, "", nil, 0
 		tracker.reportedCountAt = time.Time{}
 		tracker.loadedAt = map[names.Model]time.Time{}
@@ -89,10 +89,27 @@
 // some hundred milliseconds older than its count.
 const reportStableAfter = 400 * time.Millisecond
 
-// applyReport applies the engine's own report.
-func (tracker *Tracker) applyReport(engineReport EngineReport, now time.Time) {
+// isIncarnation reports whether the engine still is the incarnation at an address. It is
+// called with the mutex held.
+func (tracker *Tracker) isIncarnation(incarnation int64, address string) bool {
+	return tracker.server.Incarnation == incarnation && tracker.server.Address == address
+}
+
+// concerns reports whether the engine still is the incarnation that request is meant for.
+func (tracker *Tracker) concerns(request OrderRequest) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	return tracker.isIncarnation(request.Incarnation, request.Address)
+}
+
+// applyReport applies the engine's own report. It ignores that of an incarnation that has
+// ended since the report was requested.
+func (tracker *Tracker) applyReport(reporter *pool.Server, engineReport EngineReport, now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if !tracker.isIncarnation(reporter.Incarnation, reporter.Address) {
+		return
+	}
 	if tracker.reportedCountAt.IsZero() || engineReport.Accepted != tracker.reportedCount {
 		tracker.reportedCount, tracker.reportedCountAt = engineReport.Accepted, now
 	}
@@ -178,10 +195,15 @@
 
 // recordAccepted records an order that the engine has accepted or that needed no change.
 // As its count matched, the engine has accepted no other order since the count was read,
-// and known is what it was at that time.
-func (tracker *Tracker) recordAccepted(order Order, outcome Outcome, known bool) {
+// and known is what it was at that time. If the engine has restarted since the order was
+// sent, the answer says nothing of it, and recordAccepted returns false.
+func (tracker *Tracker) recordAccepted(request OrderRequest, outcome Outcome, known bool) bool {
+	order := request.Order
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	if !tracker.isIncarnation(request.Incarnation, request.Address) {
+		return false
+	}
 	tracker.known = known
 	counted := outcome == OutcomeAccepted || (order.Adapter != "" && order.Unload)
 	if counted {
@@ -200,4 +222,5 @@
 		tracker.adapters = slices.DeleteFunc(tracker.adapters, func(other pool.Adapter) bool { return other.Model == order.Model })
 		delete(tracker.loadedAt, order.Model)
 	}
+	return true
 }
