node: log second answers to clients as events, without their bytes

net/http prints bytes that arrive on an idle client connection to the standard logger, up to their content: a second copy of the store's answer to a watch of the configuration put the keys of accounts, in base64, on standard error, past the redactor and the event numbers. What net/http reports of clients is now event 9051 of the entry's log, cut before the bytes.

--- a/event/platform.go
+++ b/event/platform.go
@@ -48,8 +48,9 @@
 	SettingsReloaded = define(9040, logrus.InfoLevel, "settingsReloaded", "The settings file was reloaded.")
 	// SettingsKept is logged when a changed settings file cannot be used.
 	SettingsKept = define(9041, logrus.ErrorLevel, "settingsKept", "The settings file cannot be used; the previous settings stay in force. Correct the faults named in the cause.")
-	// ConnectionFault is logged when the HTTP server reports an error of a connection.
-	ConnectionFault = define(9051, logrus.WarnLevel, "connectionFault", "The HTTP server reported an error of a connection; the cause is its own error text.")
+	// ConnectionFault is logged when an HTTP server or client reports an error of a
+	// connection.
+	ConnectionFault = define(9051, logrus.WarnLevel, "connectionFault", "An HTTP server or client reported an error of a connection, such as a response to no request; the cause is its own error text.")
 	// LogLinesDropped is logged when log lines were dropped so that serving is not
 	// delayed.
 	LogLinesDropped = define(9050, logrus.WarnLevel, "logLinesDropped", "Log lines were dropped because standard output accepted them too slowly.")
--- a/node/httperrorwriter.go
+++ b/node/httperrorwriter.go
@@ -8,14 +8,19 @@
 	"github.com/basilkeel/basilkeel/event"
 )
 
-// httpErrorWriter is the output of an HTTP server's error log. It logs each
-// message as a connection fault.
+// receivedBytes introduces, in messages of net/http, bytes that a connection received. They
+// may contain secrets.
+const receivedBytes = " starting with "
+
+// httpErrorWriter is the output of the error logs of HTTP servers and clients. It logs
+// each message as a connection fault, without the bytes that the connection received.
 type httpErrorWriter struct {
 	log logrus.FieldLogger
 }
 
 // Write implements [io.Writer].
 func (httpErrorWriter httpErrorWriter) Write(text []byte) (int, error) {
-	event.ConnectionFault.Log(httpErrorWriter.log, logrus.Fields{"cause": strings.TrimSpace(string(text))})
+	cause, _, _ := strings.Cut(string(text), receivedBytes)
+	event.ConnectionFault.Log(httpErrorWriter.log, logrus.Fields{"cause": strings.TrimSpace(cause)})
 	return len(text), nil
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -74,7 +75,7 @@
 			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newLimiter, crash.NewTracker,
 			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newMirror,
 		),
-		fx.Invoke(serveCoordination, followPlatform, runCoordination, serveReadiness, serveRelay, sweep, watchSettings, logLifecycle, resignOnStop),
+		fx.Invoke(captureStandardLog, serveCoordination, followPlatform, runCoordination, serveReadiness, serveRelay, sweep, watchSettings, logLifecycle, resignOnStop),
 	)
 	return run(ctx, app, host.Bounds.StopGrace)
 }
@@ -115,6 +116,12 @@
 	return logger.WithField("instance", host.Instance)
 }
 
+// captureStandardLog writes what net/http reports of clients' connections to log.
+func captureStandardLog(log logrus.FieldLogger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(httpErrorWriter{log: log})
+}
+
 func newPlatformStore(host *setup.Host, registry metrics.Registry) *platform.Store {
 	return platform.NewStore(platform.StoreConfig{
 		Address:   host.StoreAddress,
