elect: lead only with the lease that the key has

A candidate whose write got no answer reads the key back and leads if it finds its own value. That value may be from an earlier campaign whose write was executed late: the key then ends with that campaign's lease, while this one's is renewed, and the entry believed itself coordinator after another one may have been elected, as long as its watch did not tell. Entries of the store now carry their lease, and a key with another one is not taken for this campaign's; it ends with its lease, and the entry campaigns again.

--- a/elect/elector.go
+++ b/elect/elector.go
@@ -232,7 +232,8 @@
 		return
 	case errors.As(err, &unknownError):
 		entry, found, readErr := elector.config.Store.Get(ctx, elector.config.Key)
-		if readErr != nil || !found || string(entry.Value()) != elector.config.Value {
+		// The value may be that of an earlier campaign, with a lease that is not renewed.
+		if readErr != nil || !found || string(entry.Value()) != elector.config.Value || entry.Lease() != lease {
 			elector.postpone()
 			return
 		}
--- a/elect/elector_test.go
+++ b/elect/elector_test.go
@@ -238,3 +238,33 @@
 	first.ObserveLeader(before)
 	g.Consistently(first.Term, ttl).Should(BeZero())
 }
+
+// lateStore answers no swap and executes each only when the next one arrives.
+type lateStore struct {
+	*proof.Store
+	// mutex guards late.
+	mutex sync.Mutex
+	late  *store.Swap
+}
+
+// Swap implements [store.Store].
+func (lateStore *lateStore) Swap(ctx context.Context, swap store.Swap) (store.Revision, error) {
+	lateStore.mutex.Lock()
+	defer lateStore.mutex.Unlock()
+	if lateStore.late != nil {
+		_, _ = lateStore.Store.Swap(ctx, *lateStore.late)
+	}
+	lateStore.late = &swap
+	return 0, &store.UnknownError{Operation: "swap", Cause: io.ErrUnexpectedEOF}
+}
+
+// TestKeyOfAnEarlierCampaignIsNoTermOfThisOne guards against a term whose lease is renewed
+// while the key ends with that of an earlier campaign, which nobody renews.
+func TestKeyOfAnEarlierCampaignIsNoTermOfThisOne(t *testing.T) {
+	g := NewWithT(t)
+	memory := &lateStore{Store: proof.NewStore()}
+	first := newCandidate(t, memory, "first")
+	first.ObserveLeader(elect.Leader{})
+	g.Eventually(memory.Entries).Should(HaveLen(1))
+	g.Consistently(first.Term, ttl).Should(BeZero())
+}
--- a/proof/store.go
+++ b/proof/store.go
@@ -154,7 +154,7 @@
 		return 0, &store.ConflictError{Key: swap.Key, Expected: swap.Expected, Actual: actual}
 	}
 	memory.revision++
-	memory.entries[swap.Key] = store.NewEntry(store.EntryConfig{Key: swap.Key, Value: swap.Value, Revision: memory.revision})
+	memory.entries[swap.Key] = store.NewEntry(store.EntryConfig{Key: swap.Key, Value: swap.Value, Revision: memory.revision, Lease: swap.Lease})
 	memory.notifyWatches()
 	if memory.answersToLose > 0 {
 		memory.answersToLose--
--- a/store/entry.go
+++ b/store/entry.go
@@ -6,6 +6,9 @@
 	Value    []byte
 	Revision Revision
 	Deleted  bool
+	// Lease is the lease with which the key ends, zero if there is none or if the source
+	// of the entry does not tell.
+	Lease LeaseID
 }
 
 // Entry is one key with its value at one revision. It is immutable; callers
@@ -26,6 +29,10 @@
 // Revision returns the revision of the entry's last write.
 func (entry Entry) Revision() Revision { return entry.config.Revision }
 
+// Lease returns the lease with which the key ends, zero if there is none or if the source
+// of the entry does not tell.
+func (entry Entry) Lease() LeaseID { return entry.config.Lease }
+
 // Deleted reports whether the key was deleted; only a watch returns such
 // entries.
 func (entry Entry) Deleted() bool { return entry.config.Deleted }
