--- a/event/platform.go
+++ b/event/platform.go
@@ -17,6 +17,8 @@
 	RevisionUnread = define(9003, logrus.WarnLevel, "revisionUnread", "The current revision of the platform's key-value service cannot be read; until it can, it is unknown whether the watch lags.")
 	// RevisionRead is logged when the service's current revision can be read again.
 	RevisionRead = define(9004, logrus.InfoLevel, "revisionRead", "The current revision of the platform's key-value service can be read again.")
+	// StoreItemUnread is logged when an item of a list or watch cannot be decoded.
+	StoreItemUnread = define(9005, logrus.WarnLevel, "storeItemUnread", "An item of the platform's key-value service has no readable key or revision and is left out; the other items of the answer are used.")
 	// PolicyInForce is logged when a version of the operators' policy takes effect.
 	PolicyInForce = define(9010, logrus.InfoLevel, "policyInForce", "A version of the operators' routes, services and accounts is in force in this process.")
 	// PolicyUnread is logged when a version of the policy cannot be used.
@@ -28,7 +30,7 @@
 	// registry.
 	ServerUnlisted = define(9021, logrus.InfoLevel, "serverUnlisted", "A backend server's entry was removed from the registry; the server gets no new requests, except in the grace period after an outage of the service.")
 	// ServerEntryUnread is logged when an entry of the registry cannot be used.
-	ServerEntryUnread = define(9022, logrus.WarnLevel, "serverEntryUnread", "An entry of the registry does not describe a usable backend server and is ignored.")
+	ServerEntryUnread = define(9022, logrus.WarnLevel, "serverEntryUnread", "An entry of the registry does not describe a usable backend server and is ignored; a server that had a usable one gets no new requests until it has one again.")
 	// ServerEjected is logged when a backend server gets no requests for a time
 	// because it failed some.
 	ServerEjected = define(9030, logrus.WarnLevel, "serverEjected", "A backend server failed requests and gets no new ones until the time given.")
