relay: do not take another server's departure for that of the one asked

A server that had an address before and still holds a kept connection refuses a request for the present server with 421. If it announced in that refusal that it is leaving, the present server counted as leaving until its restart, and that was reported to the coordinator. A refusal with 421 says nothing of the server that was asked; its rate was already ignored.

Failed before: go test ./relay -run TestFormerServerSaysNothingOfTheServerAtItsAddress ("Leaving: 1": 503, expected 200).

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -350,10 +350,12 @@
 // that it is shutting down, that it must be sent none for some time, or at which rate it
 // accepts them.
 func (exchange *exchange) applyServerState(server *pool.Server, responseInfo ResponseInfo, status int, sentAt time.Time) {
-	// Status 421 may come from another server that has taken over the address.
-	if status != http.StatusMisdirectedRequest {
-		exchange.applyRate(server, responseInfo.Rate, sentAt)
+	// Status 421 may come from another server that has taken over the address, or had it
+	// before.
+	if status == http.StatusMisdirectedRequest {
+		return
 	}
+	exchange.applyRate(server, responseInfo.Rate, sentAt)
 	if responseInfo.Leaving && exchange.relay.config.Pool.RecordDeparture(server, exchange.now()) {
 		event.ServerLeaving.Log(exchange.relay.config.Log, logrus.Fields{"server": string(server.ID), "request": exchange.info.ID})
 	}
--- a/relay/incarnation_test.go
+++ b/relay/incarnation_test.go
@@ -153,7 +153,7 @@
 // of itself, as it refuses a request that it got on a kept connection, is not believed of the
 // server that has its address now.
 func TestFormerServerSaysNothingOfTheServerAtItsAddress(t *testing.T) {
-	for _, refusal := range []string{"Rest: 1h\r\n", "Rate: 0\r\n"} {
+	for _, refusal := range []string{"Leaving: 1\r\n", "Rest: 1h\r\n", "Rate: 0\r\n"} {
 		t.Run(fmt.Sprintf("%q", refusal), func(t *testing.T) {
 			g := NewWithT(t)
 			fixture := newFixture(t, route("look", policy.KindSafe, "notes"))
