--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -482,6 +482,7 @@
 			g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
 		})
 	}
+}
 
 // TestWithdrawnRequestsDoNotProlongIdleConnections checks that a connection is not used
 // beyond the server's idle limit because withdrawn requests have taken it and put it back.
