entry: count a plain service's answer without a head or final status as broken

An attempt at a plain service whose end message came without a head, or with the status 0, made the entry's handler panic after the call had been recorded as run with that status; for an interim status the caller got 103 or 100 and then net/http's own 200 OK with the rest, and 101 for a switch of protocols. Cause: a missing head is status 0 to the reader, and any status was passed on. A head from an earlier attempt was also taken for that of a later attempt, which may have none. Now each attempt needs a head with a status from 200 to 999 before its pieces and its end; else it is broken and may have run. Ruled out by tests that passed before, too: the entry answers a caller that shuts down its sending side with a failure (TestCallerThatShutsDownItsSendingSideGetsNoSuccess, HTTP/1.0 and 1.1), a time limit for sending requests does not end their context (TestReadTimeoutDoesNotEndRequestsInProgress), and a stream whose caller does not read has no done event and no last chunk. Before: TestPlainResponsesWithoutFinalStatusAreNoSuccess (go test ./entry) failed in all 8 cases.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -87,6 +87,7 @@
 }
 
 func receive(ctx context.Context, stream grpc.ServerStreamingClient[wire.ServeReply], progress *progress, timing *timing) result {
+	progress.beginAttempt()
 	for {
 		reply, err := stream.Recv()
 		if err != nil {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -47,7 +47,7 @@
 	if refusal := dispatcher.confinement.refusal(job, dispatcher.config.Clock.Now()); refusal != nil {
 		return nil, refusal
 	}
-	progress := &progress{sink: sink}
+	progress := &progress{sink: sink, needsHead: job.query.Target.Service != ""}
 	attemptHistory := &attemptHistory{}
 	var excluded []names.BackendServer
 	for number := 1; number <= dispatcher.config.Limits.Attempts; number++ {
