entry: log panics of handlers; abort what they have begun

A panic while an entry serves a request went to standard error without a number, and to a caller of HTTP/1.0 a stream that had begun ended like any other when its connection was closed. A handler that returns without writing would have been completed with 200 OK (none does now). Cause: both were left to net/http. reply.Guard ends every request of the entry's callers: event 121 with the stack, and the connection is closed or, for HTTP/1.0, reset. A stream whose error event cannot be written is aborted as well instead of being ended. With HTTP/1.0 a failed write is the exception: net/http closes the connection itself, without a reset, before the handler learns of it. Such a stream lacks the done event.

--- a/entry/server.go
+++ b/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/google/uuid"
@@ -9,8 +10,10 @@
 
 	"github.com/basilkeel/basilkeel/call"
 	"github.com/basilkeel/basilkeel/config"
+	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/ident"
 	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/reply"
 )
 
 // Server serves the HTTP API of an entry for callers.
@@ -45,7 +48,9 @@
 	router.PathPrefix("/svc/{service}").HandlerFunc(server.servePlain)
 	router.NotFoundHandler = http.HandlerFunc(serveNotFound)
 	router.MethodNotAllowedHandler = http.HandlerFunc(serveMethodNotAllowed)
-	return router
+	return reply.Guard(router, func(fault any, stack []byte) {
+		event.HandlerPanicked.Log(server.config.Log, map[string]any{"cause": fmt.Sprint(fault), "stack": string(stack)})
+	})
 }
 
 // RecheckAdmissions cancels the requests whose keys no longer admit them. It is
--- a/entry/streamwriter.go
+++ b/entry/streamwriter.go
@@ -69,15 +69,16 @@
 }
 
 // fail writes the refusal as the complete response if nothing has been written
-// yet, and as an error event otherwise.
+// yet, and as an error event otherwise. If it can't write the event, it aborts the
+// response, which lacks the done event.
 func (streamWriter *streamWriter) fail(refusal *call.Refusal) {
 	if !streamWriter.begun {
 		writeRefusal(streamWriter.writer, refusal)
 		return
 	}
-	// If the write fails, the connection ends without the done event, which
-	// marks the stream as incomplete.
-	_ = streamWriter.send(eventErrorPrefix, encodeError(refusal))
+	if err := streamWriter.send(eventErrorPrefix, encodeError(refusal)); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (streamWriter *streamWriter) begin() {
--- a/event/process.go
+++ b/event/process.go
@@ -23,4 +23,6 @@
 	// ListenerFailed is logged when a listener ends although no stop was
 	// requested.
 	ListenerFailed = define(120, logrus.ErrorLevel, "listenerFailed", "A listener ended unexpectedly. The process no longer serves on its address; restart it.")
+	// HandlerPanicked is logged when the handler of a request or call panics.
+	HandlerPanicked = define(121, logrus.ErrorLevel, "handlerPanicked", "Handling a request or a call between processes failed because of a fault in the program. Its connection was closed, or the call failed; it may have had an effect. Report the fault with the stack.")
 )
