node: take no instance list without instances for an empty one

An instance list that was answered with null, {} or without instances read as the list of a platform that runs no instance, so that membership could take the whole fleet for gone. Cause: a missing field decodes as an empty list. It is an error now, which keeps the last list that was read. The stand-in sent null for its empty first list; it sends an empty list. Before: TestListWithoutInstancesFieldIsNoEmptyList (go test ./node) failed in 4 of 7 cases; an empty body and a cut list failed to decode already.

--- a/node/lister.go
+++ b/node/lister.go
@@ -44,6 +44,9 @@
 	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
 		return nil, merry.Prepend(err, "instance list")
 	}
+	if list.Instances == nil {
+		return nil, merry.New("instance list: the field \"instances\" is missing")
+	}
 	members := make([]fleet.Member, 0, len(list.Instances))
 	for _, instance := range list.Instances {
 		members = append(members, decodeInstance(instance))
--- a/stand/instancelistservice.go
+++ b/stand/instancelistservice.go
@@ -47,7 +47,7 @@
 	if config.Clock == nil {
 		config.Clock = clockwork.NewRealClock()
 	}
-	first := plat.InstanceList{Revision: 1, Instances: slices.Clone(config.Instances)}
+	first := plat.InstanceList{Revision: 1, Instances: append([]plat.Instance{}, config.Instances...)}
 	return &InstanceListService{
 		clock:    config.Clock,
 		lag:      config.Lag,
