node: a panic fails one call instead of the process; readiness is stated

A panic in the handler of a gRPC call ended the whole process and every request in it, and a handler that returned neither a reply nor an error sent an empty reply, which readers decode as granted nothing, no holdings, wait 0, or done. Cause: grpc-go does not recover, and encodes an absent message as an empty one. Calls between processes now fail as Internal in both cases, which no reader takes for 'not run', and event 121 names the fault. No handler returns nothing today (read, not run). Probes answered readiness with the 200 that net/http adds when nothing is written; it is written now, like that of /metrics, and a handler that writes nothing closes the connection. The servers for operators and for an entry's callers log connection faults and panics as events instead of to standard error.

--- a/node/entry.go
+++ b/node/entry.go
@@ -107,6 +107,7 @@
 		ReadTimeout:       settings.ReadTimeout,
 		IdleTimeout:       settings.IdleTimeout,
 		MaxHeaderBytes:    int(settings.HeaderBytes),
+		ErrorLog:          newErrorLog(log),
 	}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(startCtx context.Context) error {
--- a/node/httperrorwriter.go
+++ b/node/httperrorwriter.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	stdlog "log"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,11 @@
 	log logrus.FieldLogger
 }
 
+// newErrorLog returns the error log of an HTTP server.
+func newErrorLog(log logrus.FieldLogger) *stdlog.Logger {
+	return stdlog.New(httpErrorWriter{log: log}, "", 0)
+}
+
 // Write implements [io.Writer].
 func (httpErrorWriter httpErrorWriter) Write(text []byte) (int, error) {
 	event.ConnectionFault.Log(httpErrorWriter.log, logrus.Fields{"cause": strings.TrimSpace(string(text))})
--- a/node/operator.go
+++ b/node/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/gorilla/mux"
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -39,15 +40,17 @@
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Type", "application/json")
+		writer.WriteHeader(http.StatusOK)
 		metrics.WriteJSONOnce(registry, writer)
 	}).Methods(http.MethodGet)
 	return router
 }
 
 // newOperatorServer returns the HTTP server for operators.
-func newOperatorServer(handler http.Handler) *http.Server {
+func newOperatorServer(handler http.Handler, log logrus.FieldLogger) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           guardHandler(handler, log),
+		ErrorLog:          newErrorLog(log),
 		ReadHeaderTimeout: operatorHeaderTimeout,
 		ReadTimeout:       operatorReadTimeout,
 		WriteTimeout:      operatorWriteTimeout,
--- a/node/operators.go
+++ b/node/operators.go
@@ -52,7 +52,7 @@
 // last, so that a process can be observed while it starts and stops.
 func serveOperators(lifecycle fx.Lifecycle, process *setup.Process, router *mux.Router, clock *clock.Service, log logrus.FieldLogger) {
 	ctx, cancel := context.WithCancel(context.Background())
-	server := newOperatorServer(router)
+	server := newOperatorServer(router, log)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(startCtx context.Context) error {
 			security, err := newSecurity(ctx, process.OperatorFiles, clock, log)
--- a/node/peers.go
+++ b/node/peers.go
@@ -17,8 +17,8 @@
 
 // newPeerServer returns the gRPC server for the system's own processes. Services
 // have to be registered before it starts to serve.
-func newPeerServer(security security) *grpc.Server {
-	return grpc.NewServer(peerServerOptions(security)...)
+func newPeerServer(security security, log logrus.FieldLogger) *grpc.Server {
+	return grpc.NewServer(append(peerServerOptions(security), guardOptions(log)...)...)
 }
 
 // servePeers opens the listener for the system's own processes.
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -54,16 +53,10 @@
 
 // serveReadiness serves readiness probes, and metrics as text.
 func serveReadiness(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, servers *pool.Pool, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
-	router := mux.NewRouter()
-	router.HandleFunc(platform.ReadinessPath, func(writer http.ResponseWriter, _ *http.Request) {
-		if relay.Policy() == nil || relay.Draining() || len(servers.Servers(clock.Now())) == 0 {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-	}).Methods(http.MethodGet, http.MethodHead)
-	router.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) {
-		metrics.WriteOnce(registry, writer)
-	}).Methods(http.MethodGet)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: stdlog.New(httpErrorWriter{log: log}, "", 0)}
+	router := newReadinessRouter(func() bool {
+		return relay.Policy() != nil && !relay.Draining() && len(servers.Servers(clock.Now())) > 0
+	}, registry)
+	server := &http.Server{Handler: guardHandler(router, log), ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(log)}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			listener, err := listen(ctx, host.ReadyAddress, bounds{}, nil)
@@ -77,6 +70,23 @@
 	})
 }
 
+// newReadinessRouter returns the routes of readiness probes and metrics.
+func newReadinessRouter(ready func() bool, registry metrics.Registry) *mux.Router {
+	router := mux.NewRouter()
+	router.HandleFunc(platform.ReadinessPath, func(writer http.ResponseWriter, _ *http.Request) {
+		if ready() {
+			writer.WriteHeader(http.StatusOK)
+		} else {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet, http.MethodHead)
+	router.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusOK)
+		metrics.WriteOnce(registry, writer)
+	}).Methods(http.MethodGet)
+	return router
+}
+
 // serveRelay serves callers' requests. At shutdown it continues to serve until no
 // request is in progress and the load balancer has noticed that the entry is not
 // ready.
@@ -87,7 +97,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         idleConnections.setState,
-		ErrorLog:          stdlog.New(httpErrorWriter{log: log}, "", 0),
+		ErrorLog:          newErrorLog(log),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
