--- a/entry/absence_test.go
+++ b/entry/absence_test.go
@@ -45,20 +45,19 @@
 }
 
 func (replyingAgent *replyingAgent) Serve(ctx context.Context, _ *wire.ServeRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[wire.ServeReply], error) {
-	return &replyingStream{ctx: ctx, reply: replyingAgent.reply}, nil
+	return &replyingStream{recv: func(number int) (*wire.ServeReply, error) { return replyingAgent.reply(ctx, number) }}, nil
 }
 
 type replyingStream struct {
 	grpc.ClientStream
 
-	ctx    context.Context
-	reply  replyFunc
+	recv   func(number int) (*wire.ServeReply, error)
 	number int
 }
 
 func (replyingStream *replyingStream) Recv() (*wire.ServeReply, error) {
 	replyingStream.number++
-	return replyingStream.reply(replyingStream.ctx, replyingStream.number-1)
+	return replyingStream.recv(replyingStream.number - 1)
 }
 
 // replies returns a replyFunc for a fixed list, after which the stream breaks off.
@@ -171,11 +170,13 @@
 }
 
 // send writes a request and returns the connection.
-func (front *front) send(g *WithT, version, path, body string) *net.TCPConn {
+func (front *front) send(t *testing.T, g *WithT, version, path, body string) *net.TCPConn {
+	t.Helper()
 	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", front.Listener.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	tcpConn, ok := conn.(*net.TCPConn)
 	g.Expect(ok).To(BeTrue())
+	t.Cleanup(func() { conn.Close() })
 	g.Expect(tcpConn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
 	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: a\r\nAuthorization: Bearer secret\r\nIdempotency-Key: one\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, version, len(body), body)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -207,8 +208,7 @@
 		t.Run(each.name, func(t *testing.T) {
 			g := NewWithT(t)
 			front := newFront(t, replies(each.replies...))
-			conn := front.send(g, "HTTP/1.1", "/svc/desk/order", "order")
-			defer conn.Close()
+			conn := front.send(t, g, "HTTP/1.1", "/svc/desk/order", "order")
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			g.Expect(err).NotTo(HaveOccurred())
 			defer response.Body.Close()
@@ -242,8 +242,7 @@
 				g := NewWithT(t)
 				waits := make(chan struct{})
 				front := newFront(t, untilCallerLeaves(waits, each.begun...))
-				conn := front.send(g, version, each.path, each.body)
-				defer conn.Close()
+				conn := front.send(t, g, version, each.path, each.body)
 				g.Eventually(waits, 5*time.Second).Should(BeClosed())
 				g.Expect(conn.CloseWrite()).To(Succeed())
 				received, err := io.ReadAll(conn)
@@ -268,8 +267,7 @@
 		}
 		return endReply(0), nil
 	})
-	conn := front.send(g, "HTTP/1.1", "/svc/desk/look", "look")
-	defer conn.Close()
+	conn := front.send(t, g, "HTTP/1.1", "/svc/desk/look", "look")
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
@@ -291,8 +289,7 @@
 				}
 				return chunkReply(int64(number), text), nil
 			})
-			conn := front.send(g, version, "/v1/completions", streamBody)
-			defer conn.Close()
+			conn := front.send(t, g, version, "/v1/completions", streamBody)
 			g.Eventually(ended, 15*time.Second).Should(BeClosed())
 			received, err := io.ReadAll(conn)
 			if err != nil {
--- a/entry/panic_test.go
+++ b/entry/panic_test.go
@@ -26,8 +26,7 @@
 					}
 					panic("a fault")
 				})
-				conn := front.send(g, version, "/v1/completions", streamBody)
-				defer conn.Close()
+				conn := front.send(t, g, version, "/v1/completions", streamBody)
 				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				if !begun {
 					g.Expect(err).To(HaveOccurred())
