--- a/engine/codec.go
+++ b/engine/codec.go
@@ -27,6 +27,10 @@
 	errNoRequest = errors.New("requestId is missing")
 	errNoModel   = errors.New("model is missing")
 	errNoChoice  = errors.New("choices are empty")
+	// Without these a report would read as that of an engine that has restarted and
+	// holds nothing.
+	errNoBoot     = errors.New("boot is missing")
+	errNoResident = errors.New("resident is missing")
 )
 
 // EncodeOrder returns the JSON form of order.
@@ -107,6 +111,12 @@
 	if err := json.Unmarshal(data, &reportWire); err != nil {
 		return Report{}, &CodecError{MessageType: "report", Cause: err}
 	}
+	switch {
+	case reportWire.Boot == "":
+		return Report{}, &CodecError{MessageType: "report", Cause: errNoBoot}
+	case reportWire.Resident == nil:
+		return Report{}, &CodecError{MessageType: "report", Cause: errNoResident}
+	}
 	report := Report{
 		Boot: reportWire.Boot, Applied: Fence(reportWire.Applied),
 		MemoryBytes: reportWire.MemoryBytes, UsedBytes: reportWire.UsedBytes,
