admin: the client takes no response that tells nothing for a success or a refusal

To the operator's commands null or {} with 200, from anything at the address of an instance, was an accepted change of version 0, a key without a secret, a lifted quarantine, an empty history or list; and a 4xx that is none of the API's, such as the 408 of a balancer, proved that a change that may be stored had not been made. Cause: a missing field is a zero value, and every status below 500 counted as the server's decision. Now each document names the field without which it tells nothing, only 200 and 202 announce one, and a failure without the API's error code is a *ResponseError, which the commands treat like a lost answer. A configuration of {} is still one: that is its form before the first change. Before: the two specs of "a client" in go test ./admin failed.

--- a/admin/client.go
+++ b/admin/client.go
@@ -30,8 +30,8 @@
 }
 
 // Client calls the administration API. Its errors are *[APIError],
-// *[config.ConflictError], *[config.ValidationError] or those of the HTTP
-// client. After an error of the HTTP client a change may have taken effect; the
+// *[config.ConflictError], *[config.ValidationError], *[ResponseError] or those of
+// the HTTP client. After one of the last two a change may have taken effect; the
 // caller must retry it with the same id.
 type Client struct {
 	config ClientConfig
@@ -78,11 +78,11 @@
 // Show returns the configuration in force at the instance that handles the
 // request.
 func (client *Client) Show(ctx context.Context) (*config.Snapshot, error) {
-	var raw json.RawMessage
-	if err := client.call(ctx, http.MethodGet, "/admin/v1/configuration", nil, &raw); err != nil {
+	var document configurationDocument
+	if err := client.call(ctx, http.MethodGet, "/admin/v1/configuration", nil, &document); err != nil {
 		return nil, err
 	}
-	return config.DecodeSnapshot(raw)
+	return config.DecodeSnapshot(document.raw)
 }
 
 // History returns up to limit records of versions lower than before, latest
@@ -118,6 +118,9 @@
 	}
 	var document outcomeDocument
 	err = client.call(ctx, http.MethodPost, "/admin/v1/keys", body, &document)
+	if err == nil && document.Secret == "" {
+		err = &ResponseError{Status: http.StatusOK, Field: "secret"}
+	}
 	return document.decode(), document.Secret, err
 }
 
@@ -134,8 +137,9 @@
 	return document.decode(), err
 }
 
-// call sends a request and decodes the response into answer.
-func (client *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+// call sends a request and decodes the response into answer. It fails with a
+// *[ResponseError] if the response is none of the API or tells nothing.
+func (client *Client) call(ctx context.Context, method, path string, body []byte, answer responseDocument) error {
 	request, err := http.NewRequestWithContext(ctx, method, client.config.URL+path, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -157,14 +161,23 @@
 	if response.StatusCode >= http.StatusBadRequest {
 		return decodeError(response.StatusCode, content)
 	}
-	return json.Unmarshal(content, answer)
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusAccepted {
+		return &ResponseError{Status: response.StatusCode, Field: "result"}
+	}
+	if err := json.Unmarshal(content, answer); err != nil {
+		return err
+	}
+	if field := answer.missingField(); field != "" {
+		return &ResponseError{Status: response.StatusCode, Field: field}
+	}
+	return nil
 }
 
 // decodeError returns the error that the body of a failed response describes.
 func decodeError(status int, content []byte) error {
 	var document errorDocument
-	if err := json.Unmarshal(content, &document); err != nil {
-		return &APIError{Status: status, Code: codeInternal, Message: http.StatusText(status)}
+	if err := json.Unmarshal(content, &document); err != nil || document.Code == "" {
+		return &ResponseError{Status: status, Field: "error code"}
 	}
 	switch {
 	case document.Conflict != nil:
