coord: take no reply without a term for the coordinator's

An empty reply to a report is valid protobuf. An entry read it as the reply of a new term 0 in which no engine holds anything, dropped the holdings that it knew, and counted the coordinator as reachable. Cause: an absent message is an empty one to the reader. A coordinator's term is never 0, so such a reply is an error now, like one that does not come. Loans and permits (lent, issued) read an empty reply as not granted, which lets nothing pass; an adapter's load is done by its status.

--- a/coord/client.go
+++ b/coord/client.go
@@ -371,6 +371,9 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	if message.GetTerm() <= 0 {
+		return Reply{}, &NoTermError{}
+	}
 	return decodeReply(message, client.config.Clock.Now()), nil
 }
 
--- a/coord/errors.go
+++ b/coord/errors.go
@@ -23,6 +23,12 @@
 // Error implements error.
 func (*NoCoordinatorError) Error() string { return "no coordinator is known" }
 
+// NoTermError reports a reply without a term, which is none of a coordinator.
+type NoTermError struct{}
+
+// Error implements error.
+func (*NoTermError) Error() string { return "the reply has no term" }
+
 // UnknownAccountError reports a client account that the policy in force does not
 // contain.
 type UnknownAccountError struct {
