store: a refusal for an unknown reason and a reply without a revision or lease are no success

If the key-value service refused a call for a reason that this version does not know, the call had succeeded: a swap was made at revision 0, a lease renewed, a key missing, a list empty. Cause: the reason is then absent, and an absent reason meant that there was no failure. An empty reply to a grant was lease 0, under which entries never end. Reads fail as unavailable now and writes as unknown. An empty reply to a get or a list still means that there is no entry: the protocol says it so.

--- a/store/client.go
+++ b/store/client.go
@@ -132,6 +132,9 @@
 	if err := remoteCall.writeError(err, reply.GetFailure()); err != nil {
 		return 0, err
 	}
+	if reply.GetRevision() <= 0 {
+		return 0, remoteCall.unknown(errNoRevision)
+	}
 	return Revision(reply.GetRevision()), nil
 }
 
@@ -182,6 +185,9 @@
 	if err := remoteCall.writeError(err, reply.GetFailure()); err != nil {
 		return 0, err
 	}
+	if reply.GetLease() <= 0 {
+		return 0, remoteCall.unknown(errNoLease)
+	}
 	return LeaseID(reply.GetLease()), nil
 }
 
--- a/store/remotecall.go
+++ b/store/remotecall.go
@@ -13,6 +13,12 @@
 // limit.
 var errThrottled = errors.New("rate limit of the service exceeded")
 
+var (
+	errUnexplained = errors.New("the service refused the call for an unknown reason")
+	errNoRevision  = errors.New("the reply has no revision")
+	errNoLease     = errors.New("the reply has no lease")
+)
+
 // remoteCall is one call to the service, with the details that its errors report.
 type remoteCall struct {
 	//nolint:containedctx // a remoteCall does not outlive its call
@@ -39,12 +45,22 @@
 	if err != nil {
 		return &UnavailableError{Operation: remoteCall.operation, Cause: remoteCall.cause(err)}
 	}
+	if isUnexplained(failure) {
+		return &UnavailableError{Operation: remoteCall.operation, Cause: errUnexplained}
+	}
 	return remoteCall.failureError(failure)
 }
 
+// isUnexplained reports whether failure has no reason, such as one that this version does
+// not know.
+func isUnexplained(failure *plat.Failure) bool { return failure != nil && failure.GetReason() == nil }
+
 // writeError maps the result of a write to the errors of [Store]. Without a
 // reply the effect is unknown, unless the call was certainly never sent.
 func (remoteCall *remoteCall) writeError(err error, failure *plat.Failure) error {
+	if err == nil && isUnexplained(failure) {
+		return remoteCall.unknown(errUnexplained)
+	}
 	if err == nil {
 		return remoteCall.failureError(failure)
 	}
@@ -63,6 +79,11 @@
 	return err
 }
 
+// unknown returns the error of a write whose reply lacks what it announces.
+func (remoteCall *remoteCall) unknown(cause error) error {
+	return &UnknownError{Operation: remoteCall.operation, Cause: cause}
+}
+
 func (remoteCall *remoteCall) failureError(failure *plat.Failure) error {
 	switch reason := failure.GetReason().(type) {
 	case nil:
