entry: state the length of whole responses

If an entry stops, or is stopped after its drain, while a slow caller of HTTP/1.0 receives a whole response, the part that it got looked complete: without a length such a response ends with its connection, and net/http states none for bodies over 2 KB. Now whole completions, errors, lists and the responses of plain services bear their length. Streams are ended by their done event.

--- a/entry/absence_test.go
+++ b/entry/absence_test.go
@@ -157,7 +157,7 @@
 		Crashes: poison.NewSharedTracker(poison.SharedTrackerConfig{Clock: clock}),
 		Router:  router, Plan: router.plan, Signer: emptySigner{}, Agents: &replyingAgent{reply: reply},
 		Limits: Limits{
-			BodyBytes: 1 << 20, AnswerBytes: 1 << 20, OutputTokens: 100, RequestsPerAccount: 10, Attempts: 2,
+			BodyBytes: 1 << 20, AnswerBytes: 1 << 24, OutputTokens: 100, RequestsPerAccount: 10, Attempts: 2,
 			WriteTimeout: 500 * time.Millisecond, RequestTimeout: 10 * time.Second,
 		},
 	})
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/gorilla/mux"
@@ -115,6 +116,11 @@
 			writer.Header().Add(name, value)
 		}
 	}
+	// Without a length, a response that is cut would look complete in HTTP/1.0. The
+	// response to HEAD has no body, and its length is that of another one.
+	if len(plainResponse.Body) > 0 {
+		writer.Header().Set("Content-Length", strconv.Itoa(len(plainResponse.Body)))
+	}
 	writer.WriteHeader(plainResponse.Status)
 	writer.Write(plainResponse.Body)
 }
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -67,7 +67,10 @@
 		http.Error(writer, "the answer cannot be encoded", http.StatusInternalServerError)
 		return
 	}
+	encoded = append(encoded, '\n')
 	writer.Header().Set("Content-Type", "application/json")
+	// Without a length, a response that is cut would look complete in HTTP/1.0.
+	writer.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
 	writer.WriteHeader(status)
-	writer.Write(append(encoded, '\n'))
+	writer.Write(encoded)
 }
