reply, node: reset HTTP/1.0 responses that the server itself cuts

Seen on the way, in a trial with a plain http.Server: when it is closed in the middle of a response without a length, a caller of HTTP/1.0 reads the end of a complete one. So at the end of the stop grace a stream through the relay looked complete. reply.Writer.Abort comes too late there, as it does when a write has failed: net/http closes the connection itself, without a reset. Now the connection is set to end with a reset while a response of HTTP/1.0 is in progress (reply.ConnContext, for the relay's callers), and set back by Finish. Callers of HTTP/1.1 miss the last chunk as before. Entries of the OpenAI form do not use it: their listeners wrap connections; their streams end with a done event and the rest has a length. Before: TestResponseThatServerCutsDoesNotLookComplete failed for "HTTP/1.0 a stop" (go test ./reply).

--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -22,6 +22,7 @@
 	"github.com/basilkeel/basilkeel/platform"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/relay"
+	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/setup"
 	"github.com/basilkeel/basilkeel/spool"
 	"github.com/basilkeel/basilkeel/trunk"
@@ -97,6 +98,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         idleConnections.setState,
+		ConnContext:       reply.ConnContext,
 		ErrorLog:          newErrorLog(log),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/reply/writer.go
+++ b/reply/writer.go
@@ -20,17 +20,24 @@
 // WriteHeader implements [http.ResponseWriter].
 func (writer *Writer) WriteHeader(status int) {
 	if status >= http.StatusOK {
-		writer.begun = true
+		writer.begin()
 	}
 	writer.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements [http.ResponseWriter].
 func (writer *Writer) Write(data []byte) (int, error) {
-	writer.begun = true
+	writer.begin()
 	return writer.ResponseWriter.Write(data)
 }
 
+func (writer *Writer) begin() {
+	if !writer.begun {
+		writer.begun = true
+		writer.setLinger(0)
+	}
+}
+
 // Unwrap returns the underlying writer, for [http.ResponseController].
 func (writer *Writer) Unwrap() http.ResponseWriter { return writer.ResponseWriter }
 
@@ -43,6 +50,7 @@
 	if !writer.begun {
 		panic(http.ErrAbortHandler)
 	}
+	writer.setLinger(-1)
 }
 
 // Abort closes the connection so that the response does not look complete. It panics
