--- a/engine/codec.go
+++ b/engine/codec.go
@@ -28,6 +28,10 @@
 	errNoModel   = errors.New("model is missing")
 	errNoChoice  = errors.New("choices are empty")
 	errFailed    = errors.New("engine reported an error")
+	// Without these a report would read as that of an engine that has restarted and
+	// holds nothing.
+	errNoBoot     = errors.New("boot is missing")
+	errNoResident = errors.New("resident is missing")
 )
 
 // EncodeOrder returns the JSON form of order.
@@ -108,6 +112,12 @@
 	if err := json.Unmarshal(data, &reportWire); err != nil {
 		return Report{}, &CodecError{MessageType: "report", Cause: err}
 	}
+	switch {
+	case reportWire.Boot == "":
+		return Report{}, &CodecError{MessageType: "report", Cause: errNoBoot}
+	case reportWire.Resident == nil:
+		return Report{}, &CodecError{MessageType: "report", Cause: errNoResident}
+	}
 	report := Report{
 		Boot: reportWire.Boot, Applied: Fence(reportWire.Applied),
 		MemoryBytes: reportWire.MemoryBytes, UsedBytes: reportWire.UsedBytes,
--- a/engine/latecopy_test.go
+++ b/engine/latecopy_test.go
@@ -122,12 +122,12 @@
 		},
 		{
 			"a report after one of before a restart", report, report,
-			[]string{framed(http.StatusOK, "application/json", `{"boot":"b1"}`), framed(http.StatusOK, "application/json", `{"boot":"b2"}`)},
+			[]string{framed(http.StatusOK, "application/json", `{"boot":"b1","resident":[]}`), framed(http.StatusOK, "application/json", `{"boot":"b2","resident":[]}`)},
 			"b2",
 		},
 		{
 			"a failed cancellation after a report", report, cancel,
-			[]string{framed(http.StatusOK, "application/json", `{"boot":"b1"}`), framed(http.StatusInternalServerError, "text/plain", "")},
+			[]string{framed(http.StatusOK, "application/json", `{"boot":"b1","resident":[]}`), framed(http.StatusInternalServerError, "text/plain", "")},
 			"false",
 		},
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -17,6 +17,7 @@
 	"github.com/basilkeel/basilkeel/fleet"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/poison"
+	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/route"
 	"github.com/basilkeel/basilkeel/setup"
 )
@@ -102,11 +103,14 @@
 func serveCallers(lifecycle fx.Lifecycle, settings *setup.Entry, server *entry.Server, health *health, clock *clock.Service, log logrus.FieldLogger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	httpServer := &http.Server{
-		Handler:           closeWhenNotReady(health, server.Handler()),
-		ReadHeaderTimeout: settings.HeaderTimeout,
-		ReadTimeout:       settings.ReadTimeout,
-		IdleTimeout:       settings.IdleTimeout,
-		MaxHeaderBytes:    int(settings.HeaderBytes),
+		Handler:                      closeWhenNotReady(health, server.Handler()),
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            settings.HeaderTimeout,
+		ReadTimeout:                  settings.ReadTimeout,
+		IdleTimeout:                  settings.IdleTimeout,
+		MaxHeaderBytes:               int(settings.HeaderBytes),
+		ConnContext:                  reply.ConnContext,
+		ErrorLog:                     newErrorLog(log),
 	}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(startCtx context.Context) error {
--- a/node/httperrorwriter.go
+++ b/node/httperrorwriter.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	stdlog "log"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,11 @@
 	log logrus.FieldLogger
 }
 
+// newErrorLog returns the error log of an HTTP server.
+func newErrorLog(log logrus.FieldLogger) *stdlog.Logger {
+	return stdlog.New(httpErrorWriter{log: log}, "", 0)
+}
+
 // Write implements [io.Writer].
 func (httpErrorWriter httpErrorWriter) Write(text []byte) (int, error) {
 	cause, _, _ := strings.Cut(string(text), receivedBytes)
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -55,16 +54,10 @@
 
 // serveReadiness serves readiness probes, and metrics as text.
 func serveReadiness(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, servers *pool.Pool, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
-	router := mux.NewRouter()
-	router.HandleFunc(platform.ReadinessPath, func(writer http.ResponseWriter, _ *http.Request) {
-		if relay.Policy() == nil || relay.Draining() || len(servers.Servers(clock.Now())) == 0 {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-	}).Methods(http.MethodGet, http.MethodHead)
-	router.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) {
-		metrics.WriteOnce(registry, writer)
-	}).Methods(http.MethodGet)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: stdlog.New(httpErrorWriter{log: log}, "", 0)}
+	router := newReadinessRouter(func() bool {
+		return relay.Policy() != nil && !relay.Draining() && len(servers.Servers(clock.Now())) > 0
+	}, registry)
+	server := &http.Server{Handler: guardHandler(router, log), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(log)}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			listener, err := listen(ctx, host.ReadyAddress, bounds{}, nil)
@@ -78,6 +71,23 @@
 	})
 }
 
+// newReadinessRouter returns the routes of readiness probes and metrics.
+func newReadinessRouter(ready func() bool, registry metrics.Registry) *mux.Router {
+	router := mux.NewRouter()
+	router.HandleFunc(platform.ReadinessPath, func(writer http.ResponseWriter, _ *http.Request) {
+		if ready() {
+			writer.WriteHeader(http.StatusOK)
+		} else {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet, http.MethodHead)
+	router.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusOK)
+		metrics.WriteOnce(registry, writer)
+	}).Methods(http.MethodGet)
+	return router
+}
+
 // serveRelay serves callers' requests. At shutdown it continues to serve until no
 // request is in progress and the load balancer has noticed that the entry is not
 // ready.
@@ -113,13 +123,13 @@
 // handler: net/http would itself respond to OPTIONS * with success.
 func newCallerServer(handler http.Handler, idleConnections *idleConnections, log logrus.FieldLogger) *http.Server {
 	return &http.Server{
-		Handler:                      handler,
+		Handler:                      guardHandler(handler, log),
 		DisableGeneralOptionsHandler: true,
 		ReadHeaderTimeout:            headerTimeout,
 		MaxHeaderBytes:               headerBytes,
 		ConnContext:                  reply.ConnContext,
 		ConnState:                    idleConnections.setState,
-		ErrorLog:                     stdlog.New(httpErrorWriter{log: log}, "", 0),
+		ErrorLog:                     newErrorLog(log),
 	}
 }
 
