reply: one way to guard a handler; tests share their servers and callers

Explicit had become Guard without its report and was used by tests only. The tests of reply and the two of broken streams in relay wrote the same setup several times. No assertion changes.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -271,16 +271,19 @@
 	}
 }
 
+// breakOff is a server that sends two events of a stream and closes the connection.
+func breakOff(writer http.ResponseWriter, _ *http.Request) {
+	conn := hijack(writer)
+	text := events(1, 2)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+	time.Sleep(50 * time.Millisecond)
+	conn.Close()
+}
+
 func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
 	g := NewWithT(t)
 	fixture := newFixture(t, route("draft", policy.KindStream, "notes"))
-	fixture.server("notes-1", "notes", func(writer http.ResponseWriter, _ *http.Request) {
-		conn := hijack(writer)
-		text := events(1, 2)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
-		time.Sleep(50 * time.Millisecond)
-		conn.Close()
-	})
+	fixture.server("notes-1", "notes", breakOff)
 	result := fixture.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Model": "notes"})
 	g.Expect(result.err).To(HaveOccurred())
 	g.Expect(result.body).To(Equal(events(1, 2)))
@@ -291,13 +294,7 @@
 func TestBrokenStreamDoesNotLookWholeInHTTP10(t *testing.T) {
 	g := NewWithT(t)
 	fixture := newFixture(t, route("draft", policy.KindStream, "notes"))
-	fixture.server("notes-1", "notes", func(writer http.ResponseWriter, _ *http.Request) {
-		conn := hijack(writer)
-		text := events(1, 2)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
-		time.Sleep(50 * time.Millisecond)
-		conn.Close()
-	})
+	fixture.server("notes-1", "notes", breakOff)
 	conn := fixture.dialFront()
 	g.Expect(writeRequest(conn, "HTTP/1.0", "/draft/1", "notes", "prompt")).To(Succeed())
 	received, err := io.ReadAll(conn)
--- a/reply/conncontext_test.go
+++ b/reply/conncontext_test.go
@@ -1,11 +1,8 @@
 package reply_test
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -67,13 +64,9 @@
 				server.Config.ConnContext = reply.ConnContext
 				server.Start()
 				defer server.Close()
-				conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", server.Listener.Addr().String())
-				g.Expect(err).NotTo(HaveOccurred())
-				defer conn.Close()
-				_, err = fmt.Fprintf(conn, "GET / %s\r\nHost: a\r\n\r\n", version)
-				g.Expect(err).NotTo(HaveOccurred())
+				reader := get(t, server, version)
 				time.Sleep(200 * time.Millisecond)
-				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				response, err := http.ReadResponse(reader, nil)
 				if err == nil {
 					defer response.Body.Close()
 					_, err = io.Copy(io.Discard, response.Body)
--- a/reply/guard_test.go
+++ b/reply/guard_test.go
@@ -1,13 +1,9 @@
 package reply_test
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -43,16 +39,8 @@
 			t.Run(version+" "+each.name, func(t *testing.T) {
 				g := NewWithT(t)
 				var reports atomic.Int32
-				server := httptest.NewUnstartedServer(reply.Guard(each.handle, func(any, []byte) { reports.Add(1) }))
-				server.Config.ConnContext = reply.ConnContext
-				server.Start()
-				defer server.Close()
-				conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", server.Listener.Addr().String())
-				g.Expect(err).NotTo(HaveOccurred())
-				defer conn.Close()
-				_, err = fmt.Fprintf(conn, "GET / %s\r\nHost: a\r\n\r\n", version)
-				g.Expect(err).NotTo(HaveOccurred())
-				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				server := newServer(t, reply.Guard(each.handle, func(any, []byte) { reports.Add(1) }))
+				response, err := http.ReadResponse(get(t, server, version), nil)
 				if err == nil {
 					defer response.Body.Close()
 					_, err = io.Copy(io.Discard, response.Body)
--- a/reply/writer.go
+++ b/reply/writer.go
@@ -70,13 +70,3 @@
 // Abort closes the connection so that the response does not look complete. It panics
 // with [http.ErrAbortHandler].
 func (*Writer) Abort() { panic(http.ErrAbortHandler) }
-
-// Explicit returns a handler that closes the connection if handler returns without
-// having written a response.
-func Explicit(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		tracked := NewWriter(writer, request)
-		handler.ServeHTTP(tracked, request)
-		tracked.Finish()
-	})
-}
--- a/reply/writer_test.go
+++ b/reply/writer_test.go
@@ -1,26 +1,18 @@
 package reply_test
 
 import (
-	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
-	"os"
 	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
-	"github.com/basilkeel/basilkeel/proof"
 	"github.com/basilkeel/basilkeel/reply"
 )
 
-func TestMain(m *testing.M) { os.Exit(proof.Main(m)) }
-
 // TestAbsentOrAbortedResponsesDoNotLookComplete checks what a caller reads for each way in
 // which a handler can end.
 func TestAbsentOrAbortedResponsesDoNotLookComplete(t *testing.T) {
@@ -70,16 +62,8 @@
 		for _, each := range cases {
 			t.Run(version+" "+each.name, func(t *testing.T) {
 				g := NewWithT(t)
-				server := httptest.NewUnstartedServer(reply.Explicit(each.handle))
-				server.Config.ConnContext = reply.ConnContext
-				server.Start()
-				defer server.Close()
-				conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", server.Listener.Addr().String())
-				g.Expect(err).NotTo(HaveOccurred())
-				defer conn.Close()
-				_, err = fmt.Fprintf(conn, "GET / %s\r\nHost: a\r\n\r\n", version)
-				g.Expect(err).NotTo(HaveOccurred())
-				reader := bufio.NewReader(conn)
+				server := newServer(t, reply.Guard(each.handle, func(any, []byte) {}))
+				reader := get(t, server, version)
 				response, err := http.ReadResponse(reader, nil)
 				for err == nil && response.StatusCode < http.StatusOK {
 					response, err = http.ReadResponse(reader, nil)
