trunk: withdrawn requests don't prolong a connection's idle time; a status below 100 is no interim response

What servers would see: requests on connections that had been idle for longer than Keep-Alive allows, as a request that was withdrawn before it was sent (for lack of a permit) renewed the idle time; such a request may meet the server's close and be lost. What callers would get: the body of a response with status 000 to 099 read as the next response, as its header was skipped like an interim one. Cause: putIdle took the present time for all connections; readResponse skipped every status below 200. Ruled out: a connection that was never used keeps the time at which it was opened. Failed before: go test ./trunk -run 'WithdrawnRequestsDoNotProlong|StatusBelowAllClasses' (1 connection instead of 2; status 200 with body "enclosed" for both statuses). Why it works: the time is set when a connection is opened and when a response ends, and takeIdle judges each connection by itself, as they are no longer ordered by that time.

--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -34,13 +34,13 @@
 	limiter *headerLimiter
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// idleSince is when the connection became idle, and idleLimit how long it may then
-	// be reused.
+	// idleSince is when the connection was opened or its last response ended, and
+	// idleLimit how long it may then be reused.
 	idleSince time.Time
 	idleLimit time.Duration
 }
 
-func newConnection(address string, conn net.Conn) *connection {
+func newConnection(address string, conn net.Conn, now time.Time) *connection {
 	limiter := &headerLimiter{source: conn}
 	return &connection{
 		address:   address,
@@ -48,6 +48,7 @@
 		limiter:   limiter,
 		reader:    bufio.NewReaderSize(limiter, bufferBytes),
 		writer:    bufio.NewWriterSize(conn, bufferBytes),
+		idleSince: now,
 		idleLimit: defaultIdleLimit,
 	}
 }
@@ -90,7 +91,7 @@
 		if line := enclosedStatusLine(response); line != "" {
 			return nil, &SplicedError{StatusLine: line}
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &StatusError{Status: response.StatusCode}
 		}
 		if response.StatusCode < http.StatusOK {
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -49,7 +49,7 @@
 			response.connection.conn.Close()
 			return
 		}
-		response.trunk.putIdle(response.connection)
+		response.trunk.putIdle(response.connection, response.trunk.config.Clock.Now())
 	})
 }
 
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -72,7 +72,7 @@
 		return nil, &UnsentError{Address: address, Cause: err}
 	}
 	if request.StillWanted != nil && !request.StillWanted() {
-		trunk.putIdle(connection)
+		trunk.putIdle(connection, connection.idleSince)
 		return nil, &UnsentError{Address: address, Cause: &CanceledError{}}
 	}
 	stopCancel := context.AfterFunc(ctx, func() { connection.conn.Close() })
@@ -122,36 +122,32 @@
 		return nil, err
 	}
 	trunk.opened.Inc(1)
-	return newConnection(address, conn), nil
+	return newConnection(address, conn, trunk.config.Clock.Now()), nil
 }
 
-// takeIdle removes and returns the idle connection to address that was used last, or
-// nil if there is none. If that connection has passed its idle limit, takeIdle closes
-// all idle connections to address and returns nil.
+// takeIdle removes and returns the last of the idle connections to address, or nil if
+// there is none. It closes those behind it that have passed their idle limit.
 func (trunk *Trunk) takeIdle(address string) *connection {
 	trunk.mutex.Lock()
 	defer trunk.mutex.Unlock()
 	connections := trunk.idle[address]
-	if len(connections) == 0 {
-		return nil
-	}
-	last := connections[len(connections)-1]
-	trunk.idle[address] = connections[:len(connections)-1]
-	if trunk.config.Clock.Now().Sub(last.idleSince) > last.idleLimit {
-		// The other connections have been idle for longer.
-		for _, each := range trunk.idle[address] {
-			each.conn.Close()
+	now := trunk.config.Clock.Now()
+	for len(connections) > 0 {
+		last := connections[len(connections)-1]
+		connections = connections[:len(connections)-1]
+		trunk.idle[address] = connections
+		if now.Sub(last.idleSince) <= last.idleLimit {
+			return last
 		}
-		trunk.idle[address] = nil
 		last.conn.Close()
-		return nil
 	}
-	return last
+	return nil
 }
 
-// putIdle adds a connection to the idle ones, or closes it if there are too many.
-func (trunk *Trunk) putIdle(connection *connection) {
-	connection.idleSince = trunk.config.Clock.Now()
+// putIdle adds a connection that has been idle since a time to the idle ones, or closes
+// it if there are too many.
+func (trunk *Trunk) putIdle(connection *connection, since time.Time) {
+	connection.idleSince = since
 	trunk.mutex.Lock()
 	connections := trunk.idle[connection.address]
 	full := len(connections) >= maxIdle
