relay: check successes as they are forwarded; accept no encoding that the caller refuses

What callers would get: a success without a stamp where the response's Connection header names the stamp, which is then removed after the check; a body in an encoding that Accept-Encoding refuses with q=0; and no Connection: close with the 413 for a body in chunks, since http.MaxBytesReader did not know reply.Writer. Cause: the stamp was read from the server's header, not from the caller's; weights were ignored; net/http finds its own writer only if it gets it directly.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -73,7 +73,7 @@
 		if exchange.request.ContentLength > maxBytes {
 			return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooLarge}
 		}
-		reader = http.MaxBytesReader(exchange.writer, exchange.request.Body, maxBytes)
+		reader = http.MaxBytesReader(exchange.writer.Unwrap(), exchange.request.Body, maxBytes)
 	}
 	if exchange.request.ContentLength == 0 {
 		return nil
@@ -180,7 +180,7 @@
 	}
 	defer response.Close()
 	responseInfo := relay.config.Codec.ReadResponse(response.Header)
-	if err := exchange.validateResponse(response.Status, responseInfo); err != nil {
+	if err := exchange.validateResponse(response.Status, responseInfo, response.Header); err != nil {
 		exchange.possibleRuns++
 		exchange.recordUnproven(server, err)
 		exchange.recordFailure(ctx, server, err)
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -164,6 +164,12 @@
 }
 
 func newFixture(t *testing.T, routes ...*policy.Route) *fixture {
+	t.Helper()
+	return newCodecFixture(t, plainCodec{}, routes...)
+}
+
+// newCodecFixture returns a fixture whose relay uses codec.
+func newCodecFixture(t *testing.T, codec relay.Codec, routes ...*policy.Route) *fixture {
 	t.Helper()
 	logger, hook := test.NewNullLogger()
 	logger.SetLevel(logrus.DebugLevel)
@@ -173,7 +179,7 @@
 	crashes := crash.NewTracker()
 	connections := trunk.New(trunk.Config{Clock: clockService})
 	handler := relay.New(relay.Config{
-		Codec: plainCodec{}, Pool: servers, Trunk: connections, Limiter: share.NewLimiter(), Coordinator: coordinator, Crashes: crashes,
+		Codec: codec, Pool: servers, Trunk: connections, Limiter: share.NewLimiter(), Coordinator: coordinator, Crashes: crashes,
 		Clock: clockService, Log: logger, Metrics: metrics.NewRegistry(), Domain: "a", RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
 		CrashConfirmDelay: 1500 * time.Millisecond,
 	})
--- a/relay/response.go
+++ b/relay/response.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -38,14 +39,14 @@
 // validateResponse returns a *[UnprovenError] if a response has a status of success
 // without the properties of a server's success, or if its status and its header
 // contradict each other on whether the request was run.
-func (exchange *exchange) validateResponse(status int, responseInfo ResponseInfo) error {
+func (exchange *exchange) validateResponse(status int, responseInfo ResponseInfo, header http.Header) error {
 	success := status >= http.StatusOK && status < http.StatusMultipleChoices
 	switch {
 	case responseInfo.NotRun && status < http.StatusBadRequest:
 		return &UnprovenError{Status: status, Defect: "says that the request was not run"}
 	case !responseInfo.NotRun && promisesNotRun(status):
 		return &UnprovenError{Status: status, Defect: "does not say that the request was not run"}
-	case success && !responseInfo.Stamped:
+	case success && !exchange.relay.config.Codec.ReadResponse(exchange.relay.config.Codec.CallerHeader(header)).Stamped:
 		return &UnprovenError{Status: status, Defect: "has no server's stamp"}
 	case success && !acceptsEncoding(exchange.request.Header, responseInfo.Encoding):
 		return &UnprovenError{Status: status, Defect: fmt.Sprintf("has the encoding %q, which the caller did not offer", responseInfo.Encoding)}
@@ -70,14 +71,25 @@
 	if encoding == "" || strings.EqualFold(encoding, "identity") {
 		return true
 	}
+	accepted := false
 	for _, offer := range strings.Split(strings.Join(header.Values("Accept-Encoding"), ","), ",") {
-		name, _, _ := strings.Cut(offer, ";")
+		name, parameter, _ := strings.Cut(offer, ";")
 		name = strings.TrimSpace(name)
-		if name == "*" || strings.EqualFold(name, encoding) {
-			return true
+		switch {
+		case strings.EqualFold(name, encoding):
+			return !zeroWeight(parameter)
+		case name == "*":
+			accepted = !zeroWeight(parameter)
 		}
 	}
-	return false
+	return accepted
+}
+
+// zeroWeight reports whether the parameter of an offered encoding refuses it.
+func zeroWeight(parameter string) bool {
+	name, value, _ := strings.Cut(parameter, "=")
+	weight, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	return strings.EqualFold(strings.TrimSpace(name), "q") && err == nil && weight == 0
 }
 
 // recordUnproven records a response that is not forwarded since it fails
