--- a/reply/writer_test.go
+++ b/reply/writer_test.go
@@ -19,7 +19,13 @@
 	"github.com/basilkeel/basilkeel/reply"
 )
 
-func TestMain(m *testing.M) { os.Exit(proof.Main(m)) }
+func TestMain(m *testing.M) {
+	if os.Getenv(killedServerVariable) != "" {
+		serveUntilKilled()
+		return
+	}
+	os.Exit(proof.Main(m))
+}
 
 // TestAbsentOrAbortedResponsesDoNotLookComplete checks what a caller reads for each way in
 // which a handler can end.
