relay: failing test, a cut body on a stream route that another response continues

A caller gets 200 with a body that ends in the server's next status line, as the body is forwarded before its end is known.

--- a/relay/forwarded_test.go
+++ b/relay/forwarded_test.go
@@ -169,3 +169,17 @@
 	g.Expect(result.err).NotTo(HaveOccurred())
 	g.Expect(result.body).To(Equal("mine"))
 }
+
+// TestCutResponseOnAStreamRouteContinuedByAnotherIsNotWhole does the same for a body that is
+// forwarded as it arrives.
+func TestCutResponseOnAStreamRouteContinuedByAnotherIsNotWhole(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newFixture(t, route("draft", policy.KindStream, "notes"))
+	body := strings.Repeat("fine ", 60)
+	whole := framed(http.StatusOK, "Id: call-1\r\nStamp: s\r\nContent-Type: application/json\r\n", body)
+	fixture.stutteringServer("notes-1", "", func(*http.Request) string { return whole[:len(whole)-200] + whole })
+	result := fixture.call(http.MethodPost, "/draft/1", "prompt", map[string]string{"Wait": "500ms"})
+	if result.err == nil && result.status == http.StatusOK {
+		g.Expect(result.body).To(Equal(body))
+	}
+}
