--- a/reply/main_test.go
+++ b/reply/main_test.go
@@ -14,7 +14,13 @@
 	"github.com/basilkeel/basilkeel/reply"
 )
 
-func TestMain(m *testing.M) { os.Exit(proof.Main(m)) }
+func TestMain(m *testing.M) {
+	if os.Getenv(killedServerVariable) != "" {
+		serveUntilKilled()
+		return
+	}
+	os.Exit(proof.Main(m))
+}
 
 // newServer starts a server whose connections are known to writers.
 func newServer(t *testing.T, handler http.Handler) *httptest.Server {
--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -55,25 +55,38 @@
 
 // reusable reports whether an idle connection is open and has received nothing.
 func (connection *connection) reusable() bool {
+	received, open := connection.peek()
+	return open && !received
+}
+
+// peek reports whether the connection has received bytes that have not been read, and
+// whether it may still receive any.
+func (connection *connection) peek() (received, open bool) {
 	if connection.reader.Buffered() > 0 {
-		return false
+		return true, true
 	}
 	socket, ok := connection.conn.(syscall.Conn)
 	if !ok {
-		return true
+		return false, true
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	empty := false
 	err = raw.Read(func(descriptor uintptr) bool {
 		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(peekErr, unix.EAGAIN)
+		count, _, peekErr := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		received = peekErr == nil && count > 0
+		open = received || errors.Is(peekErr, unix.EAGAIN)
 		return true
 	})
-	return err == nil && empty
+	return received, open && err == nil
+}
+
+// hasBytes reports whether the connection has received bytes that have not been read.
+func (connection *connection) hasBytes() bool {
+	received, _ := connection.peek()
+	return received
 }
 
 // readResponse reads the header of the response to request. It skips interim responses
@@ -91,7 +104,7 @@
 		if line := enclosedStatusLine(response); line != "" {
 			return nil, &SplicedError{StatusLine: line}
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &StatusError{Status: response.StatusCode}
 		}
 		if response.StatusCode < http.StatusOK {
@@ -110,7 +123,10 @@
 	}
 }
 
-// statusLine matches the status line of a response.
+// statusLineBytes is the length of what [statusLine] matches.
+const statusLineBytes = len("HTTP/1.1 200")
+
+// statusLine matches the beginning of a response.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [1-5][0-9][0-9]`)
 
 // enclosedStatusLine returns the status line of another response in the reason or a
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -16,6 +16,12 @@
 	// that its regular end cannot be distinguished from a lost connection.
 	EndsWithConnection bool
 
+	// hasLength reports whether the body ends after a declared number of bytes.
+	hasLength bool
+	// enclosed is the beginning of a status line in the body, if there is one, and
+	// lastBytes are the bytes read last, in which one may have begun.
+	enclosed   string
+	lastBytes  []byte
 	trunk      *Trunk
 	connection *connection
 	body       io.ReadCloser
@@ -27,17 +33,34 @@
 	keepAlive bool
 }
 
-// Read reads the body. It returns a *[BrokenError] if the body is incomplete.
+// Read reads the body. It returns a *[BrokenError] if the body is incomplete, or if it
+// seems to be cut and continued by another response: it has a length, a status line is in
+// it, and more bytes follow it.
 func (response *Response) Read(buffer []byte) (int, error) {
 	count, err := response.body.Read(buffer)
-	if err == nil {
+	if response.hasLength {
+		response.findStatusLine(buffer[:count])
+	}
+	switch {
+	case err == nil:
 		return count, nil
+	case !errors.Is(err, io.EOF):
+		return count, &BrokenError{Address: response.connection.address, Cause: err}
+	case response.enclosed != "" && response.connection.hasBytes():
+		return count, &BrokenError{Address: response.connection.address, Cause: &SplicedError{StatusLine: response.enclosed}}
 	}
-	if errors.Is(err, io.EOF) {
-		response.complete = true
-		return count, io.EOF
+	response.complete = true
+	return count, io.EOF
+}
+
+// findStatusLine looks for a status line in the part of the body that ends with data.
+func (response *Response) findStatusLine(data []byte) {
+	if response.enclosed != "" {
+		return
 	}
-	return count, &BrokenError{Address: response.connection.address, Cause: err}
+	part := append(response.lastBytes, data...)
+	response.enclosed = string(statusLine.Find(part))
+	response.lastBytes = append(response.lastBytes[:0], part[max(0, len(part)-statusLineBytes+1):]...)
 }
 
 // Close returns the connection to the pool. It closes the connection instead if the body
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -93,6 +93,7 @@
 	return &Response{
 		Status:     response.StatusCode,
 		Header:     response.Header,
+		hasLength:  response.ContentLength > 0,
 		trunk:      trunk,
 		connection: connection,
 		body:       response.Body,
@@ -126,28 +127,23 @@
 	return newConnection(address, conn, trunk.config.Clock.Now()), nil
 }
 
-// takeIdle removes and returns the idle connection to address that was used last, or
-// nil if there is none. If that connection has passed its idle limit, takeIdle closes
-// all idle connections to address and returns nil.
+// takeIdle removes and returns the last of the idle connections to address, or nil if
+// there is none. It closes those behind it that have passed their idle limit.
 func (trunk *Trunk) takeIdle(address string) *connection {
 	trunk.mutex.Lock()
 	defer trunk.mutex.Unlock()
 	connections := trunk.idle[address]
-	if len(connections) == 0 {
-		return nil
-	}
-	last := connections[len(connections)-1]
-	trunk.idle[address] = connections[:len(connections)-1]
-	if trunk.config.Clock.Now().Sub(last.idleSince) > last.idleLimit {
-		// The other connections have been idle for longer.
-		for _, each := range trunk.idle[address] {
-			each.conn.Close()
+	now := trunk.config.Clock.Now()
+	for len(connections) > 0 {
+		last := connections[len(connections)-1]
+		connections = connections[:len(connections)-1]
+		trunk.idle[address] = connections
+		if now.Sub(last.idleSince) <= last.idleLimit {
+			return last
 		}
-		trunk.idle[address] = nil
 		last.conn.Close()
-		return nil
 	}
-	return last
+	return nil
 }
 
 // putIdle adds a connection to the idle ones in the order of idleSince, or closes it if
