relay: a misdirected request has not run

Before: TestMisdirectedOrderIsSentElsewhere failed; the case of 421 moved there from TestRefusalsWithoutProofAreNotForwarded.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -180,6 +180,8 @@
 	}
 	defer response.Close()
 	responseInfo := relay.config.Codec.ReadResponse(response.Header)
+	// A server that is misdirected has not run the request, also if it does not say so.
+	responseInfo.NotRun = responseInfo.NotRun || response.Status == http.StatusMisdirectedRequest
 	if err := exchange.validateResponse(response.Status, responseInfo, response.Header); err != nil {
 		exchange.possibleRuns++
 		exchange.recordUnproven(server, err)
--- a/relay/response.go
+++ b/relay/response.go
@@ -56,10 +56,10 @@
 }
 
 // promisesNotRun reports whether callers take a status for a promise that the request has
-// not run and never will.
+// not run and never will, which the status alone does not prove.
 func promisesNotRun(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	default:
 		return false
