--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -211,9 +211,15 @@
 		}
 	}
 	reader := &responseReader{Response: response, exchange: exchange, server: server, sentAt: sentAt, lastReadAt: exchange.now(), requestErr: ctx.Err}
+	return exchange.forwardResponse(ctx, server, reader, responseInfo.Encoding)
+}
+
+// forwardResponse forwards a response to the request. It reports whether the caller has
+// its final response.
+func (exchange *exchange) forwardResponse(ctx context.Context, server *pool.Server, response *responseReader, encoding string) bool {
 	switch {
 	case exchange.route.Kind == policy.KindStream && response.Status < http.StatusMultipleChoices:
-		return exchange.forwardStream(ctx, server, reader, responseInfo.Encoding)
+		return exchange.forwardStream(ctx, server, response, encoding)
 	case exchange.stream != nil:
 		// The caller has been sent the beginning of a stream, which this response doesn't
 		// continue.
@@ -221,7 +227,7 @@
 		exchange.cause = &trunk.StatusError{Status: response.Status}
 		return false
 	default:
-		return exchange.forwardWhole(ctx, server, reader)
+		return exchange.forwardWhole(ctx, server, response)
 	}
 }
 
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -58,7 +59,7 @@
 	if response.enclosed != "" {
 		return
 	}
-	part := append(response.lastBytes, data...)
+	part := slices.Concat(response.lastBytes, data)
 	response.enclosed = string(statusLine.Find(part))
 	response.lastBytes = append(response.lastBytes[:0], part[max(0, len(part)-statusLineBytes+1):]...)
 }
