--- a/relay/latecopy_test.go
+++ b/relay/latecopy_test.go
@@ -142,8 +142,11 @@
 				server := fixture.stutteringServer("notes-1", each.late, respondLikeEngine)
 				_, err := platform.NewEngines(fixture.trunk).Report(context.Background(), server.address, "notes-1")
 				g.Expect(err).NotTo(HaveOccurred())
-				for range 2 {
+				for number := range 2 {
 					result := fixture.call(http.MethodPost, path, "prompt", map[string]string{"Wait": "500ms"})
+					if number == 1 {
+						g.Expect(result.status).To(Equal(http.StatusOK), "nothing late precedes the second response")
+					}
 					if result.err != nil {
 						continue
 					}
@@ -163,6 +166,23 @@
 	}
 }
 
+// TestSkippedResponseIsLoggedWithTheRequestThatItNames checks the event by which operators
+// tell a server that responds twice.
+func TestSkippedResponseIsLoggedWithTheRequestThatItNames(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newFixture(t, route("order", policy.KindUnsafe, "notes"))
+	server := fixture.stutteringServer("notes-1", framed(http.StatusServiceUnavailable, "Id: call-0\r\nNot-Run: 1\r\n", ""), respondLikeEngine)
+	_, err := platform.NewEngines(fixture.trunk).Report(context.Background(), server.address, "notes-1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(fixture.call(http.MethodPost, "/order/1", "order", nil).status).To(Equal(http.StatusOK))
+	entry := fixture.logs.AllEntries()[0]
+	g.Expect(entry.Message).To(Equal("responseSkipped"))
+	g.Expect(entry.Data["request"]).To(Equal("call-1"))
+	g.Expect(entry.Data["named"]).To(Equal("call-0"))
+	g.Expect(entry.Data["status"]).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(entry.Data["server"]).To(Equal("notes-1"))
+}
+
 // TestLateCopiesOfCallersResponsesAreNotTakenForOrdersOrReports checks the other direction.
 func TestLateCopiesOfCallersResponsesAreNotTakenForOrdersOrReports(t *testing.T) {
 	cases := []struct {
