--- a/relay/response.go
+++ b/relay/response.go
@@ -13,7 +13,8 @@
 	"github.com/basilkeel/basilkeel/pool"
 )
 
-// UnprovenError reports a response that a server cannot have meant as it reads.
+// UnprovenError reports a success that lacks what shows that a server gave it, or a
+// response that contradicts itself on whether the request was run.
 type UnprovenError struct {
 	Status int
 	// Defect is what the response lacks or contradicts.
