--- a/reply/writer.go
+++ b/reply/writer.go
@@ -12,8 +12,12 @@
 	begun   bool
 }
 
-// NewWriter returns a writer of the response to request.
+// NewWriter returns a writer of the response to request: writer itself if it is a
+// *Writer.
 func NewWriter(writer http.ResponseWriter, request *http.Request) *Writer {
+	if tracked, ok := writer.(*Writer); ok {
+		return tracked
+	}
 	return &Writer{ResponseWriter: writer, request: request}
 }
 
