--- a/relay/answer.go
+++ b/relay/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 
@@ -31,11 +32,7 @@
 		exchange.recordFailure(ctx, server, err)
 		return false
 	}
-	header := exchange.writer.Header()
-	for name, values := range exchange.relay.config.Codec.CallerHeader(response.Header) {
-		header[name] = values
-	}
-	exchange.closeWhenDraining(header)
+	header := exchange.setHeader(response)
 	if len(body) > maxBufferedBytes {
 		exchange.forwardLarge(response, body)
 		return true
@@ -51,6 +48,15 @@
 	return true
 }
 
+// setHeader sets the header of the caller's response to what is forwarded of a server's,
+// and returns it.
+func (exchange *exchange) setHeader(response *responseReader) http.Header {
+	header := exchange.writer.Header()
+	maps.Copy(header, response.callerHeader)
+	exchange.closeWhenDraining(header)
+	return header
+}
+
 // forwardLarge forwards a response that is too large to buffer, beginning with what has
 // been read.
 func (exchange *exchange) forwardLarge(response *responseReader, read []byte) {
@@ -153,12 +159,7 @@
 // beginStream sends the caller the header of a stream.
 func (exchange *exchange) beginStream(response *responseReader, encoding string) {
 	exchange.stream = newStream(response, encoding, exchange.route.Resumable)
-	header := exchange.writer.Header()
-	for name, values := range exchange.relay.config.Codec.CallerHeader(response.Header) {
-		header[name] = values
-	}
-	header.Del("Content-Length")
-	exchange.closeWhenDraining(header)
+	exchange.setHeader(response).Del("Content-Length")
 	exchange.writer.WriteHeader(response.Status)
 	exchange.firstByteAt = exchange.now()
 	exchange.recordFirstByte()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -182,7 +182,8 @@
 	responseInfo := relay.config.Codec.ReadResponse(response.Header)
 	// A server that is misdirected has not run the request, also if it does not say so.
 	responseInfo.NotRun = responseInfo.NotRun || response.Status == http.StatusMisdirectedRequest
-	if err := exchange.validateResponse(response.Status, responseInfo, response.Header); err != nil {
+	callerHeader := relay.config.Codec.CallerHeader(response.Header)
+	if err := exchange.validateResponse(response.Status, responseInfo, callerHeader); err != nil {
 		exchange.possibleRuns++
 		exchange.recordUnproven(server, err)
 		exchange.recordFailure(ctx, server, err)
@@ -210,7 +211,9 @@
 			return true
 		}
 	}
-	reader := &responseReader{Response: response, exchange: exchange, server: server, sentAt: sentAt, lastReadAt: exchange.now(), requestErr: ctx.Err}
+	reader := &responseReader{
+		Response: response, callerHeader: callerHeader, exchange: exchange, server: server, sentAt: sentAt, lastReadAt: exchange.now(), requestErr: ctx.Err,
+	}
 	return exchange.forwardResponse(ctx, server, reader, responseInfo.Encoding)
 }
 
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/basilkeel/basilkeel/pool"
@@ -14,8 +15,10 @@
 // don't return to the attempt.
 type responseReader struct {
 	*trunk.Response
-	exchange *exchange
-	server   *pool.Server
+	// callerHeader is what is forwarded of the header.
+	callerHeader http.Header
+	exchange     *exchange
+	server       *pool.Server
 	// sentAt is when sending the request began.
 	sentAt time.Time
 	// lastReadAt is when bytes last arrived.
--- a/relay/response.go
+++ b/relay/response.go
@@ -39,15 +39,16 @@
 
 // validateResponse returns a *[UnprovenError] if a response has a status of success
 // without the properties of a server's success, or if its status and its header
-// contradict each other on whether the request was run.
-func (exchange *exchange) validateResponse(status int, responseInfo ResponseInfo, header http.Header) error {
+// contradict each other on whether the request was run. The stamp has to be in
+// callerHeader, which is what is forwarded.
+func (exchange *exchange) validateResponse(status int, responseInfo ResponseInfo, callerHeader http.Header) error {
 	success := status >= http.StatusOK && status < http.StatusMultipleChoices
 	switch {
 	case responseInfo.NotRun && status < http.StatusBadRequest:
 		return &UnprovenError{Status: status, Defect: "says that the request was not run"}
 	case !responseInfo.NotRun && promisesNotRun(status):
 		return &UnprovenError{Status: status, Defect: "does not say that the request was not run"}
-	case success && !exchange.relay.config.Codec.ReadResponse(exchange.relay.config.Codec.CallerHeader(header)).Stamped:
+	case success && !exchange.relay.config.Codec.ReadResponse(callerHeader).Stamped:
 		return &UnprovenError{Status: status, Defect: "has no server's stamp"}
 	case success && !acceptsEncoding(exchange.request.Header, responseInfo.Encoding):
 		return &UnprovenError{Status: status, Defect: fmt.Sprintf("has the encoding %q, which the caller did not offer", responseInfo.Encoding)}
