--- a/node/callerserver_test.go
+++ b/node/callerserver_test.go
@@ -14,6 +14,25 @@
 	"github.com/basilkeel/basilkeel/clock"
 )
 
+// sendToCallerServer sends a request to a server of callers' requests and returns the
+// reader of its response.
+func sendToCallerServer(t *testing.T, request string, handle http.HandlerFunc) *bufio.Reader {
+	t.Helper()
+	g := NewWithT(t)
+	log, _ := test.NewNullLogger()
+	server := newCallerServer(handle, newIdleConnections(clock.NewService(clock.ServiceConfig{})), log)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { conn.Close() })
+	_, err = fmt.Fprint(conn, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	return bufio.NewReader(conn)
+}
+
 // TestCallersGetNoSuccessFromTheLibrary checks requests that net/http can complete without
 // the handler.
 func TestCallersGetNoSuccessFromTheLibrary(t *testing.T) {
@@ -33,19 +52,9 @@
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
 			g := NewWithT(t)
-			log, _ := test.NewNullLogger()
-			handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNotFound) })
-			server := newCallerServer(handler, newIdleConnections(clock.NewService(clock.ServiceConfig{})), log)
-			listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			go func() { _ = server.Serve(listener) }()
-			defer server.Close()
-			conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", listener.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
-			defer conn.Close()
-			_, err = fmt.Fprint(conn, each.request)
-			g.Expect(err).NotTo(HaveOccurred())
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			response, err := http.ReadResponse(sendToCallerServer(t, each.request, func(writer http.ResponseWriter, _ *http.Request) {
+				writer.WriteHeader(http.StatusNotFound)
+			}), nil)
 			if err != nil {
 				return
 			}
