--- a/relay/answer.go
+++ b/relay/answer.go
@@ -32,6 +32,7 @@
 		exchange.recordFailure(ctx, server, err)
 		return false
 	}
+	exchange.answered = response.Status < http.StatusMultipleChoices
 	header := exchange.setHeader(response)
 	if len(body) > maxBufferedBytes {
 		exchange.forwardLarge(response, body)
@@ -190,6 +191,7 @@
 		if addErr != nil {
 			return total, addErr
 		}
+		exchange.answered = exchange.answered || events.begun
 		ended := errors.Is(err, io.EOF)
 		var endErr error
 		if ended {
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -38,6 +38,9 @@
 	// negative means unspecified.
 	PromptTokens int64
 	OutputTokens int64
+	// SharedParts are the IDs of the parts of the prompt, in order, that other requests may
+	// have as well.
+	SharedParts []string
 }
 
 // Tokens returns the sum of the prompt's length and the maximum output, or -1 if
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -68,19 +69,29 @@
 	request     string
 	fingerprint crash.Fingerprint
 	server      *pool.Server
+	// answered reports whether the server had begun to answer the request.
+	answered bool
+	// parts are the IDs of the parts that the request's prompt shares with others.
+	parts []string
 }
 
 // newSuspect returns the exchange's request as a suspect for a crash of server.
 func (exchange *exchange) newSuspect(server *pool.Server) suspect {
-	return suspect{request: exchange.info.ID, fingerprint: exchange.fingerprint(), server: server}
+	return suspect{
+		request: exchange.info.ID, fingerprint: exchange.fingerprint(), server: server, answered: exchange.answered, parts: exchange.info.SharedParts,
+	}
 }
 
 // fields returns the fields of log events about the suspect.
 func (suspect suspect) fields() logrus.Fields {
-	return logrus.Fields{
+	fields := logrus.Fields{
 		"request": suspect.request, "server": string(suspect.server.ID), "born": suspect.server.Incarnation,
-		"fingerprint": suspect.fingerprint.String(),
+		"fingerprint": suspect.fingerprint.String(), "answered": suspect.answered,
+	}
+	if len(suspect.parts) > 0 {
+		fields["parts"] = strings.Join(suspect.parts, ",")
 	}
+	return fields
 }
 
 // clearSuspect records that a suspected server is alive: it sent bytes that long after
--- a/relay/events.go
+++ b/relay/events.go
@@ -131,6 +131,9 @@
 	stream  *stream
 	scanner eventScanner
 	pending []byte
+	// begun reports whether the run has shown an event, or any byte if its events can't be
+	// told apart.
+	begun bool
 	// unverified reports whether the run resumes the stream and has shown no event yet.
 	unverified bool
 }
@@ -143,6 +146,7 @@
 // until the next call. The error says why the run doesn't continue the stream.
 func (buffer *eventBuffer) add(data []byte) ([]byte, error) {
 	if buffer.stream.format == formatOpaque {
+		buffer.begun = buffer.begun || len(data) > 0
 		return data, nil
 	}
 	before, ready := len(buffer.pending), 0
@@ -154,6 +158,7 @@
 			}
 			buffer.unverified = false
 		}
+		buffer.begun = buffer.begun || event.dispatched
 		if !buffer.unverified {
 			buffer.stream.recordEvent(event)
 			ready = before + end
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -52,6 +52,9 @@
 	// selected.
 	server     *pool.Server
 	serverLoad float64
+	// answered reports whether the server of the last attempt has begun to answer: with
+	// the first event of a stream, or a whole response.
+	answered bool
 	// permit is the permit for the next attempt, if its server declares a request rate.
 	permit sendPermit
 	// waited is the time spent on selecting servers.
@@ -164,7 +167,7 @@
 // the caller has its final response.
 func (exchange *exchange) attempt(ctx context.Context, server *pool.Server) bool {
 	relay := exchange.relay
-	exchange.server = server
+	exchange.server, exchange.answered = server, false
 	exchange.sends++
 	prompt := max(exchange.info.PromptTokens, 0)
 	sentAt := exchange.now()
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -46,6 +47,8 @@
 	if tokens, err := strconv.ParseInt(request.Header.Get("Tokens"), 10, 64); err == nil {
 		requestInfo.PromptTokens, requestInfo.OutputTokens = tokens, 0
 	}
+	parts := strings.Split(request.Header.Get("Parts"), ",")
+	requestInfo.SharedParts = parts[:len(parts)-1]
 	return requestInfo
 }
 
@@ -56,6 +59,7 @@
 	header.Set("Server", string(attempt.Server))
 	header.Set("Account", string(attempt.Account))
 	header.Set("Resume", attempt.ResumeAfter)
+	header.Set("Parts", request.Header.Get("Parts"))
 	return header
 }
 
