--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -70,10 +70,16 @@
 type fleet struct {
 	t      *testing.T
 	routes []*policy.Route
+	// deadly reports whether a request ends the server that runs it.
+	deadly func(request *http.Request, body string) bool
 	// mutex guards the fields below.
 	mutex   sync.Mutex
 	all     []*entry
 	servers map[names.BackendServer]*pool.Server
+	// backends are the servers that have not ended, and slowStart is the time before their
+	// first event.
+	backends  map[names.BackendServer]*httptest.Server
+	slowStart time.Duration
 	// record is what the coordinator last stored.
 	record   crash.Record
 	term     int64
@@ -85,7 +91,8 @@
 
 func newEntries(t *testing.T, count int, routes ...*policy.Route) *fleet {
 	t.Helper()
-	fleet := &fleet{t: t, routes: routes, servers: map[names.BackendServer]*pool.Server{}}
+	fleet := &fleet{t: t, routes: routes, servers: map[names.BackendServer]*pool.Server{}, backends: map[names.BackendServer]*httptest.Server{}}
+	fleet.deadly = func(_ *http.Request, body string) bool { return body == "deadly" }
 	for index := range count {
 		fleet.all = append(fleet.all, fleet.start(index))
 	}
@@ -208,8 +215,8 @@
 	}
 }
 
-// engine starts a backend server that streams an event each 20 ms. A request with the
-// body "deadly" ends it after it has sent begin; another server starts a second later.
+// engine starts a backend server that streams an event each 20 ms. A request that is
+// deadly ends it after it has sent begin; another server starts a second later.
 func (fleet *fleet) engine(begin string) {
 	fleet.mutex.Lock()
 	fleet.lastBorn++
@@ -222,7 +229,8 @@
 		body, _ := io.ReadAll(request.Body)
 		writer.Header().Set("Id", request.Header.Get("Id"))
 		writer.Header().Set("Stamp", "s")
-		if string(body) != "deadly" {
+		if !fleet.deadly(request, string(body)) {
+			time.Sleep(fleet.slowStart)
 			trickle("id: 1\ndata: piece\n\n", 50)(writer, request)
 			return
 		}
@@ -240,12 +248,21 @@
 	fleet.t.Cleanup(backend.Close)
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	fleet.backends[id] = backend
 	fleet.servers[id] = &pool.Server{ID: id, Service: "notes", Address: backend.Listener.Addr().String(), Domain: "a", Slots: 40, Incarnation: int64(born)}
 	for _, each := range fleet.all {
 		each.pool.Put(fleet.servers[id])
 	}
 }
 
+// crashNow ends a server for a reason of its own and starts another one a second later.
+func (fleet *fleet) crashNow(id names.BackendServer) {
+	fleet.mutex.Lock()
+	backend := fleet.backends[id]
+	fleet.mutex.Unlock()
+	fleet.crash(id, backend, "")
+}
+
 // crash ends a server and starts another one a second later.
 func (fleet *fleet) crash(id names.BackendServer, backend *httptest.Server, begin string) {
 	_ = backend.Config.Close()
