crash: quarantine parts of prompts that crash servers

Cause: only whole requests were suspected. Change: the parts of a request that a server had not begun to answer when it broke the connection and fell silent are suspected; an answer to a prompt with the part, at any entry, drops the suspicions up to then. Three crashes, those within 200 ms counted once, quarantine a part. A part that only came with the guilty one is cleared by a probe: one request, at one entry, 2 s after the last crash, then 60 s.

--- a/coord/client.go
+++ b/coord/client.go
@@ -303,15 +303,18 @@
 		client.reportedSuspicions = 0
 		client.triggerReport()
 	}
-	for _, fingerprint := range client.config.Crashes.Add(reply.Suspicions...) {
-		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String(), "term": reply.Term})
+	if reply.Entries > 0 {
+		client.config.Crashes.SetPlace(reply.Rank, reply.Entries)
+	}
+	for _, subject := range client.config.Crashes.Add(reply.Suspicions...) {
+		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part, "term": reply.Term})
 	}
 }
 
 // expireQuarantines ends expired quarantines, also without a coordinator.
 func (client *Client) expireQuarantines(now time.Time) {
-	for _, fingerprint := range client.config.Crashes.Expire(now) {
-		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": fingerprint.String()})
+	for _, subject := range client.config.Crashes.Expire(now) {
+		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
 }
 
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -137,6 +137,7 @@
 	for _, suspicion := range suspicions {
 		encoded = append(encoded, &wire.CoordSighting{
 			Fingerprint: uint64(suspicion.Fingerprint), Server: suspicion.Server, AgeMilliseconds: now.Sub(suspicion.At).Milliseconds(),
+			Part: suspicion.Part, Cleared: suspicion.Cleared,
 		})
 	}
 	return encoded
@@ -148,6 +149,7 @@
 		age := time.Duration(max(each.GetAgeMilliseconds(), 0)) * time.Millisecond
 		suspicions = append(suspicions, crash.Suspicion{
 			Fingerprint: crash.Fingerprint(each.GetFingerprint()), Server: each.GetServer(), At: now.Add(-age),
+			Part: each.GetPart(), Cleared: each.GetCleared(),
 		})
 	}
 	return suspicions
--- a/crash/aggregator.go
+++ b/crash/aggregator.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// maxAggregatorRequests bounds the requests that a coordinator stores. It is enough
-	// for a large fleet whose engines all end at once.
-	maxAggregatorRequests = 8192
-	// sharedThreshold is how many servers must have ended while they ran a request for
+	// maxAggregatorSubjects bounds the requests that a coordinator stores, and the parts.
+	// It is enough for a large fleet whose engines all end at once.
+	maxAggregatorSubjects = 8192
+	// sharedThreshold is how many servers must have ended while they ran a subject for
 	// its suspicions to be shared with all entries. Most requests that ran during one
 	// crash do not run during another.
 	sharedThreshold = 2
@@ -27,7 +27,7 @@
 }
 
 // NewAggregator returns an empty aggregator.
-func NewAggregator() *Aggregator { return &Aggregator{suspects: newSuspects(maxAggregatorRequests)} }
+func NewAggregator() *Aggregator { return &Aggregator{suspects: newSuspects(maxAggregatorSubjects)} }
 
 // Add stores suspicions that an entry reports.
 func (aggregator *Aggregator) Add(suspicions []Suspicion) {
@@ -35,11 +35,12 @@
 		if !aggregator.suspects.add(suspicion) {
 			continue
 		}
-		switch count := aggregator.suspects.count(suspicion.Fingerprint); {
-		case count == sharedThreshold:
-			aggregator.journal.add(aggregator.suspects.suspicions(suspicion.Fingerprint)...)
-		case count > sharedThreshold:
+		switch known := aggregator.suspects.bySubject[suspicion.Subject()]; {
+		case known.shared:
 			aggregator.journal.add(suspicion)
+		case len(known.servers) >= sharedThreshold:
+			known.shared = true
+			aggregator.journal.add(aggregator.suspects.suspicions(suspicion.Subject())...)
 		}
 	}
 }
@@ -61,11 +62,11 @@
 func (aggregator *Aggregator) LastNumber() int64 { return aggregator.journal.lastNumber() }
 
 // Record returns the record of the suspicions that all entries need. If there are too
-// many, it omits requests with few crashes and old suspicions first.
+// many, it omits subjects with few crashes and old suspicions first.
 func (aggregator *Aggregator) Record() Record {
-	suspicions := aggregator.suspects.all(sharedThreshold)
+	suspicions := slices.DeleteFunc(aggregator.suspects.all(sharedThreshold), func(suspicion Suspicion) bool { return suspicion.Cleared })
 	slices.SortStableFunc(suspicions, func(a, b Suspicion) int {
-		return cmp.Or(cmp.Compare(aggregator.suspects.count(b.Fingerprint), aggregator.suspects.count(a.Fingerprint)), b.At.Compare(a.At))
+		return cmp.Or(cmp.Compare(aggregator.suspects.count(b.Subject()), aggregator.suspects.count(a.Subject())), b.At.Compare(a.At))
 	})
 	return Record{suspicions: suspicions[:min(len(suspicions), maxRecordSuspicions)]}
 }
--- a/crash/fingerprint.go
+++ b/crash/fingerprint.go
@@ -8,9 +8,19 @@
 	"github.com/basilkeel/basilkeel/names"
 )
 
-// Fingerprint identifies requests with the same account, method, target and body.
+// Fingerprint identifies requests with the same account, method, target and body, or a
+// part of prompts.
 type Fingerprint uint64
 
+// FingerprintOfPart returns the fingerprint of the part of prompts with an ID. It is the
+// ID itself if that is a hexadecimal number of 64 bits, so that logs show it.
+func FingerprintOfPart(id string) Fingerprint {
+	if number, err := strconv.ParseUint(id, 16, 64); err == nil {
+		return Fingerprint(number)
+	}
+	return Fingerprint(xxhash.Sum64String(id))
+}
+
 // String returns the fingerprint in hexadecimal digits, as logs show it.
 func (fingerprint Fingerprint) String() string { return strconv.FormatUint(uint64(fingerprint), 16) }
 
--- /dev/null
+++ b/crash/part_test.go
@@ -0,0 +1,181 @@
+package crash_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/crash"
+)
+
+func partSuspicion(part crash.Fingerprint, server string, after time.Duration) crash.Suspicion {
+	return crash.Suspicion{Fingerprint: part, Part: true, Server: server, At: epoch.Add(after)}
+}
+
+func TestPartIsQuarantinedByCrashesWithoutAnswer(t *testing.T) {
+	const part, common = crash.Fingerprint(7), crash.Fingerprint(8)
+	cases := []struct {
+		name string
+		// crashes are the times at which another server ended before it answered a prompt
+		// with the part, answers those at which one answered.
+		crashes, answers []time.Duration
+		want             bool
+	}{
+		{name: "three crashes", crashes: []time.Duration{0, time.Second, 2 * time.Second}, want: true},
+		{name: "two crashes", crashes: []time.Duration{0, time.Second}},
+		{name: "twenty at once", crashes: make([]time.Duration, 20)},
+		{name: "two groups", crashes: []time.Duration{0, 0, 50 * time.Millisecond, time.Second, time.Second + 100*time.Millisecond}},
+		{name: "three groups", crashes: []time.Duration{0, 0, time.Second, time.Second, 2 * time.Second}, want: true},
+		{name: "an answer between", crashes: []time.Duration{0, time.Second, 2 * time.Second}, answers: []time.Duration{500 * time.Millisecond}},
+		{name: "an answer before", crashes: []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}, answers: []time.Duration{0}, want: true},
+		{name: "an answer after the last", crashes: []time.Duration{0, time.Second, 2 * time.Second}, answers: []time.Duration{3 * time.Second}},
+		{name: "no answer after the last four", crashes: []time.Duration{0, 2 * time.Second, 3 * time.Second, 4 * time.Second}, answers: []time.Duration{time.Second}, want: true},
+	}
+	for _, each := range cases {
+		for _, answersFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, answers first %t", each.name, answersFirst), func(t *testing.T) {
+				g := NewWithT(t)
+				tracker := crash.NewTracker()
+				answer := func() {
+					for _, at := range each.answers {
+						tracker.RecordAnswer([]crash.Fingerprint{part, common}, epoch.Add(at))
+					}
+				}
+				if answersFirst {
+					answer()
+				}
+				for index, at := range each.crashes {
+					tracker.Add(partSuspicion(part, strconv.Itoa(index), at))
+				}
+				if !answersFirst {
+					answer()
+				}
+				quarantined := tracker.QuarantinedParts([]crash.Fingerprint{common, part, part})
+				if each.want {
+					g.Expect(quarantined).To(Equal([]crash.Fingerprint{part}))
+				} else {
+					g.Expect(quarantined).To(BeEmpty())
+				}
+				g.Expect(tracker.Quarantined(part)).To(BeFalse(), "a request with the same fingerprint is another subject")
+			})
+		}
+	}
+}
+
+// TestAnswerAnywhereClearsPartEverywhere has two entries see a part crash servers, and a third
+// one see it answered.
+func TestAnswerAnywhereClearsPartEverywhere(t *testing.T) {
+	const part = crash.Fingerprint(7)
+	for _, answeredBefore := range []bool{true, false} {
+		g := NewWithT(t)
+		aggregator := crash.NewAggregator()
+		entries := []*crash.Tracker{crash.NewTracker(), crash.NewTracker(), crash.NewTracker()}
+		exchange := func() {
+			for range 3 {
+				for _, entry := range entries {
+					suspicions, _ := entry.Since(0)
+					aggregator.Add(suspicions)
+					shared, _ := aggregator.Since(0)
+					entry.Add(shared...)
+				}
+			}
+		}
+		answer := func() { entries[2].RecordAnswer([]crash.Fingerprint{part}, epoch.Add(5*time.Second)) }
+		if answeredBefore {
+			answer()
+		}
+		for index := range 4 {
+			entries[index%2].Add(partSuspicion(part, strconv.Itoa(index), time.Duration(index)*time.Second))
+		}
+		exchange()
+		if !answeredBefore {
+			for _, entry := range entries {
+				g.Expect(entry.QuarantinedParts([]crash.Fingerprint{part})).To(HaveLen(1))
+			}
+			answer()
+			exchange()
+			g.Expect(entries[0].Expire(epoch)).To(ConsistOf(crash.Subject{Fingerprint: part, Part: true}))
+			g.Expect(entries[0].Expire(epoch)).To(BeEmpty())
+		}
+		for _, entry := range entries {
+			g.Expect(entry.QuarantinedParts([]crash.Fingerprint{part})).To(BeEmpty())
+		}
+		g.Expect(aggregator.Record().Suspicions()).To(BeEmpty())
+		successor := crash.NewAggregator()
+		for index := range entries {
+			suspicions, _ := entries[len(entries)-1-index].Since(0)
+			successor.Add(suspicions)
+		}
+		restarted := crash.NewTracker()
+		shared, _ := successor.Since(0)
+		g.Expect(restarted.Add(shared...)).To(BeEmpty(), "a new coordinator does not bring the quarantine back")
+	}
+}
+
+func TestRecordKeepsParts(t *testing.T) {
+	g := NewWithT(t)
+	aggregator := crash.NewAggregator()
+	for index := range 3 {
+		aggregator.Add([]crash.Suspicion{partSuspicion(1<<63+7, strconv.Itoa(index), time.Duration(index)*time.Second)})
+	}
+	data, err := aggregator.Record().Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	read, err := crash.DecodeRecord(data, epoch.Add(time.Minute))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(crash.NewTracker().Add(read.Suspicions()...)).To(Equal([]crash.Subject{{Fingerprint: 1<<63 + 7, Part: true}}))
+}
+
+func TestPartsAndRequestsDoNotEvictEachOther(t *testing.T) {
+	g := NewWithT(t)
+	tracker := crash.NewTracker()
+	for index := range 2 {
+		tracker.Add(suspicion(5, strconv.Itoa(index), epoch), partSuspicion(5, strconv.Itoa(index), time.Duration(index)*time.Second))
+	}
+	for index := range 10_000 {
+		fingerprint := crash.Fingerprint(100 + index)
+		tracker.Add(partSuspicion(fingerprint, "i-1", time.Minute))
+		tracker.RecordAnswer([]crash.Fingerprint{fingerprint}, epoch.Add(2*time.Minute))
+	}
+	g.Expect(len(tracker.Suspicions(epoch))).To(BeNumerically("<=", 2*256))
+	g.Expect(tracker.Add(suspicion(5, "i-3", epoch), partSuspicion(5, "i-3", time.Minute))).To(HaveLen(2))
+}
+
+func TestOneEntryProbesQuarantinedPartSeldom(t *testing.T) {
+	g := NewWithT(t)
+	const part, entries = crash.Fingerprint(7), 4
+	var trackers []*crash.Tracker
+	for rank := range entries {
+		tracker := crash.NewTracker()
+		for index := range 3 {
+			tracker.Add(partSuspicion(part, strconv.Itoa(index), time.Duration(index)*time.Second))
+		}
+		g.Expect(tracker.StartProbe(part, epoch.Add(time.Minute))).To(BeFalse(), "the entry's place is not known")
+		tracker.SetPlace(rank, entries)
+		trackers = append(trackers, tracker)
+	}
+	start := epoch.Add(2 * time.Second)
+	var probedAt []time.Duration
+	for now := start; now.Before(start.Add(10 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+		for _, tracker := range trackers {
+			if !tracker.StartProbe(part, now) {
+				continue
+			}
+			probedAt = append(probedAt, now.Sub(start))
+			for rank, each := range trackers {
+				each.Add(crash.Suspicion{Fingerprint: part, Part: true, Server: "probe-" + strconv.Itoa(len(probedAt)), At: now})
+				each.SetPlace((rank+len(probedAt))%entries, entries)
+			}
+		}
+	}
+	g.Expect(probedAt).To(Equal([]time.Duration{2 * time.Second, 62 * time.Second}), "each probe crashed a server")
+}
+
+func TestPartFingerprintsShowTheirID(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(crash.FingerprintOfPart("5c1e07a2").String()).To(Equal("5c1e07a2"))
+	g.Expect(crash.FingerprintOfPart("05c1e07a2")).To(Equal(crash.FingerprintOfPart("5c1e07a2")))
+	g.Expect(crash.FingerprintOfPart("bad!")).NotTo(Equal(crash.FingerprintOfPart("worse!")))
+}
--- a/crash/record.go
+++ b/crash/record.go
@@ -22,6 +22,7 @@
 
 type suspicionDocument struct {
 	Fingerprint string `json:"fingerprint"`
+	Part        bool   `json:"part,omitempty"`
 	Server      string `json:"server"`
 	// At is in Unix milliseconds.
 	At int64 `json:"at"`
@@ -32,7 +33,7 @@
 	document := recordDocument{Suspicions: []suspicionDocument{}}
 	for _, suspicion := range record.suspicions {
 		document.Suspicions = append(document.Suspicions, suspicionDocument{
-			Fingerprint: suspicion.Fingerprint.String(), Server: suspicion.Server, At: suspicion.At.UnixMilli(),
+			Fingerprint: suspicion.Fingerprint.String(), Part: suspicion.Part, Server: suspicion.Server, At: suspicion.At.UnixMilli(),
 		})
 	}
 	return json.Marshal(document)
@@ -56,7 +57,7 @@
 		if at.After(now) {
 			at = now
 		}
-		record.suspicions = append(record.suspicions, Suspicion{Fingerprint: Fingerprint(fingerprint), Server: each.Server, At: at})
+		record.suspicions = append(record.suspicions, Suspicion{Fingerprint: Fingerprint(fingerprint), Part: each.Part, Server: each.Server, At: at})
 	}
 	return record, nil
 }
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// maxTrackerRequests bounds the requests that an entry stores. One crash adds all
-// requests that ran in the server; those with the most crashes are kept longest.
-const maxTrackerRequests = 256
+// maxTrackerSubjects bounds the requests that an entry stores, and the parts. One crash
+// adds all requests that ran in the server; those with the most crashes are kept longest.
+const maxTrackerSubjects = 256
 
 // Tracker stores what one entry knows: its own suspicions, and those of other entries
 // that the coordinator shares. It decides on quarantines without the coordinator, so
@@ -18,35 +18,75 @@
 	mutex    sync.Mutex
 	suspects suspects
 	journal  journal
+	// answers are those that this entry has seen.
+	answers answers
+	// released are the subjects whose quarantine has ended since the last call of Expire.
+	released []Subject
+	probes   probes
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{suspects: newSuspects(maxTrackerRequests)} }
+func NewTracker() *Tracker {
+	return &Tracker{suspects: newSuspects(maxTrackerSubjects), answers: newAnswers(), probes: newProbes()}
+}
 
 // Add stores suspicions, whether the entry's own or those of others, and returns the
-// requests whose quarantine begins.
-func (tracker *Tracker) Add(suspicions ...Suspicion) []Fingerprint {
+// subjects whose quarantine begins.
+func (tracker *Tracker) Add(suspicions ...Suspicion) []Subject {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	var quarantined []Fingerprint
+	return tracker.add(suspicions...)
+}
+
+// add is Add, called with the mutex held.
+func (tracker *Tracker) add(suspicions ...Suspicion) []Subject {
+	before := map[Subject]bool{}
 	for _, suspicion := range suspicions {
-		if !tracker.suspects.add(suspicion) {
-			continue
+		if answeredAt := tracker.answers.last(suspicion.Fingerprint); suspicion.Part && answeredAt.After(suspicion.At) {
+			suspicion.Server, suspicion.Cleared, suspicion.At = "", true, answeredAt
+		}
+		subject := suspicion.Subject()
+		if _, seen := before[subject]; !seen {
+			before[subject] = tracker.suspects.quarantined(subject)
 		}
-		tracker.journal.add(suspicion)
-		if tracker.suspects.count(suspicion.Fingerprint) == QuarantineThreshold {
-			quarantined = append(quarantined, suspicion.Fingerprint)
+		if tracker.suspects.add(suspicion) {
+			tracker.journal.add(suspicion)
+		}
+	}
+	var begun []Subject
+	for subject, was := range before {
+		switch is := tracker.suspects.quarantined(subject); {
+		case is && !was:
+			begun = append(begun, subject)
+		case was && !is:
+			tracker.released = append(tracker.released, subject)
+		}
+	}
+	return begun
+}
+
+// RecordAnswer records that a server began to answer a prompt with the given parts, so
+// that none of them crashes servers.
+func (tracker *Tracker) RecordAnswer(parts []Fingerprint, at time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	for _, part := range parts {
+		tracker.answers.record(part, at)
+		subject := Subject{Fingerprint: part, Part: true}
+		if tracker.suspects.count(subject) > 0 {
+			tracker.add(Suspicion{Fingerprint: part, Part: true, Cleared: true, At: at})
 		}
 	}
-	return quarantined
 }
 
-// Expire drops suspicions older than [SuspicionLifetime] and returns the requests whose
-// quarantine has ended.
-func (tracker *Tracker) Expire(now time.Time) []Fingerprint {
+// Expire drops suspicions older than [SuspicionLifetime] and returns the subjects whose
+// quarantine has ended since the last call.
+func (tracker *Tracker) Expire(now time.Time) []Subject {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.suspects.expire(now)
+	released := slices.Concat(tracker.released, tracker.suspects.expire(now))
+	tracker.released = nil
+	return released
 }
 
 // Since returns the suspicions that were added after the one with the given number, and
@@ -56,7 +96,7 @@
 	defer tracker.mutex.Unlock()
 	suspicions, complete := tracker.journal.since(number)
 	if !complete {
-		suspicions = tracker.suspects.all(1)
+		suspicions = tracker.suspects.all(0)
 	}
 	return suspicions, tracker.journal.lastNumber()
 }
@@ -65,19 +105,35 @@
 func (tracker *Tracker) Suspicions(now time.Time) []Suspicion {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return slices.DeleteFunc(tracker.suspects.all(1), func(suspicion Suspicion) bool { return now.Sub(suspicion.At) > SuspicionLifetime })
+	return slices.DeleteFunc(tracker.suspects.all(1), func(suspicion Suspicion) bool {
+		return suspicion.Cleared || now.Sub(suspicion.At) > SuspicionLifetime
+	})
 }
 
 // Empty reports whether there are no suspicions.
 func (tracker *Tracker) Empty() bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return len(tracker.suspects.byFingerprint) == 0
+	return len(tracker.suspects.bySubject) == 0
 }
 
 // Quarantined reports whether a request must not be sent to any server.
 func (tracker *Tracker) Quarantined(fingerprint Fingerprint) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.suspects.count(fingerprint) >= QuarantineThreshold
+	return tracker.suspects.quarantined(Subject{Fingerprint: fingerprint})
+}
+
+// QuarantinedParts returns those of a prompt's parts with which it must not be sent to any
+// server.
+func (tracker *Tracker) QuarantinedParts(parts []Fingerprint) []Fingerprint {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	var quarantined []Fingerprint
+	for _, part := range parts {
+		if tracker.suspects.quarantined(Subject{Fingerprint: part, Part: true}) && !slices.Contains(quarantined, part) {
+			quarantined = append(quarantined, part)
+		}
+	}
+	return quarantined
 }
--- a/event/platform.go
+++ b/event/platform.go
@@ -74,22 +74,25 @@
 	// RequestResent is logged when a request is sent to another backend server.
 	RequestResent = define(9105, logrus.InfoLevel, "requestResent", "A request is sent to another backend server, because the previous one did not run it or because it may be repeated.")
 	// RequestSuspected is logged when a server ended while it ran a request.
-	RequestSuspected = define(9107, logrus.WarnLevel, "requestSuspected", "A backend server ended while it ran a request. Once this has happened on three servers, every entry refuses requests with the same fingerprint.")
+	RequestSuspected = define(9107, logrus.WarnLevel, "requestSuspected", "A backend server ended while it ran a request. Once this has happened on three servers, every entry refuses requests with the same fingerprint, or with the same part in their prompts if none with it was answered since.")
 	// SuspicionCleared is logged when a server that broke off a request proves to be
 	// alive.
 	SuspicionCleared = define(9108, logrus.InfoLevel, "suspicionCleared", "A backend server broke off a request but sent bytes afterwards, so it has not ended.")
 	// QuarantineBegun is logged when an entry begins to refuse requests with a
 	// fingerprint.
-	QuarantineBegun = define(9109, logrus.WarnLevel, "quarantineBegun", "This process refuses requests with the fingerprint from now on: enough backend servers ended while they ran one.")
+	QuarantineBegun = define(9109, logrus.WarnLevel, "quarantineBegun", "This process refuses requests with the fingerprint from now on, or with the part of prompts that has it: enough backend servers ended while they ran one.")
 	// QuarantineEnded is logged when an entry ceases to refuse requests with a
 	// fingerprint.
-	QuarantineEnded = define(9110, logrus.InfoLevel, "quarantineEnded", "This process no longer refuses requests with the fingerprint.")
+	QuarantineEnded = define(9110, logrus.InfoLevel, "quarantineEnded", "This process no longer refuses requests with the fingerprint: the suspicions have expired, or a prompt with the part was answered.")
 	// ResponseSkipped is logged when a response on a connection is skipped because it
 	// belongs to no current request.
 	ResponseSkipped = define(9111, logrus.WarnLevel, "responseSkipped", "A backend server sent a response that does not belong to the request on its connection; it was skipped. The fields give its status and the request that it names, if any.")
 	// ResponseUnproven is logged when a response is not forwarded because it lacks what
 	// proves that a server gave it, or contradicts itself.
 	ResponseUnproven = define(9112, logrus.WarnLevel, "responseUnproven", "A response from the address of a backend server is a success without what proves that the server gave it, or contradicts itself on whether the request was run, or does not continue the stream that it was to resume; it was not forwarded, and the request counts as run. The cause names the defect.")
+	// QuarantineProbed is logged when a request is sent although a part of its prompt is
+	// quarantined.
+	QuarantineProbed = define(9113, logrus.InfoLevel, "quarantineProbed", "A request is sent to one backend server although the part of its prompt with the fingerprint is quarantined, to find out whether that still crashes servers.")
 	// RequestWaits is logged when a request waits for a model to be loaded.
 	RequestWaits = define(9106, logrus.InfoLevel, "requestWaits", "A request waits until its model or adapter is loaded.")
 )
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -62,8 +62,10 @@
 		event.SuspectsUnread.Log(suspectStore.log, logrus.Fields{"revision": int64(entry.Revision()), "cause": err.Error()})
 		return
 	}
-	for _, fingerprint := range suspectStore.tracker.Add(record.Suspicions()...) {
-		event.QuarantineBegun.Log(suspectStore.log, logrus.Fields{"fingerprint": fingerprint.String(), "revision": int64(entry.Revision())})
+	for _, subject := range suspectStore.tracker.Add(record.Suspicions()...) {
+		event.QuarantineBegun.Log(suspectStore.log, logrus.Fields{
+			"fingerprint": subject.Fingerprint.String(), "part": subject.Part, "revision": int64(entry.Revision()),
+		})
 	}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -32,7 +32,9 @@
 		exchange.recordFailure(ctx, server, err)
 		return false
 	}
-	exchange.answered = response.Status < http.StatusMultipleChoices
+	if response.Status < http.StatusMultipleChoices && !response.EndsWithConnection {
+		exchange.recordAnswer()
+	}
 	header := exchange.setHeader(response)
 	if len(body) > maxBufferedBytes {
 		exchange.forwardLarge(response, body)
@@ -191,7 +193,9 @@
 		if addErr != nil {
 			return total, addErr
 		}
-		exchange.answered = exchange.answered || events.begun
+		if events.begun && !exchange.answered {
+			exchange.recordAnswer()
+		}
 		ended := errors.Is(err, io.EOF)
 		var endErr error
 		if ended {
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -23,32 +23,86 @@
 	return crash.FingerprintOf(account, exchange.request.Method, exchange.request.RequestURI, exchange.body)
 }
 
-// quarantined reports whether the request is quarantined, so that it must not be sent to
-// any further server.
+// quarantined reports whether the request or a part of its prompt is quarantined, so that
+// it must not be sent to any further server.
 func (exchange *exchange) quarantined() bool {
 	crashes := exchange.relay.config.Crashes
-	return !crashes.Empty() && crashes.Quarantined(exchange.fingerprint())
+	if crashes.Empty() {
+		return false
+	}
+	parts := crashes.QuarantinedParts(exchange.sharedParts())
+	switch {
+	case crashes.Quarantined(exchange.fingerprint()) || len(parts) > 1:
+		return true
+	case len(parts) == 0:
+		return false
+	case exchange.possibleRuns > 0:
+		return true
+	}
+	return !exchange.probes(parts[0])
+}
+
+// probes reports whether the request, which no server may have run, probes a quarantined
+// part of its prompt.
+func (exchange *exchange) probes(part crash.Fingerprint) bool {
+	if exchange.probedPart != nil {
+		return *exchange.probedPart == part
+	}
+	if !exchange.relay.config.Crashes.StartProbe(part, exchange.now()) {
+		return false
+	}
+	exchange.probedPart = &part
+	event.QuarantineProbed.Log(exchange.relay.config.Log, logrus.Fields{"request": exchange.info.ID, "fingerprint": part.String()})
+	return true
+}
+
+// sharedParts returns the fingerprints of the parts that the request's prompt shares with
+// others.
+func (exchange *exchange) sharedParts() []crash.Fingerprint {
+	if exchange.parts == nil {
+		for _, id := range exchange.info.SharedParts {
+			exchange.parts = append(exchange.parts, crash.FingerprintOfPart(id))
+		}
+	}
+	return exchange.parts
+}
+
+// recordAnswer records that the server has begun to answer.
+func (exchange *exchange) recordAnswer() {
+	exchange.answered = true
+	if parts := exchange.sharedParts(); len(parts) > 0 {
+		exchange.relay.config.Crashes.RecordAnswer(parts, exchange.now())
+	}
 }
 
 // suspectBroken handles an attempt that got no complete response although the request had
 // neither passed its deadline nor lost its caller. The server is reported as crashed unless
-// it has sent anything new when CrashConfirmDelay has passed.
-func (exchange *exchange) suspectBroken(server *pool.Server) {
+// it has sent anything new when CrashConfirmDelay has passed; ended reports whether the
+// response was a success and may be complete.
+func (exchange *exchange) suspectBroken(server *pool.Server, ended bool) {
 	relay, suspect, brokenAt := exchange.relay, exchange.newSuspect(server), exchange.now()
+	if !exchange.answered {
+		suspect.parts = exchange.sharedParts()
+	}
 	elapsed := relay.config.Clock.After(relay.config.CrashConfirmDelay)
 	go func() {
 		<-elapsed
 		if lastBytesAt, alive := relay.config.Pool.AliveAfter(server, brokenAt); alive {
 			relay.clearSuspect(suspect, lastBytesAt.Sub(brokenAt))
+			if ended {
+				relay.config.Crashes.RecordAnswer(suspect.parts, brokenAt)
+			}
 			return
 		}
-		relay.confirmSuspect(suspect)
+		relay.confirmSuspect(suspect, brokenAt)
 	}()
 }
 
 // suspectSilent handles a request that was ended by its deadline or its caller while the
 // server had sent nothing since a time. As a slow server is silent, too, the server is
-// reported as crashed only if the registry shows that it ended unannounced.
+// reported as crashed only if the registry shows that it ended unannounced. No part of the
+// prompt is suspected: a server that crashes closes its connections, one that loses power or
+// its network falls silent.
 func (exchange *exchange) suspectSilent(server *pool.Server, since time.Time) {
 	relay := exchange.relay
 	if _, alive := relay.config.Pool.AliveAfter(server, since); alive {
@@ -59,7 +113,7 @@
 	go func() {
 		<-elapsed
 		if _, alive := relay.config.Pool.AliveAfter(server, since); !alive && relay.config.Pool.Crashed(server, relay.config.Clock.Now()) {
-			relay.confirmSuspect(suspect)
+			relay.confirmSuspect(suspect, since)
 		}
 	}()
 }
@@ -71,14 +125,16 @@
 	server      *pool.Server
 	// answered reports whether the server had begun to answer the request.
 	answered bool
-	// parts are the IDs of the parts that the request's prompt shares with others.
-	parts []string
+	// partIDs are the IDs of the parts that the request's prompt shares with others.
+	partIDs []string
+	// parts are those of them that may have crashed the server.
+	parts []crash.Fingerprint
 }
 
 // newSuspect returns the exchange's request as a suspect for a crash of server.
 func (exchange *exchange) newSuspect(server *pool.Server) suspect {
 	return suspect{
-		request: exchange.info.ID, fingerprint: exchange.fingerprint(), server: server, answered: exchange.answered, parts: exchange.info.SharedParts,
+		request: exchange.info.ID, fingerprint: exchange.fingerprint(), server: server, answered: exchange.answered, partIDs: exchange.info.SharedParts,
 	}
 }
 
@@ -88,8 +144,8 @@
 		"request": suspect.request, "server": string(suspect.server.ID), "born": suspect.server.Incarnation,
 		"fingerprint": suspect.fingerprint.String(), "answered": suspect.answered,
 	}
-	if len(suspect.parts) > 0 {
-		fields["parts"] = strings.Join(suspect.parts, ",")
+	if len(suspect.partIDs) > 0 {
+		fields["parts"] = strings.Join(suspect.partIDs, ",")
 	}
 	return fields
 }
@@ -103,13 +159,17 @@
 	event.SuspicionCleared.Log(relay.config.Log, fields)
 }
 
-// confirmSuspect records that the request's server crashed.
-func (relay *Relay) confirmSuspect(suspect suspect) {
+// confirmSuspect records that the request's server crashed at a moment.
+func (relay *Relay) confirmSuspect(suspect suspect, crashedAt time.Time) {
 	metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
 	event.RequestSuspected.Log(relay.config.Log, suspect.fields())
 	incarnation := string(suspect.server.ID) + "/" + strconv.FormatInt(suspect.server.Incarnation, 10)
-	suspicion := crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: relay.config.Clock.Now()}
-	for _, fingerprint := range relay.config.Crashes.Add(suspicion) {
-		event.QuarantineBegun.Log(relay.config.Log, logrus.Fields{"fingerprint": fingerprint.String()})
+	suspicions := make([]crash.Suspicion, 0, 1+len(suspect.parts))
+	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: relay.config.Clock.Now()})
+	for _, part := range suspect.parts {
+		suspicions = append(suspicions, crash.Suspicion{Fingerprint: part, Part: true, Server: incarnation, At: crashedAt})
+	}
+	for _, subject := range relay.config.Crashes.Add(suspicions...) {
+		event.QuarantineBegun.Log(relay.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
@@ -55,6 +56,11 @@
 	// answered reports whether the server of the last attempt has begun to answer: with
 	// the first event of a stream, or a whole response.
 	answered bool
+	// parts are the fingerprints of the parts that the prompt shares with others; nil means
+	// that they have not been computed. probedPart is the quarantined one that the request
+	// probes; nil means none.
+	parts      []crash.Fingerprint
+	probedPart *crash.Fingerprint
 	// permit is the permit for the next attempt, if its server declares a request rate.
 	permit sendPermit
 	// waited is the time spent on selecting servers.
@@ -247,7 +253,7 @@
 	if !neverSent(err) {
 		exchange.possibleRuns++
 		if ctx.Err() == nil {
-			exchange.suspectBroken(server)
+			exchange.suspectBroken(server, false)
 		} else {
 			exchange.suspectSilent(server, sentAt)
 		}
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -36,11 +36,11 @@
 		responseReader.exchange.relay.config.Pool.RecordBytes(responseReader.server.ID, responseReader.sentAt, responseReader.lastReadAt)
 	}
 	var brokenError *trunk.BrokenError
-	broke := errors.As(err, &brokenError) || (errors.Is(err, io.EOF) && responseReader.EndsWithConnection)
+	ended := errors.Is(err, io.EOF) && responseReader.EndsWithConnection
 	switch {
-	case !broke:
+	case !ended && !errors.As(err, &brokenError):
 	case responseReader.requestErr() == nil:
-		responseReader.exchange.suspectBroken(responseReader.server)
+		responseReader.exchange.suspectBroken(responseReader.server, ended && responseReader.Status < http.StatusMultipleChoices)
 	default:
 		responseReader.exchange.suspectSilent(responseReader.server, responseReader.lastReadAt)
 	}
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -67,9 +68,14 @@
 		retryAfter += time.Duration(rand.Float64() * retryJitter * float64(retryAfter))
 	}
 	exchange.count("refused", refusal.reason)
-	event.RequestRefused.Log(exchange.relay.config.Log, exchange.fields(logrus.Fields{
+	fields := logrus.Fields{
 		"status": refusal.status, "reason": string(refusal.reason), "retryAfter": retryAfter.Seconds(), "leastLoad": refusal.leastLoad,
-	}))
+	}
+	if refusal.reason == ReasonQuarantined {
+		fields["fingerprint"] = exchange.fingerprint().String()
+		fields["parts"] = fmt.Sprint(exchange.relay.config.Crashes.QuarantinedParts(exchange.sharedParts()))
+	}
+	event.RequestRefused.Log(exchange.relay.config.Log, exchange.fields(fields))
 	exchange.writeError(refusal.status, string(refusal.reason), retryAfter)
 }
 
