--- /dev/null
+++ b/soak/restore_test.go
@@ -0,0 +1,79 @@
+package soak_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestRestoredStoreLosesNoChange takes the store away and brings it back from a copy some seconds
+// old, several times. A route that the operators add afterwards has to be served by every entry
+// in time, and what was written before stays in force.
+func TestRestoredStoreLosesNoChange(t *testing.T) {
+	const (
+		drills = 4
+		// applyTime is the time within which a configuration has to be in force.
+		applyTime = 2 * time.Second
+		// maxReadings is how often an entry may read all keys in a drill.
+		maxReadings = 6
+	)
+	soak := newSoak(t)
+	soak.modes = []string{"ordinary"}
+	for _, entry := range soak.entries {
+		entry.start()
+	}
+	soak.expectService()
+	for drill := range drills {
+		copied := soak.store.copy()
+		for range 3 + drill {
+			soak.publish(soak.random)
+			server := soak.servers[soak.random.IntN(len(soak.servers))]
+			server.replace(true, true, soak.random)
+		}
+		soak.pause(time.Duration(1+soak.random.IntN(2)) * time.Second)
+		readings := soak.store.readingCount()
+		soak.store.setMode(storeRefusing)
+		soak.pause(time.Duration(soak.random.IntN(2000)) * time.Millisecond)
+		soak.store.restore(copied, time.Duration(soak.random.IntN(1500))*time.Millisecond)
+		soak.pause(time.Duration(soak.random.IntN(1500)) * time.Millisecond)
+		// Revisions of before are given out again one by one.
+		for range 2 + 2*drill {
+			soak.publish(soak.random)
+			published := time.Now()
+			for _, entry := range soak.entries {
+				for !soak.servesRoute(entry, fmt.Sprintf("new%d", soak.version)) {
+					if time.Since(published) > applyTime {
+						t.Errorf("drill %d: %s does not serve the route added in version %d after %v", drill, entry.name, soak.version, applyTime)
+						return
+					}
+					soak.pause(50 * time.Millisecond)
+				}
+			}
+		}
+		if count := soak.store.readingCount() - readings; count > maxReadings*len(soak.entries) {
+			t.Errorf("drill %d: all keys were read %d times by %d entries", drill, count, len(soak.entries))
+		}
+	}
+	soak.expectService()
+	soak.ledger.report(t)
+}
+
+// servesRoute reports whether an entry knows the route of a kind.
+func (soak *soak) servesRoute(entry *entry, kind string) bool {
+	conn, err := net.DialTimeout("tcp", entry.address(frontPort), time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(responseTimeout))
+	caller := &caller{soak: soak, random: newRandom(uint64(soak.number.Add(1))), mode: "ordinary"}
+	asked := caller.draw()
+	asked.kind, asked.method, asked.model = kindLook, "POST", ""
+	asked.target = "/" + kind + "/last"
+	_, _ = io.WriteString(conn, caller.format(asked, "1.0"))
+	text, _ := io.ReadAll(conn)
+	return strings.HasPrefix(string(text), "HTTP/1.0 ") && !strings.HasPrefix(string(text), "HTTP/1.0 404")
+}
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -1,12 +1,15 @@
 package soak_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -53,6 +56,62 @@
 	changed  chan struct{}
 	mode     storeMode
 	moded    chan struct{}
+	// era counts how often the service was restored from a copy, readings the lists of
+	// all keys.
+	era      int
+	readings int
+}
+
+// storeCopy is a copy of what the service holds.
+type storeCopy struct {
+	revision int64
+	items    map[string]storeItem
+	history  []storeItem
+	leases   map[int64]storeLease
+}
+
+func (keyValue *keyValue) copy() storeCopy {
+	keyValue.mutex.Lock()
+	defer keyValue.mutex.Unlock()
+	return storeCopy{
+		revision: keyValue.revision, items: maps.Clone(keyValue.items), history: slices.Clone(keyValue.history), leases: maps.Clone(keyValue.leases),
+	}
+}
+
+// restore replaces what the service holds by a copy. After a while, the operators and the
+// servers write again what they wrote or removed since.
+func (keyValue *keyValue) restore(from storeCopy, rewriteAfter time.Duration) {
+	keyValue.mutex.Lock()
+	lost := keyValue.items
+	keyValue.revision, keyValue.items, keyValue.history, keyValue.leases = from.revision, from.items, from.history, from.leases
+	keyValue.era++
+	for id, lease := range keyValue.leases {
+		lease.expires = time.Now().Add(lease.ttl)
+		keyValue.leases[id] = lease
+	}
+	keyValue.mutex.Unlock()
+	keyValue.setMode(storeSound)
+	time.Sleep(rewriteAfter)
+	keyValue.mutex.Lock()
+	defer keyValue.mutex.Unlock()
+	foreign := func(key string) bool { return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/") }
+	for key, item := range lost {
+		if foreign(key) && keyValue.items[key].Revision <= from.revision && !bytes.Equal(keyValue.items[key].Value, item.Value) {
+			keyValue.write(key, item.Value, 0, false)
+		}
+	}
+	for key, item := range keyValue.items {
+		if _, exists := lost[key]; foreign(key) && !exists && item.Revision <= from.revision {
+			keyValue.write(key, nil, 0, true)
+		}
+	}
+}
+
+// readingCount returns how often all keys have been listed.
+func (keyValue *keyValue) readingCount() int {
+	keyValue.mutex.Lock()
+	defer keyValue.mutex.Unlock()
+	return keyValue.readings
 }
 
 func newKeyValue() *keyValue {
@@ -160,23 +219,30 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	status, answer := keyValue.answer(request)
+	status, answer, era := keyValue.answer(request)
 	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Store-Era", strconv.Itoa(era))
 	writer.WriteHeader(status)
 	if answer != nil {
 		_ = json.NewEncoder(writer).Encode(answer)
 	}
 }
 
-func (keyValue *keyValue) answer(request *http.Request) (int, any) {
-	query := request.URL.Query()
-	path := request.Method + " " + request.URL.Path
-	if path == "GET /kv-watch" {
+func (keyValue *keyValue) answer(request *http.Request) (status int, answer any, era int) {
+	if request.Method == http.MethodGet && request.URL.Path == "/kv-watch" {
 		return keyValue.watch(request)
 	}
 	keyValue.mutex.Lock()
 	defer keyValue.mutex.Unlock()
 	keyValue.expire()
+	status, answer = keyValue.execute(request)
+	return status, answer, keyValue.era
+}
+
+// execute answers a call other than a watch. The caller holds mutex.
+func (keyValue *keyValue) execute(request *http.Request) (int, any) {
+	query := request.URL.Query()
+	path := request.Method + " " + request.URL.Path
 	id, _ := strconv.ParseInt(path[strings.LastIndex(path, "/")+1:], 10, 64)
 	lease, exists := keyValue.leases[id]
 	switch {
@@ -190,6 +256,9 @@
 			CurrentRev int64 `json:"currentRev"`
 		}{item, keyValue.revision}
 	case path == "GET /kv-range":
+		if query.Get("pathPrefix") == "" {
+			keyValue.readings++
+		}
 		items := []storeItem{}
 		for key, item := range keyValue.items {
 			if strings.HasPrefix(key, query.Get("pathPrefix")) && key > query.Get("after") {
@@ -265,7 +334,7 @@
 	return http.StatusOK, map[string]any{"revision": keyValue.revision}
 }
 
-func (keyValue *keyValue) watch(request *http.Request) (int, any) {
+func (keyValue *keyValue) watch(request *http.Request) (status int, answer any, era int) {
 	query := request.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
@@ -281,10 +350,13 @@
 				events = append(events, item)
 			}
 		}
-		revision, changed, moded := keyValue.revision, keyValue.changed, keyValue.moded
+		revision, changed, moded, era := keyValue.revision, keyValue.changed, keyValue.moded, keyValue.era
 		keyValue.mutex.Unlock()
+		if after > revision {
+			return http.StatusGone, nil, era
+		}
 		if len(events) > 0 || ended {
-			return http.StatusOK, map[string]any{"events": events, "currentRev": revision}
+			return http.StatusOK, map[string]any{"events": events, "currentRev": revision}, era
 		}
 		select {
 		case <-changed:
