store: order revisions across restorations of the service

Cause: a revision was taken for a number that only grows. A mirror kept the higher number, so that what was written under numbers between the copy's and its own was never passed on; its watch was refused until then (78 readings of all keys by one entry); records expected a revision that no longer existed, for ever. Change: a store.Revision holds the era of the service above the number, so that one comparison orders all. platform reads the era from each answer: a watch answered in another era, pages of two eras, an answer of a former era do not fit; a write over a revision of a former era, or with a lease of one, is not sent, and such a lease is not renewed. A term is a revision, so that a later one is higher, as engines' fences need. A process replaces its own value of a term that has ended, which a copy publishes again. Records whose key is gone are written anew. Ruled out: a special reading of the copy in each part; one type makes the comparisons that exist right. Before: TestRestoredStoreLosesNoChange fails.

--- a/coord/revision.go
+++ b/coord/revision.go
@@ -36,7 +36,7 @@
 	}
 	revisionReader.mirror.Confirm(revision)
 	if revisionReader.setUnreadable(false) {
-		event.RevisionRead.Log(revisionReader.log, logrus.Fields{"revision": int64(revision)})
+		event.RevisionRead.Log(revisionReader.log, logrus.Fields{"revision": revision.String()})
 	}
 	return revision, true
 }
--- a/elect/elector.go
+++ b/elect/elector.go
@@ -121,7 +121,7 @@
 		switch {
 		case leader.Term == 0:
 			elector.campaignAt = elector.config.Clock.Now().Add(elector.config.CampaignDelay)
-		case elector.term == 0 && elector.config.IsPredecessor(leader.Value):
+		case leader.Term != elector.term && elector.succeeds(leader.Value):
 			elector.campaignAt = elector.config.Clock.Now()
 		}
 	}
@@ -188,7 +188,14 @@
 	if elector.term != 0 || !elector.leaderKnown || elector.resigned || now.Before(elector.campaignAt) {
 		return 0, false
 	}
-	return elector.leader.Term, elector.leader.Term == 0 || elector.config.IsPredecessor(elector.leader.Value)
+	return elector.leader.Term, elector.leader.Term == 0 || elector.succeeds(elector.leader.Value)
+}
+
+// succeeds reports whether this process may replace a published value without waiting for
+// its lease to expire: that of a predecessor, or its own of a term that has ended, which a
+// service that was restored from a copy publishes again.
+func (elector *Elector) succeeds(value string) bool {
+	return value == elector.config.Value || elector.config.IsPredecessor(value)
 }
 
 func (elector *Elector) renew(ctx context.Context) {
@@ -262,7 +269,7 @@
 func (elector *Elector) endTerm(reason string) {
 	elector.mutex.Lock()
 	term := elector.term
-	elector.term, elector.lease = 0, 0
+	elector.term, elector.lease = 0, store.LeaseID{}
 	if elector.leader.Term == term {
 		// The watch reports when the key is deleted, or who leads now.
 		elector.campaignAt = elector.config.Clock.Now().Add(elector.config.TTL)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -87,11 +87,12 @@
 // called once, it is safe for concurrent use.
 type Mirror struct {
 	config Config
-	// Only Run uses unavailable, retryDelay and lastWatch, the time when the last
-	// watch began.
+	// Only Run uses unavailable, retryDelay, lastWatch, the time when the last watch
+	// began, and lastReset, the time when everything was last to be read again.
 	unavailable bool
 	retryDelay  time.Duration
 	lastWatch   time.Time
+	lastReset   time.Time
 	// handling serializes the calls of the handler that pass entries.
 	handling sync.Mutex
 	// mutex guards all below.
@@ -308,6 +309,7 @@
 		if errors.As(err, &historyError) {
 			mirror.reload()
 			event.MirrorReset.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "cause": err.Error()})
+			mirror.spaceResets(ctx)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -396,6 +398,19 @@
 	mirror.loaded = false
 }
 
+// spaceResets waits until maxRetryDelay after the last call, as it costs the service much to
+// read everything.
+func (mirror *Mirror) spaceResets(ctx context.Context) {
+	rest := maxRetryDelay - mirror.config.Clock.Now().Sub(mirror.lastReset)
+	if rest > 0 {
+		select {
+		case <-ctx.Done():
+		case <-mirror.config.Clock.After(rest):
+		}
+	}
+	mirror.lastReset = mirror.config.Clock.Now()
+}
+
 // takeWatchStalled returns watchStalled and resets it.
 func (mirror *Mirror) takeWatchStalled() bool {
 	mirror.mutex.Lock()
@@ -422,6 +437,6 @@
 		return
 	}
 	mirror.unavailable = false
-	event.StoreRegained.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "revision": int64(mirror.Revision())})
+	event.StoreRegained.Log(mirror.config.Log, logrus.Fields{"prefix": mirror.config.Prefix, "revision": mirror.Revision().String()})
 	mirror.config.Handler.Regained(mirror.config.Clock.Now())
 }
--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -54,14 +54,14 @@
 		}
 		snapshot, err := platform.DecodePolicy(entry.Value())
 		if err != nil {
-			event.PolicyUnread.Log(policyHandler.log, logrus.Fields{"revision": int64(entry.Revision()), "cause": err.Error()})
+			event.PolicyUnread.Log(policyHandler.log, logrus.Fields{"revision": entry.Revision().String(), "cause": err.Error()})
 			continue
 		}
 		if former := policyHandler.relay.Policy(); former != nil && former.Version() >= snapshot.Version() {
 			continue
 		}
 		policyHandler.relay.SetPolicy(snapshot)
-		event.PolicyInForce.Log(policyHandler.log, logrus.Fields{"policy": snapshot.Version(), "revision": int64(entry.Revision())})
+		event.PolicyInForce.Log(policyHandler.log, logrus.Fields{"policy": snapshot.Version(), "revision": entry.Revision().String()})
 	}
 }
 
@@ -71,73 +71,6 @@
 // Regained implements [mirror.Handler].
 func (*policyHandler) Regained(time.Time) {}
 
-// registryHandler updates the pool of backend servers from the registry.
-type registryHandler struct {
-	pool  *pool.Pool
-	clock *clock.Service
-	log   logrus.FieldLogger
-	known map[names.BackendServer]bool
-}
-
-var _ mirror.Handler = (*registryHandler)(nil)
-
-// Replaced implements [mirror.Handler].
-func (registryHandler *registryHandler) Replaced(entries []store.Entry) {
-	listed := map[names.BackendServer]bool{}
-	for _, entry := range entries {
-		listed[platform.ServerID(entry.Key())] = true
-	}
-	for id := range registryHandler.known {
-		if !listed[id] {
-			registryHandler.remove(id)
-		}
-	}
-	registryHandler.Changed(entries)
-}
-
-// Changed implements [mirror.Handler].
-func (registryHandler *registryHandler) Changed(entries []store.Entry) {
-	for _, entry := range entries {
-		id := platform.ServerID(entry.Key())
-		if entry.Deleted() {
-			registryHandler.remove(id)
-			continue
-		}
-		server, err := platform.DecodeServer(entry.Key(), entry.Value())
-		if err != nil {
-			event.ServerEntryUnread.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": err.Error()})
-			delete(registryHandler.known, id)
-			registryHandler.pool.Reject(id, registryHandler.clock.Now())
-			continue
-		}
-		registryHandler.known[id] = true
-		registryHandler.pool.Put(server)
-		event.ServerListed.Log(registryHandler.log, logrus.Fields{
-			"server": string(id), "service": string(server.Service), "address": server.Address, "draining": server.Draining,
-			"models": len(server.Models), "revision": int64(entry.Revision()),
-		})
-	}
-}
-
-func (registryHandler *registryHandler) remove(id names.BackendServer) {
-	if !registryHandler.known[id] {
-		return
-	}
-	delete(registryHandler.known, id)
-	registryHandler.pool.Remove(id, registryHandler.clock.Now())
-	event.ServerUnlisted.Log(registryHandler.log, logrus.Fields{"server": string(id)})
-}
-
-// Lost implements [mirror.Handler].
-func (registryHandler *registryHandler) Lost(since time.Time) {
-	registryHandler.pool.RegistryLost(since)
-}
-
-// Regained implements [mirror.Handler].
-func (registryHandler *registryHandler) Regained(at time.Time) {
-	registryHandler.pool.RegistryRecovered(at)
-}
-
 // ownKeys follows the system's own keys and stores the record of shares.
 type ownKeys struct {
 	store        *platform.Store
@@ -198,7 +131,7 @@
 func (ownKeys *ownKeys) setRecord(entry store.Entry) {
 	record, err := share.DecodeRecord(entry.Value())
 	if err != nil {
-		event.SharesUnread.Log(ownKeys.log, logrus.Fields{"revision": int64(entry.Revision()), "cause": err.Error()})
+		event.SharesUnread.Log(ownKeys.log, logrus.Fields{"revision": entry.Revision().String(), "cause": err.Error()})
 		record = share.Record{}
 	}
 	ownKeys.mutex.Lock()
@@ -221,16 +154,31 @@
 
 // Replaced implements [mirror.Handler].
 func (ownKeys *ownKeys) Replaced(entries []store.Entry) {
-	leader := elect.Leader{}
+	listed := map[string]bool{}
 	for _, entry := range entries {
-		if entry.Key() == coordinatorKey {
-			leader = elect.Leader{Term: entry.Revision(), Value: string(entry.Value())}
-		}
+		listed[entry.Key()] = true
 	}
 	ownKeys.Changed(entries)
 	ownKeys.restoreLimiter()
-	if leader.Term == 0 {
-		ownKeys.elector.ObserveLeader(leader)
+	for _, key := range []string{sharesKey, suspectsKey, coordinatorKey} {
+		if !listed[key] {
+			ownKeys.remove(key)
+		}
+	}
+}
+
+// remove processes the removal of a key.
+func (ownKeys *ownKeys) remove(key string) {
+	switch key {
+	case sharesKey:
+		// The record itself stays in use until another one is written.
+		ownKeys.mutex.Lock()
+		defer ownKeys.mutex.Unlock()
+		ownKeys.revision = 0
+	case suspectsKey:
+		ownKeys.suspectStore.setRevision(0)
+	case coordinatorKey:
+		ownKeys.elector.ObserveLeader(elect.Leader{})
 	}
 }
 
@@ -238,14 +186,13 @@
 func (ownKeys *ownKeys) Changed(entries []store.Entry) {
 	for _, entry := range entries {
 		switch {
-		case entry.Key() == sharesKey && !entry.Deleted():
+		case entry.Deleted():
+			ownKeys.remove(entry.Key())
+		case entry.Key() == sharesKey:
 			ownKeys.setRecord(entry)
 		case entry.Key() == suspectsKey:
 			ownKeys.suspectStore.applyRecord(entry)
-		case entry.Key() != coordinatorKey:
-		case entry.Deleted():
-			ownKeys.elector.ObserveLeader(elect.Leader{})
-		default:
+		case entry.Key() == coordinatorKey:
 			ownKeys.elector.ObserveLeader(elect.Leader{Term: entry.Revision(), Value: string(entry.Value())})
 		}
 	}
@@ -275,7 +222,7 @@
 func newMirror(parts mirrorParts) *mirror.Mirror {
 	return mirror.New(mirror.Config{Source: parts.Store, Clock: parts.Clock, Log: parts.Log, Handler: mirror.PrefixHandlers{
 		{Prefix: platform.PolicyKey, Handler: &policyHandler{relay: parts.Relay, log: parts.Log}},
-		{Prefix: platform.RegistryPrefix, Handler: &registryHandler{pool: parts.Pool, clock: parts.Clock, log: parts.Log, known: map[names.BackendServer]bool{}}},
+		{Prefix: platform.RegistryPrefix, Handler: newRegistryHandler(parts.Pool, parts.Clock, parts.Log)},
 		{Prefix: ownPrefix, Handler: parts.OwnKeys},
 	}})
 }
--- a/node/suspectstore.go
+++ b/node/suspectstore.go
@@ -50,21 +50,17 @@
 	return nil
 }
 
-// applyRecord processes a change of the record or its deletion.
+// applyRecord processes a change of the record.
 func (suspectStore *suspectStore) applyRecord(entry store.Entry) {
-	if entry.Deleted() {
-		suspectStore.setRevision(0)
-		return
-	}
 	suspectStore.setRevision(entry.Revision())
 	record, err := crash.DecodeRecord(entry.Value(), suspectStore.clock.Now())
 	if err != nil {
-		event.SuspectsUnread.Log(suspectStore.log, logrus.Fields{"revision": int64(entry.Revision()), "cause": err.Error()})
+		event.SuspectsUnread.Log(suspectStore.log, logrus.Fields{"revision": entry.Revision().String(), "cause": err.Error()})
 		return
 	}
 	for _, subject := range suspectStore.tracker.Add(record.Suspicions()...) {
 		event.QuarantineBegun.Log(suspectStore.log, logrus.Fields{
-			"fingerprint": subject.Fingerprint.String(), "part": subject.Part, "revision": int64(entry.Revision()),
+			"fingerprint": subject.Fingerprint.String(), "part": subject.Part, "revision": entry.Revision().String(),
 		})
 	}
 }
--- a/proof/store.go
+++ b/proof/store.go
@@ -87,6 +87,35 @@
 	return memory.listPrefix("")
 }
 
+// Restore brings the store back from a copy of its entries: numbers of later writes and
+// leases are given out again, in the next era.
+func (memory *Store) Restore(entries []store.Entry) {
+	memory.mutex.Lock()
+	defer memory.mutex.Unlock()
+	era := memory.revision.Era() + 1
+	memory.entries = map[string]store.Entry{}
+	memory.revision = revisionOf(era, 0)
+	memory.lastLease = store.LeaseID{Era: era}
+	for _, entry := range entries {
+		revision, lease := revisionOf(era, entry.Revision().Number()), store.LeaseID{}
+		if !entry.Lease().IsZero() {
+			lease = store.LeaseID{Era: era, Number: entry.Lease().Number}
+		}
+		memory.entries[entry.Key()] = store.NewEntry(store.EntryConfig{Key: entry.Key(), Value: entry.Value(), Revision: revision, Lease: lease})
+		memory.revision = max(memory.revision, revision)
+	}
+	memory.notifyWatches()
+}
+
+// revisionOf returns the revision of a number that fits.
+func revisionOf(era store.Era, number int64) store.Revision {
+	revision, err := store.NewRevision(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return revision
+}
+
 // lockForCall runs the hook, counts the call and returns with the lock held, or
 // returns an error without the lock while the store is down.
 func (memory *Store) lockForCall(operation, key string) error {
@@ -211,19 +240,22 @@
 // Grant implements [store.Store].
 func (memory *Store) Grant(context.Context, time.Duration) (store.LeaseID, error) {
 	if err := memory.lockForCall("grant", ""); err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	defer memory.mutex.Unlock()
-	memory.lastLease++
+	memory.lastLease.Number++
 	return memory.lastLease, nil
 }
 
 // Renew implements [store.Store].
-func (memory *Store) Renew(context.Context, store.LeaseID) error {
+func (memory *Store) Renew(_ context.Context, lease store.LeaseID) error {
 	if err := memory.lockForCall("renew", ""); err != nil {
 		return err
 	}
-	memory.mutex.Unlock()
+	defer memory.mutex.Unlock()
+	if lease.Era != memory.lastLease.Era {
+		return &store.LeaseError{Lease: lease}
+	}
 	return nil
 }
 
--- a/stand/kvserver.go
+++ b/stand/kvserver.go
@@ -54,7 +54,7 @@
 			Key:      request.GetKey(),
 			Expected: store.Revision(request.GetExpected()),
 			Value:    request.GetValue(),
-			Lease:    store.LeaseID(request.GetLease()),
+			Lease:    store.LeaseID{Number: request.GetLease()},
 		})
 		reply.Revision = int64(revision)
 		return err
@@ -79,7 +79,7 @@
 	reply := &plat.GrantReply{}
 	ttl := time.Duration(request.GetTtlMillis()) * time.Millisecond
 	failure, err := server.write(ctx, KVGrant, func(table *kvTable, now time.Time) error {
-		reply.Lease = int64(table.grant(now, ttl))
+		reply.Lease = table.grant(now, ttl).Number
 		return nil
 	})
 	if err != nil {
@@ -92,7 +92,7 @@
 // Renew implements [plat.KeyValueServer].
 func (server *kvServer) Renew(ctx context.Context, request *plat.RenewRequest) (*plat.RenewReply, error) {
 	failure, err := server.write(ctx, KVRenew, func(table *kvTable, now time.Time) error {
-		return table.renew(now, store.LeaseID(request.GetLease()))
+		return table.renew(now, store.LeaseID{Number: request.GetLease()})
 	})
 	return &plat.RenewReply{Failure: failure}, err
 }
@@ -100,7 +100,7 @@
 // Revoke implements [plat.KeyValueServer].
 func (server *kvServer) Revoke(ctx context.Context, request *plat.RevokeRequest) (*plat.RevokeReply, error) {
 	failure, err := server.write(ctx, KVRevoke, func(table *kvTable, now time.Time) error {
-		return table.revoke(now, store.LeaseID(request.GetLease()))
+		return table.revoke(now, store.LeaseID{Number: request.GetLease()})
 	})
 	return &plat.RevokeReply{Failure: failure}, err
 }
--- a/stand/kvtable.go
+++ b/stand/kvtable.go
@@ -66,7 +66,7 @@
 	if actual := table.revisionOf(swap.Key); actual != swap.Expected {
 		return 0, &store.ConflictError{Key: swap.Key, Expected: swap.Expected, Actual: actual}
 	}
-	if _, live := table.leases[swap.Lease]; swap.Lease != 0 && !live {
+	if _, live := table.leases[swap.Lease]; !swap.Lease.IsZero() && !live {
 		return 0, &store.LeaseError{Lease: swap.Lease}
 	}
 	table.put(swap.Key, kvRow{value: swap.Value, lease: swap.Lease})
@@ -87,7 +87,7 @@
 
 func (table *kvTable) grant(now time.Time, ttl time.Duration) store.LeaseID {
 	table.expire(now)
-	table.lastLease++
+	table.lastLease.Number++
 	table.leases[table.lastLease] = kvLease{ttl: ttl, end: now.Add(ttl)}
 	return table.lastLease
 }
--- a/store/client.go
+++ b/store/client.go
@@ -127,7 +127,7 @@
 		Key:      swap.Key,
 		Expected: int64(swap.Expected),
 		Value:    swap.Value,
-		Lease:    int64(swap.Lease),
+		Lease:    swap.Lease.Number,
 	})
 	if err := remoteCall.writeError(err, reply.GetFailure()); err != nil {
 		return 0, err
@@ -183,12 +183,12 @@
 	defer remoteCall.end()
 	reply, err := client.remote.Grant(remoteCall.ctx, &plat.GrantRequest{TtlMillis: ttl.Milliseconds()})
 	if err := remoteCall.writeError(err, reply.GetFailure()); err != nil {
-		return 0, err
+		return LeaseID{}, err
 	}
 	if reply.GetLease() <= 0 {
-		return 0, remoteCall.unknown(errNoLease)
+		return LeaseID{}, remoteCall.unknown(errNoLease)
 	}
-	return LeaseID(reply.GetLease()), nil
+	return LeaseID{Number: reply.GetLease()}, nil
 }
 
 // Renew implements [Store].
@@ -196,7 +196,7 @@
 	remoteCall := newRemoteCall(ctx, "renew", "", client.config.CallTimeout)
 	defer remoteCall.end()
 	remoteCall.lease = lease
-	reply, err := client.remote.Renew(remoteCall.ctx, &plat.RenewRequest{Lease: int64(lease)})
+	reply, err := client.remote.Renew(remoteCall.ctx, &plat.RenewRequest{Lease: lease.Number})
 	return remoteCall.writeError(err, reply.GetFailure())
 }
 
@@ -205,6 +205,6 @@
 	remoteCall := newRemoteCall(ctx, "revoke", "", client.config.CallTimeout)
 	defer remoteCall.end()
 	remoteCall.lease = lease
-	reply, err := client.remote.Revoke(remoteCall.ctx, &plat.RevokeRequest{Lease: int64(lease)})
+	reply, err := client.remote.Revoke(remoteCall.ctx, &plat.RevokeRequest{Lease: lease.Number})
 	return remoteCall.writeError(err, reply.GetFailure())
 }
--- a/store/errors.go
+++ b/store/errors.go
@@ -12,7 +12,7 @@
 
 // Error implements error.
 func (conflictError *ConflictError) Error() string {
-	return fmt.Sprintf("entry %q has revision %d, expected %d", conflictError.Key, conflictError.Actual, conflictError.Expected)
+	return fmt.Sprintf("entry %q has revision %s, expected %s", conflictError.Key, conflictError.Actual, conflictError.Expected)
 }
 
 // UnknownError reports a write that may or may not have taken effect.
@@ -51,7 +51,7 @@
 
 // Error implements error.
 func (leaseError *LeaseError) Error() string {
-	return fmt.Sprintf("lease %d has ended", leaseError.Lease)
+	return fmt.Sprintf("lease %s has ended", leaseError.Lease)
 }
 
 // SizeError reports a value longer than [MaxValueBytes].
--- a/store/historyerror.go
+++ b/store/historyerror.go
@@ -11,5 +11,5 @@
 
 // Error implements error.
 func (historyError *HistoryError) Error() string {
-	return fmt.Sprintf("changes of %q after revision %d are no longer kept", historyError.Prefix, historyError.After)
+	return fmt.Sprintf("changes of %q after revision %s are no longer kept", historyError.Prefix, historyError.After)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -5,13 +5,6 @@
 	"time"
 )
 
-// Revision numbers the writes of the service, in increasing order. As an
-// expected revision, zero means that the key must not exist.
-type Revision int64
-
-// LeaseID identifies a lease; zero means none.
-type LeaseID int64
-
 // Store is the part of the platform's key-value service that the system uses.
 // Every method counts as one call to the service, and a waiting watch as one
 // more.
