node, pool: a restored registry brings no server back that has left

Cause: the copy's entries were taken for the servers' present state. Change: an incarnation that was draining still is. The entry of one that was removed within the last minute counts once it is written again. Before: TestRestoredRegistryBringsNoServerBack fails (servers 1, 2, 3 in use instead of 1 and 4). After: it passes; go test ./node ./pool is green.

--- a/node/registryhandler.go
+++ b/node/registryhandler.go
@@ -14,22 +14,49 @@
 	"github.com/basilkeel/basilkeel/store"
 )
 
+// removalLifetime is how long it is remembered that a server's entry was removed. A copy
+// from which the service is restored is some seconds old.
+const removalLifetime = time.Minute
+
 // registryHandler updates the pool of backend servers from the registry.
 type registryHandler struct {
 	pool  *pool.Pool
 	clock *clock.Service
 	log   logrus.FieldLogger
-	known map[names.BackendServer]bool
+	// known maps each server with an entry to its incarnation.
+	known map[names.BackendServer]int64
+	// removed holds the servers whose entries were removed lately.
+	removed map[names.BackendServer]removal
+	// outdated maps the servers whose entries are ignored, as they had been removed before
+	// the service was restored, to the revisions of these entries.
+	outdated map[names.BackendServer]store.Revision
+	// era is the era of the entries read last.
+	era store.Era
+}
+
+// removal is what is known of a server whose entry was removed.
+type removal struct {
+	incarnation int64
+	at          time.Time
 }
 
 var _ mirror.Handler = (*registryHandler)(nil)
 
 func newRegistryHandler(servers *pool.Pool, clock *clock.Service, log logrus.FieldLogger) *registryHandler {
-	return &registryHandler{pool: servers, clock: clock, log: log, known: map[names.BackendServer]bool{}}
+	return &registryHandler{
+		pool: servers, clock: clock, log: log,
+		known: map[names.BackendServer]int64{}, removed: map[names.BackendServer]removal{}, outdated: map[names.BackendServer]store.Revision{},
+	}
 }
 
 // Replaced implements [mirror.Handler].
 func (registryHandler *registryHandler) Replaced(entries []store.Entry) {
+	restored := registryHandler.enterEra(entries)
+	now := registryHandler.clock.Now()
+	if restored {
+		// Servers that registered after the copy was made are back soon.
+		registryHandler.pool.RegistryLost(now)
+	}
 	listed := map[names.BackendServer]bool{}
 	for _, entry := range entries {
 		listed[platform.ServerID(entry.Key())] = true
@@ -39,39 +66,78 @@
 			registryHandler.remove(id)
 		}
 	}
-	registryHandler.Changed(entries)
+	for _, entry := range entries {
+		registryHandler.put(entry, restored)
+	}
+	if restored {
+		registryHandler.pool.RegistryRecovered(now)
+	}
+}
+
+// enterEra records the era of entries and reports whether the service was restored since
+// entries were read last.
+func (registryHandler *registryHandler) enterEra(entries []store.Entry) bool {
+	former := registryHandler.era
+	for _, entry := range entries {
+		registryHandler.era = max(registryHandler.era, entry.Revision().Era())
+	}
+	return registryHandler.era > former && len(registryHandler.known) > 0
 }
 
 // Changed implements [mirror.Handler].
 func (registryHandler *registryHandler) Changed(entries []store.Entry) {
 	for _, entry := range entries {
-		id := platform.ServerID(entry.Key())
 		if entry.Deleted() {
-			registryHandler.remove(id)
+			registryHandler.remove(platform.ServerID(entry.Key()))
 			continue
 		}
-		server, err := platform.DecodeServer(entry.Key(), entry.Value())
-		if err != nil {
-			event.ServerEntryUnread.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": err.Error()})
-			delete(registryHandler.known, id)
-			registryHandler.pool.Reject(id, registryHandler.clock.Now())
-			continue
-		}
-		registryHandler.known[id] = true
-		registryHandler.pool.Put(server)
-		event.ServerListed.Log(registryHandler.log, logrus.Fields{
-			"server": string(id), "service": string(server.Service), "address": server.Address, "draining": server.Draining,
-			"models": len(server.Models), "revision": entry.Revision().String(),
-		})
+		registryHandler.put(entry, false)
+	}
+}
+
+// put processes a server's entry. If restored is set, the entry may be that of a server
+// that has left since.
+func (registryHandler *registryHandler) put(entry store.Entry, restored bool) {
+	id := platform.ServerID(entry.Key())
+	if revision, found := registryHandler.outdated[id]; found && revision == entry.Revision() {
+		return
 	}
+	delete(registryHandler.outdated, id)
+	server, err := platform.DecodeServer(entry.Key(), entry.Value())
+	if err != nil {
+		event.ServerEntryUnread.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": err.Error()})
+		delete(registryHandler.known, id)
+		registryHandler.pool.Reject(id, registryHandler.clock.Now())
+		return
+	}
+	if removed, found := registryHandler.removed[id]; restored && found && removed.incarnation == server.Incarnation {
+		registryHandler.outdated[id] = entry.Revision()
+		return
+	}
+	registryHandler.known[id] = server.Incarnation
+	registryHandler.pool.Put(server)
+	event.ServerListed.Log(registryHandler.log, logrus.Fields{
+		"server": string(id), "service": string(server.Service), "address": server.Address, "draining": server.Draining,
+		"models": len(server.Models), "revision": entry.Revision().String(),
+	})
 }
 
+// remove processes the removal of a server's entry.
 func (registryHandler *registryHandler) remove(id names.BackendServer) {
-	if !registryHandler.known[id] {
+	delete(registryHandler.outdated, id)
+	incarnation, known := registryHandler.known[id]
+	if !known {
 		return
 	}
+	now := registryHandler.clock.Now()
 	delete(registryHandler.known, id)
-	registryHandler.pool.Remove(id, registryHandler.clock.Now())
+	for each, removed := range registryHandler.removed {
+		if now.Sub(removed.at) > removalLifetime {
+			delete(registryHandler.removed, each)
+		}
+	}
+	registryHandler.removed[id] = removal{incarnation: incarnation, at: now}
+	registryHandler.pool.Remove(id, now)
 	event.ServerUnlisted.Log(registryHandler.log, logrus.Fields{"server": string(id)})
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -119,7 +119,8 @@
 }
 
 // Put stores the registry's entry of a server. A new incarnation or address drops what
-// was known of the server, except its requests in flight.
+// was known of the server, except its requests in flight. An incarnation that was draining
+// still is, also if the registry has lost that.
 func (pool *Pool) Put(server *Server) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -132,6 +133,11 @@
 		pool.applyHolding(fresh)
 		pool.members[server.ID] = fresh
 	} else {
+		if known.server.Draining && !server.Draining {
+			draining := *server
+			draining.Draining, draining.Remaining = true, known.server.Remaining
+			server = &draining
+		}
 		known.server = server
 		known.delistedAt, known.outagePossible = time.Time{}, false
 	}
