relay, node: a stopping entry answers what it has taken

It could happen here: late requests are refused from 2.3 s on, but an order taken before that, with a timeout beyond the grace, was cut when the server closed its connections. Change: from the signal on, an order whose deadline is after the end of the grace is refused as not run before it is passed on. Half a second before the end of the grace the requests in progress are ended: those whose response has not begun get 502 stopping if they may have run, else the refusal. The server closes once no request was in progress at two checks, as it writes the rest of a response after its request counts as ended. Streams that are not resumable are still taken, and cut if they are still running at the end. Before: TestStopAnswersOrders fails, 15 orders reach a server and get 'unexpected EOF'. After: it passes.

--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -46,8 +46,10 @@
 	// Afterwards idle connections are closed and requests are refused, since they
 	// might not finish in time.
 	minDrain = 2300 * time.Millisecond
-	// killMargin is the time before SIGKILL at which a stopping entry exits.
+	// killMargin is the time before SIGKILL at which a stopping entry ends the requests in
+	// progress. endMargin of it is left for their responses.
 	killMargin = 500 * time.Millisecond
+	endMargin  = 300 * time.Millisecond
 	// drainPollPeriod is the interval of checks for requests in progress.
 	drainPollPeriod = 50 * time.Millisecond
 )
@@ -112,7 +114,7 @@
 		},
 		OnStop: func(stopCtx context.Context) error {
 			cancel()
-			relay.Drain()
+			relay.Drain(clock.Now().Add(host.Bounds.StopGrace - killMargin))
 			drain(stopCtx, host, relay, idleConnections, clock)
 			return server.Close()
 		},
@@ -133,17 +135,24 @@
 	}
 }
 
-// drain waits until no request is in progress, but at least for minDrain and at
-// most until shortly before the end of the stop grace.
+// drain waits until no request is in progress, but at least for minDrain. Shortly before
+// the end of the stop grace it ends the requests in progress.
 func drain(ctx context.Context, host *setup.Host, relay *relay.Relay, idleConnections *idleConnections, clock *clock.Service) {
 	began := clock.Now()
+	idle := false
 	for {
 		passed := clock.Now().Sub(began)
 		if passed >= minDrain {
 			relay.RejectRequests()
 			idleConnections.closeIdleSince(clock.Now())
 		}
-		if passed >= host.Bounds.StopGrace-killMargin || (passed >= minDrain+drainPollPeriod && relay.ActiveRequests() == 0) {
+		if passed >= host.Bounds.StopGrace-killMargin {
+			relay.EndRequests()
+		}
+		// The server writes the rest of a response after its request counts as ended.
+		wasIdle := idle
+		idle = passed >= minDrain && relay.ActiveRequests() == 0
+		if passed >= host.Bounds.StopGrace-killMargin+endMargin || (idle && wasIdle) {
 			return
 		}
 		select {
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -6,7 +6,8 @@
 
 // Reasons for refusing a request, which has not run.
 const (
-	ReasonNotReady         Reason = "notReady"
+	ReasonNotReady Reason = "notReady"
+	// ReasonStopping is also a reason for failing a request.
 	ReasonStopping         Reason = "stopping"
 	ReasonNoRoute          Reason = "noRoute"
 	ReasonUnknownKey       Reason = "unknownKey"
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -49,7 +49,10 @@
 		return
 	}
 	status, reason := http.StatusBadGateway, ReasonAnswerBroken
-	if ctx.Err() != nil {
+	switch {
+	case exchange.relay.progress.hasEnded():
+		reason = ReasonStopping
+	case ctx.Err() != nil:
 		status, reason = http.StatusGatewayTimeout, ReasonTimeout
 	}
 	exchange.count("failed", reason)
@@ -99,7 +102,7 @@
 
 // closeWhenDraining makes the response close its connection if the relay is draining.
 func (exchange *exchange) closeWhenDraining(header http.Header) {
-	if exchange.relay.draining.Load() {
+	if exchange.relay.Draining() {
 		header.Set("Connection", "close")
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,16 +73,22 @@
 	config    Config
 	budget    *budget
 	snapshot  atomic.Pointer[policy.Snapshot]
-	draining  atomic.Bool
 	rejecting atomic.Bool
 	active    atomic.Int64
+	// drainUntil is when requests in progress are ended; nil means that the relay is not
+	// draining.
+	drainUntil atomic.Pointer[time.Time]
+	progress   *progress
 }
 
 var _ http.Handler = (*Relay)(nil)
 
 // New returns a relay that refuses all requests until [Relay.SetPolicy] is called.
 func New(config Config) *Relay {
-	return &Relay{config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow)}
+	return &Relay{
+		config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow),
+		progress: &progress{cancels: map[*exchange]context.CancelFunc{}},
+	}
 }
 
 // SetPolicy replaces the policy that requests are served by.
@@ -91,9 +97,13 @@
 // Policy returns the current policy, or nil if there is none yet.
 func (relay *Relay) Policy() *policy.Snapshot { return relay.snapshot.Load() }
 
-// Drain makes every further response close its connection; requests are still
-// served.
-func (relay *Relay) Drain() { relay.draining.Store(true) }
+// Drain makes every further response close its connection. Requests are still served,
+// except for those that must not be repeated and may take longer than until.
+func (relay *Relay) Drain(until time.Time) { relay.drainUntil.Store(&until) }
+
+// EndRequests ends the requests in progress. Those whose response has not begun get one
+// that says whether they may have run.
+func (relay *Relay) EndRequests() { relay.progress.end() }
 
 // RejectRequests makes the relay refuse further requests, as they might not finish
 // before the process stops.
@@ -125,6 +135,8 @@
 	}
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
 	defer cancel()
+	exchange.relay.progress.begin(exchange, cancel)
+	defer exchange.relay.progress.finish(exchange)
 	exchange.forward(ctx)
 }
 
@@ -159,6 +171,9 @@
 	if exchange.info.Timeout > 0 && exchange.info.Timeout < exchange.route.Timeout {
 		exchange.deadline = exchange.started.Add(exchange.info.Timeout)
 	}
+	if exchange.outlastsDrain() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
+	}
 	if refusal := exchange.readBody(snapshot.Limits().BodyBytes); refusal != nil {
 		return refusal
 	}
@@ -169,6 +184,14 @@
 	return exchange.charge()
 }
 
+// outlastsDrain reports whether the relay is draining and might have to end the request,
+// which must not be repeated, before its deadline. Streams are not meant, as they are much
+// shorter than their deadlines.
+func (exchange *exchange) outlastsDrain() bool {
+	until := exchange.relay.drainUntil.Load()
+	return until != nil && exchange.route.Kind == policy.KindUnsafe && exchange.deadline.After(*until)
+}
+
 // charge takes the request's cost from its account's limits.
 func (exchange *exchange) charge() *refusal {
 	if exchange.account == nil {
@@ -210,4 +233,4 @@
 func (relay *Relay) SetCoordinator(coordinator Coordinator) { relay.config.Coordinator = coordinator }
 
 // Draining reports whether [Relay.Drain] has been called.
-func (relay *Relay) Draining() bool { return relay.draining.Load() }
+func (relay *Relay) Draining() bool { return relay.drainUntil.Load() != nil }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -376,7 +376,7 @@
 	g := NewWithT(t)
 	fixture := newFixture(t, route("look", policy.KindSafe, "desk"))
 	seen := fixture.server("desk-1", "desk", ok)
-	fixture.relay.Drain()
+	fixture.relay.Drain(time.Now().Add(time.Minute))
 	result := fixture.call(http.MethodGet, "/look/1", "", nil)
 	g.Expect(result.status).To(Equal(http.StatusOK), "what is read is served")
 	fixture.relay.RejectRequests()
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -222,6 +222,14 @@
 				return
 			}
 		}
+		if intercept := backend.soak.intercept; intercept != nil {
+			if response, known := intercept(request); known {
+				if !serverConn.write(response) {
+					return
+				}
+				continue
+			}
+		}
 		answer, known := serverConn.answer(request, body)
 		if !known {
 			return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -147,6 +147,10 @@
 	ledger *ledger
 	// splices makes servers cut earlier responses off inside their headers.
 	splices bool
+	// routeTimeout is the shortest timeout of a route.
+	routeTimeout time.Duration
+	// intercept returns the response of servers to some requests; nil means to none.
+	intercept func(request *http.Request) (response string, known bool)
 	// modes, kinds and disturbances are drawn from.
 	modes        []string
 	kinds        []routeKind
@@ -167,7 +171,7 @@
 	t.Helper()
 	binary := program(t)
 	soak := &soak{
-		t: t, random: newRandom(*seedFlag), store: newKeyValue(), ledger: newLedger(),
+		t: t, random: newRandom(*seedFlag), store: newKeyValue(), ledger: newLedger(), routeTimeout: 3 * time.Second,
 		modes: callerModes, kinds: routeKinds, disturbances: allDisturbances,
 	}
 	logs := *logsFlag
@@ -210,7 +214,7 @@
 	route := func(kind routeKind, protocol string, attempts int, more map[string]any) map[string]any {
 		route := map[string]any{
 			"name": "r-" + string(kind), "host": callerHost, "pathPrefix": "/" + string(kind) + "/", "kind": protocol,
-			"timeoutMs": 3000 + random.IntN(2000), "targetLatencyMs": 300 + random.IntN(500), "priority": 1, "maxAttempts": attempts, "public": false,
+			"timeoutMs": int(soak.routeTimeout.Milliseconds()) + random.IntN(2000), "targetLatencyMs": 300 + random.IntN(500), "priority": 1, "maxAttempts": attempts, "public": false,
 		}
 		for name, value := range more {
 			route[name] = value
--- /dev/null
+++ b/soak/stop_test.go
@@ -0,0 +1,127 @@
+package soak_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// stopOutcome is what became of an order around the stop of an entry.
+type stopOutcome struct {
+	// sentAt is relative to the signal.
+	sentAt time.Duration
+	status int
+	err    error
+}
+
+// TestStopAnswersOrders stops an entry whose servers are too slow to answer orders within the
+// grace. Callers send orders, which must not be repeated, on new and on kept connections until
+// the process is gone. Each order that reaches a server gets a whole response, and none does that
+// is sent after the signal, as it could not be finished.
+func TestStopAnswersOrders(t *testing.T) {
+	const (
+		orderTime = 30 * time.Second
+		interval  = 150 * time.Millisecond
+	)
+	soak := newSoak(t)
+	soak.modes = []string{"ordinary"}
+	soak.routeTimeout = 20 * time.Second
+	soak.publish(soak.random)
+	entry := soak.entries[0]
+	soak.entries = soak.entries[:1]
+	entry.start()
+	soak.expectService()
+	var mutex sync.Mutex
+	reached, outcomes, quick := map[string]bool{}, map[string]stopOutcome{}, map[int]int{}
+	over := make(chan struct{})
+	soak.intercept = func(request *http.Request) (string, bool) {
+		key := request.Header.Get(keyHeader)
+		if request.URL.Path == "/"+string(kindOrder)+"/stop" {
+			mutex.Lock()
+			reached[key] = true
+			mutex.Unlock()
+			<-over
+		} else if request.URL.Path != "/"+string(kindLook)+"/stop" {
+			return "", false
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nfine", key), true
+	}
+	header := func(kind routeKind, key string) string {
+		return fmt.Sprintf("POST /%s/stop HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n",
+			kind, callerHost, keyHeader, key, tenantKey, soak.routeTimeout.Milliseconds(), key)
+	}
+	send := func(conn net.Conn, kind routeKind, key string) (int, error) {
+		_ = conn.SetDeadline(time.Now().Add(orderTime))
+		if _, err := io.WriteString(conn, header(kind, key)); err != nil {
+			return 0, err
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0, err
+		}
+		defer response.Body.Close()
+		_, err = io.ReadAll(response.Body)
+		return response.StatusCode, err
+	}
+	var callers sync.WaitGroup
+	signalled := time.Now().Add(time.Second)
+	for number := 0; time.Since(signalled) < 9*time.Second; number++ {
+		if number > 0 && time.Since(signalled) >= 0 && time.Since(signalled) < interval {
+			entry.mutex.Lock()
+			entry.expected = true
+			_ = entry.command.Process.Signal(syscall.SIGTERM)
+			entry.mutex.Unlock()
+			signalled = time.Now()
+		}
+		callers.Go(func() {
+			conn, err := net.DialTimeout("tcp", entry.address(frontPort), time.Second)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if number%2 == 0 {
+				status, err := send(conn, kindLook, fmt.Sprintf("%012x", 2*number))
+				if err != nil {
+					return
+				}
+				mutex.Lock()
+				quick[status]++
+				mutex.Unlock()
+				soak.pause(interval)
+			}
+			key := fmt.Sprintf("%012x", 2*number+1)
+			outcome := stopOutcome{sentAt: time.Since(signalled)}
+			outcome.status, outcome.err = send(conn, kindOrder, key)
+			mutex.Lock()
+			defer mutex.Unlock()
+			outcomes[key] = outcome
+		})
+		soak.pause(interval)
+	}
+	<-entry.ended
+	close(over)
+	callers.Wait()
+	ran := 0
+	for key, outcome := range outcomes {
+		switch {
+		case reached[key] && outcome.err != nil:
+			t.Errorf("an order sent %v after the signal reached a server and got no whole response: %v", outcome.sentAt, outcome.err)
+		case reached[key] && outcome.sentAt > interval:
+			t.Errorf("an order sent %v after the signal reached a server, which could not answer it in time: status %d", outcome.sentAt, outcome.status)
+		case outcome.err == nil && !reached[key] && outcome.status != http.StatusServiceUnavailable:
+			t.Errorf("an order sent %v after the signal that reached no server got status %d", outcome.sentAt, outcome.status)
+		}
+		if reached[key] {
+			ran++
+		}
+	}
+	if ran == 0 || quick[http.StatusOK] == 0 {
+		t.Errorf("%d orders reached a server, lookups got %v", ran, quick)
+	}
+}
