crash: a complete answer clears a request

A request that crashes servers after its first event is none that was answered completely. Before: TestCompletedRequestIsNoSuspect fails (503 for 200). After: it passes, as do go test ./relay -run 'Crash|Quarantin|PartThat|Plain' and ./crash.

--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -27,7 +27,8 @@
 	servers map[string]time.Time
 	// lastCrash is the latest of these times.
 	lastCrash time.Time
-	// clearedAt is when a prompt with the part was last known to be answered.
+	// clearedAt is when the request or a prompt with the part was last known to be
+	// answered.
 	clearedAt time.Time
 	// shared reports whether all entries need the suspicions.
 	shared bool
@@ -73,8 +74,7 @@
 	return len(suspects.bySubject) - suspects.parts
 }
 
-// clear drops the suspicions up to a moment at which a prompt with the part was answered.
-// It reports whether that is news.
+// clear drops the suspicions up to a moment at which the subject was answered. It reports whether that is news.
 func (suspect *suspect) clear(at time.Time) bool {
 	if !at.After(suspect.clearedAt) {
 		return false
--- a/crash/suspicion.go
+++ b/crash/suspicion.go
@@ -18,15 +18,16 @@
 
 // Suspicion is evidence about a subject. It is a server that ended while it ran the
 // request or had not begun to answer a prompt with the part, which may have caused that.
-// Or, if Cleared is set, it is an answer to a prompt with the part: the part did not crash
-// that server, so suspicions up to then no longer count.
+// Or, if Cleared is set, it is the complete answer to the request, or an answer to a prompt
+// with the part: the subject did not crash that server, so suspicions up to then no longer
+// count.
 type Suspicion struct {
 	Fingerprint Fingerprint
 	// Part reports whether Fingerprint is that of a part of prompts.
 	Part bool
 	// Server identifies an incarnation of a server. It is empty if Cleared is set.
 	Server string
-	// At is when the server was found to have ended or began to answer, by this process's
+	// At is when the server was found to have ended, or when it answered, by this process's
 	// clock.
 	At      time.Time
 	Cleared bool
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// RecordCompletion records that a server answered a request completely, so that it does not
+// crash servers.
+func (tracker *Tracker) RecordCompletion(fingerprint Fingerprint, at time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if tracker.suspects.count(Subject{Fingerprint: fingerprint}) > 0 {
+		tracker.add(Suspicion{Fingerprint: fingerprint, Cleared: true, At: at})
+	}
+}
+
 // Expire drops suspicions older than [SuspicionLifetime] and returns the subjects whose
 // quarantine has ended since the last call.
 func (tracker *Tracker) Expire(now time.Time) []Subject {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -43,6 +43,7 @@
 	if exchange.request.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	exchange.recordCompletion(response)
 	exchange.writer.WriteHeader(response.Status)
 	if _, err := exchange.writer.Write(body); err != nil {
 		exchange.abortLeft()
@@ -72,6 +73,7 @@
 	if err != nil {
 		exchange.abort(err)
 	}
+	exchange.recordCompletion(response)
 	exchange.recordDone(response.Status, int64(written)+copied)
 }
 
@@ -142,6 +144,7 @@
 	)
 	switch {
 	case err == nil:
+		exchange.recordCompletion(response)
 		exchange.recordDone(response.Status, bytes)
 		return true
 	case errors.As(err, &discontinuityError):
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -75,6 +76,15 @@
 	}
 }
 
+// recordCompletion records that a response is complete, which clears the request unless it
+// is no success or its end may be that of its server.
+func (exchange *exchange) recordCompletion(response *responseReader) {
+	crashes := exchange.relay.config.Crashes
+	if response.Status < http.StatusMultipleChoices && !response.EndsWithConnection && !crashes.Empty() {
+		crashes.RecordCompletion(exchange.fingerprint(), exchange.now())
+	}
+}
+
 // suspectBroken handles an attempt that got no complete response although the request had
 // neither passed its deadline nor lost its caller. The server is reported as crashed unless
 // it has sent anything new when CrashConfirmDelay has passed; ended reports whether the
