crash: find deadly parts in time, and clear sound ones, over fleets of all sizes

TestFleetQuarantinesDeadlyParts plays fleets of 1 to 60 entries in virtual time, with ends of servers for other reasons, losses of the coordinator and times on the way. It found, on the code of the commit before, each in turn: - an entry went on quarantining a common part: a new coordinator knew that the part had been cleared, dropped the entry's old suspicions and told nobody. It now answers an outdated suspicion with the clearance. - a part that a sound request needs was probed by one entry only, which in a large fleet gets such a request too late. The coordinator now grants probes, one at a time, to whichever entry asks (Coordination.Probe). - 4 to 10 requests with a part were sent later than 3 s after the fifth end, when it ended ten servers a second: crashes within 200 ms count once. Five servers in two crashes are enough now.

--- a/coord/client.go
+++ b/coord/client.go
@@ -87,6 +87,8 @@
 	ratesVersion  int64
 	// mutex guards all below.
 	mutex sync.Mutex
+	// probeAt maps quarantined parts to when to ask again whether one may be probed.
+	probeAt map[crash.Fingerprint]time.Time
 	// leader is the coordinator's encoded [Identity], empty if there is none. conn is
 	// nil if the coordinator is this process, or if there is none.
 	leader  string
@@ -104,7 +106,7 @@
 
 // NewClient returns a client without a coordinator; see [Client.SetCoordinator].
 func NewClient(config ClientConfig) *Client {
-	return &Client{config: config, wakeup: make(chan struct{}, 1), demands: map[Target]Demand{}}
+	return &Client{config: config, wakeup: make(chan struct{}, 1), demands: map[Target]Demand{}, probeAt: map[crash.Fingerprint]time.Time{}}
 }
 
 // SetCoordinator sets the coordinator to report to by its encoded [Identity]. An
@@ -248,6 +250,8 @@
 			client.waitForInterval(began)
 		case <-client.config.Pool.Gate().Observed():
 			client.waitForInterval(began)
+		case <-client.config.Crashes.Observed():
+			client.waitForInterval(began)
 		}
 	}
 }
@@ -265,7 +269,7 @@
 		return
 	}
 	asked := client.config.Clock.Now()
-	client.expireQuarantines(asked)
+	client.updateQuarantines(asked)
 	report := Report{Instance: client.config.Instance, ShareState: client.config.Shares.State(asked), Loads: client.config.Pool.OwnRequests(), Revision: client.config.Mirror.Revision()}
 	report.Holdings, report.Departures = client.holdingsVersion, client.config.Pool.UnreportedDepartures(client.holdingsVersion.Term)
 	suspicions, reported := client.config.Crashes.Since(client.reportedSuspicions)
@@ -303,16 +307,18 @@
 		client.reportedSuspicions = 0
 		client.triggerReport()
 	}
-	if reply.Entries > 0 {
-		client.config.Crashes.SetPlace(reply.Rank, reply.Entries)
-	}
 	for _, subject := range client.config.Crashes.Add(reply.Suspicions...) {
 		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part, "term": reply.Term})
 	}
+	client.updateQuarantines(client.config.Clock.Now())
 }
 
-// expireQuarantines ends expired quarantines, also without a coordinator.
-func (client *Client) expireQuarantines(now time.Time) {
+// updateQuarantines begins and ends quarantines whose time has come, also without a
+// coordinator.
+func (client *Client) updateQuarantines(now time.Time) {
+	for _, subject := range client.config.Crashes.Settle(now) {
+		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
+	}
 	for _, subject := range client.config.Crashes.Expire(now) {
 		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
--- a/coord/server.go
+++ b/coord/server.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/permit"
 	"github.com/basilkeel/basilkeel/pool"
@@ -65,6 +66,15 @@
 	return &wire.CoordPermitReply{Issued: issued, WaitMilliseconds: wait.Milliseconds()}, nil
 }
 
+// Probe implements [wire.CoordinationServer].
+func (server *Server) Probe(_ context.Context, message *wire.CoordProbeRequest) (*wire.CoordProbeReply, error) {
+	wait, granted, err := server.coordinator.Probe(crash.Fingerprint(message.GetPart()))
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return &wire.CoordProbeReply{Granted: granted, WaitMilliseconds: wait.Milliseconds()}, nil
+}
+
 func encodeError(err error) error {
 	var notCoordinatingError *NotCoordinatingError
 	if errors.As(err, &notCoordinatingError) {
--- a/crash/aggregator.go
+++ b/crash/aggregator.go
@@ -24,29 +24,42 @@
 type Aggregator struct {
 	suspects suspects
 	journal  journal
+	// probes maps parts to the times of their last probes.
+	probes map[Fingerprint]time.Time
 }
 
 // NewAggregator returns an empty aggregator.
-func NewAggregator() *Aggregator { return &Aggregator{suspects: newSuspects(maxAggregatorSubjects)} }
+func NewAggregator() *Aggregator {
+	return &Aggregator{suspects: newSuspects(maxAggregatorSubjects), probes: map[Fingerprint]time.Time{}}
+}
 
 // Add stores suspicions that an entry reports.
 func (aggregator *Aggregator) Add(suspicions []Suspicion) {
 	for _, suspicion := range suspicions {
-		if !aggregator.suspects.add(suspicion) {
-			continue
+		added := aggregator.suspects.add(suspicion)
+		known := aggregator.suspects.bySubject[suspicion.Subject()]
+		if added && suspicion.Cleared {
+			known.clearanceShared = false
 		}
-		switch known := aggregator.suspects.bySubject[suspicion.Subject()]; {
+		// An entry that reports an outdated suspicion needs to know when it was cleared.
+		outdated := !suspicion.Cleared && !suspicion.At.After(known.clearedAt) && !known.clearanceShared
+		switch {
+		case !added && !outdated:
+		case outdated, !known.shared && len(known.servers) >= sharedThreshold:
+			known.shared, known.clearanceShared = true, true
+			aggregator.journal.add(aggregator.suspects.suspicions(suspicion.Subject())...)
 		case known.shared:
+			known.clearanceShared = known.clearanceShared || suspicion.Cleared
 			aggregator.journal.add(suspicion)
-		case len(known.servers) >= sharedThreshold:
-			known.shared = true
-			aggregator.journal.add(aggregator.suspects.suspicions(suspicion.Subject())...)
 		}
 	}
 }
 
 // Expire drops suspicions older than [SuspicionLifetime].
-func (aggregator *Aggregator) Expire(now time.Time) { aggregator.suspects.expire(now) }
+func (aggregator *Aggregator) Expire(now time.Time) {
+	aggregator.suspects.settle(now)
+	aggregator.suspects.expire(now)
+}
 
 // Since returns the suspicions that all entries need and that were added after the one
 // with the given number, and the number to pass next time. Zero asks for all.
--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -15,6 +15,15 @@
 	return crash.Suspicion{Fingerprint: part, Part: true, Server: server, At: epoch.Add(after)}
 }
 
+// settled is when the time has passed in which others report answers.
+var settled = epoch.Add(2 * time.Minute)
+
+// settle lets that time pass.
+func settle(tracker *crash.Tracker) []crash.Subject {
+	tracker.Settle(settled.Add(-time.Second))
+	return tracker.Settle(settled)
+}
+
 func TestPartIsQuarantinedByCrashesWithoutAnswer(t *testing.T) {
 	const part, common = crash.Fingerprint(7), crash.Fingerprint(8)
 	cases := []struct {
@@ -27,7 +36,9 @@
 		{name: "three crashes", crashes: []time.Duration{0, time.Second, 2 * time.Second}, want: true},
 		{name: "two crashes", crashes: []time.Duration{0, time.Second}},
 		{name: "twenty at once", crashes: make([]time.Duration, 20)},
-		{name: "two groups", crashes: []time.Duration{0, 0, 50 * time.Millisecond, time.Second, time.Second + 100*time.Millisecond}},
+		{name: "many servers one after the other in a short time", crashes: []time.Duration{0, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 390 * time.Millisecond}, want: true},
+		{name: "two groups of four", crashes: []time.Duration{0, 0, time.Second, time.Second}},
+		{name: "two groups", crashes: []time.Duration{0, 50 * time.Millisecond, time.Second, time.Second + 100*time.Millisecond}},
 		{name: "three groups", crashes: []time.Duration{0, 0, time.Second, time.Second, 2 * time.Second}, want: true},
 		{name: "an answer between", crashes: []time.Duration{0, time.Second, 2 * time.Second}, answers: []time.Duration{500 * time.Millisecond}},
 		{name: "an answer before", crashes: []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}, answers: []time.Duration{0}, want: true},
@@ -53,11 +64,15 @@
 				if !answersFirst {
 					answer()
 				}
-				quarantined := tracker.QuarantinedParts([]crash.Fingerprint{common, part, part})
+				g.Expect(tracker.QuarantinedParts([]crash.Fingerprint{part}, settled)).To(BeEmpty(), "others may have seen an answer")
+				begun := settle(tracker)
+				quarantined := tracker.QuarantinedParts([]crash.Fingerprint{common, part, part}, settled)
 				if each.want {
 					g.Expect(quarantined).To(Equal([]crash.Fingerprint{part}))
+					g.Expect(begun).To(Equal([]crash.Subject{{Fingerprint: part, Part: true}}))
 				} else {
 					g.Expect(quarantined).To(BeEmpty())
+					g.Expect(begun).To(BeEmpty())
 				}
 				g.Expect(tracker.Quarantined(part)).To(BeFalse(), "a request with the same fingerprint is another subject")
 			})
@@ -93,7 +108,8 @@
 		exchange()
 		if !answeredBefore {
 			for _, entry := range entries {
-				g.Expect(entry.QuarantinedParts([]crash.Fingerprint{part})).To(HaveLen(1))
+				settle(entry)
+				g.Expect(entry.QuarantinedParts([]crash.Fingerprint{part}, settled)).To(HaveLen(1))
 			}
 			answer()
 			exchange()
@@ -101,7 +117,8 @@
 			g.Expect(entries[0].Expire(epoch)).To(BeEmpty())
 		}
 		for _, entry := range entries {
-			g.Expect(entry.QuarantinedParts([]crash.Fingerprint{part})).To(BeEmpty())
+			settle(entry)
+			g.Expect(entry.QuarantinedParts([]crash.Fingerprint{part}, settled)).To(BeEmpty())
 		}
 		g.Expect(aggregator.Record().Suspicions()).To(BeEmpty())
 		successor := crash.NewAggregator()
@@ -111,7 +128,8 @@
 		}
 		restarted := crash.NewTracker()
 		shared, _ := successor.Since(0)
-		g.Expect(restarted.Add(shared...)).To(BeEmpty(), "a new coordinator does not bring the quarantine back")
+		restarted.Add(shared...)
+		g.Expect(settle(restarted)).To(BeEmpty(), "a new coordinator does not bring the quarantine back")
 	}
 }
 
@@ -125,7 +143,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	read, err := crash.DecodeRecord(data, epoch.Add(time.Minute))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(crash.NewTracker().Add(read.Suspicions()...)).To(Equal([]crash.Subject{{Fingerprint: 1<<63 + 7, Part: true}}))
+	restarted := crash.NewTracker()
+	restarted.Add(read.Suspicions()...)
+	g.Expect(settle(restarted)).To(Equal([]crash.Subject{{Fingerprint: 1<<63 + 7, Part: true}}))
 }
 
 func TestPartsAndRequestsDoNotEvictEachOther(t *testing.T) {
@@ -140,37 +160,40 @@
 		tracker.RecordAnswer([]crash.Fingerprint{fingerprint}, epoch.Add(2*time.Minute))
 	}
 	g.Expect(len(tracker.Suspicions(epoch))).To(BeNumerically("<=", 2*256))
-	g.Expect(tracker.Add(suspicion(5, "i-3", epoch), partSuspicion(5, "i-3", time.Minute))).To(HaveLen(2))
+	g.Expect(tracker.Add(suspicion(5, "i-3", epoch), partSuspicion(5, "i-3", time.Minute))).To(Equal([]crash.Subject{{Fingerprint: 5}}))
+	g.Expect(settle(tracker)).To(Equal([]crash.Subject{{Fingerprint: 5, Part: true}}))
 }
 
-func TestOneEntryProbesQuarantinedPartSeldom(t *testing.T) {
+func TestQuarantinedPartIsProbedSeldom(t *testing.T) {
 	g := NewWithT(t)
-	const part, entries = crash.Fingerprint(7), 4
-	var trackers []*crash.Tracker
-	for rank := range entries {
-		tracker := crash.NewTracker()
-		for index := range 3 {
-			tracker.Add(partSuspicion(part, strconv.Itoa(index), time.Duration(index)*time.Second))
-		}
-		g.Expect(tracker.StartProbe(part, epoch.Add(time.Minute))).To(BeFalse(), "the entry's place is not known")
-		tracker.SetPlace(rank, entries)
-		trackers = append(trackers, tracker)
+	const part = crash.Fingerprint(7)
+	aggregator := crash.NewAggregator()
+	var known []crash.Suspicion
+	crashed := func(at time.Time) {
+		suspicion := crash.Suspicion{Fingerprint: part, Part: true, Server: strconv.Itoa(len(known)), At: at}
+		known = append(known, suspicion)
+		aggregator.Add([]crash.Suspicion{suspicion})
+	}
+	for index := range 3 {
+		crashed(epoch.Add(time.Duration(index) * time.Second))
 	}
 	start := epoch.Add(2 * time.Second)
 	var probedAt []time.Duration
-	for now := start; now.Before(start.Add(10 * time.Minute)); now = now.Add(100 * time.Millisecond) {
-		for _, tracker := range trackers {
-			if !tracker.StartProbe(part, now) {
-				continue
-			}
-			probedAt = append(probedAt, now.Sub(start))
-			for rank, each := range trackers {
-				each.Add(crash.Suspicion{Fingerprint: part, Part: true, Server: "probe-" + strconv.Itoa(len(probedAt)), At: now})
-				each.SetPlace((rank+len(probedAt))%entries, entries)
-			}
+	for now := start; now.Before(start.Add(9 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+		wait, granted := aggregator.Probe(part, now)
+		if !granted {
+			g.Expect(wait).To(BeNumerically(">", 0))
+			continue
 		}
+		probedAt = append(probedAt, now.Sub(start))
+		crashed(now)
+		// The coordinator is replaced by one that knows what the entries know.
+		aggregator = crash.NewAggregator()
+		aggregator.Add(known)
 	}
 	g.Expect(probedAt).To(Equal([]time.Duration{2 * time.Second, 62 * time.Second}), "each probe crashed a server")
+	_, granted := aggregator.Probe(8, start.Add(time.Minute))
+	g.Expect(granted).To(BeFalse(), "a part that is not quarantined")
 }
 
 func TestPartFingerprintsShowTheirID(t *testing.T) {
--- a/crash/suspicion.go
+++ b/crash/suspicion.go
@@ -14,6 +14,13 @@
 	// part, since a failure of what they share ends them together. It spans the errors of
 	// times that other instances report.
 	commonCauseTime = 200 * time.Millisecond
+	// manyServers is how many servers must have ended for two crashes of a part to be
+	// enough. Requests with a part may come so fast that their crashes look like few.
+	manyServers = 5
+	// settleTime is how long a suspicion of a part is stored before it counts. Meanwhile
+	// entries that have seen the part answered since report that at once, and this entry
+	// gets it with its next report.
+	settleTime = 350 * time.Millisecond
 )
 
 // Suspicion is evidence about a subject. It is a server that ended while it ran the
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -20,51 +20,85 @@
 	journal  journal
 	// answers are those that this entry has seen.
 	answers answers
-	// released are the subjects whose quarantine has ended since the last call of Expire.
-	released []Subject
-	probes   probes
+	// observed receives a value after this entry has found evidence about a part.
+	observed chan struct{}
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{suspects: newSuspects(maxTrackerSubjects), answers: newAnswers(), probes: newProbes()}
+	return &Tracker{suspects: newSuspects(maxTrackerSubjects), answers: newAnswers(), observed: make(chan struct{}, 1)}
 }
 
 // Add stores suspicions, whether the entry's own or those of others, and returns the
-// subjects whose quarantine begins.
+// requests whose quarantine begins.
 func (tracker *Tracker) Add(suspicions ...Suspicion) []Subject {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.add(suspicions...)
-}
-
-// add is Add, called with the mutex held.
-func (tracker *Tracker) add(suspicions ...Suspicion) []Subject {
-	before := map[Subject]bool{}
+	var quarantined []Subject
 	for _, suspicion := range suspicions {
-		if answeredAt := tracker.answers.last(suspicion.Fingerprint); suspicion.Part && answeredAt.After(suspicion.At) {
-			suspicion.Server, suspicion.Cleared, suspicion.At = "", true, answeredAt
-		}
 		subject := suspicion.Subject()
-		if _, seen := before[subject]; !seen {
-			before[subject] = tracker.suspects.quarantined(subject)
-		}
-		if tracker.suspects.add(suspicion) {
+		answeredAt := tracker.answers.last(suspicion.Fingerprint)
+		switch {
+		case suspicion.Part && answeredAt.After(suspicion.At):
+			tracker.clear(subject, answeredAt)
+		case suspicion.Cleared:
+			// It is not reported to the coordinator again: its time would grow on the way.
+			tracker.suspects.add(suspicion)
+		case tracker.suspects.add(suspicion):
 			tracker.journal.add(suspicion)
+			if !subject.Part && tracker.suspects.count(subject) == QuarantineThreshold {
+				quarantined = append(quarantined, subject)
+			}
 		}
 	}
-	var begun []Subject
-	for subject, was := range before {
-		switch is := tracker.suspects.quarantined(subject); {
-		case is && !was:
-			begun = append(begun, subject)
-		case was && !is:
-			tracker.released = append(tracker.released, subject)
-		}
+	return quarantined
+}
+
+// clear stores that this entry has seen the subject answered.
+func (tracker *Tracker) clear(subject Subject, at time.Time) {
+	clearance := Suspicion{Fingerprint: subject.Fingerprint, Part: subject.Part, Cleared: true, At: at}
+	if tracker.suspects.add(clearance) {
+		tracker.journal.add(clearance)
+		tracker.notifyObserved()
+	}
+}
+
+// Observed returns a channel that receives a value after this entry has found evidence
+// about parts that the coordinator needs soon.
+func (tracker *Tracker) Observed() <-chan struct{} { return tracker.observed }
+
+func (tracker *Tracker) notifyObserved() {
+	select {
+	case tracker.observed <- struct{}{}:
+	default:
 	}
+}
+
+// AddOwn is Add for what this entry has found itself at a moment. It returns the subjects
+// whose quarantine begins.
+func (tracker *Tracker) AddOwn(now time.Time, suspicions ...Suspicion) []Subject {
+	begun := tracker.Add(suspicions...)
+	begun = append(begun, tracker.Settle(now)...)
+	tracker.notifyObserved()
 	return begun
 }
 
+// clearSuspect is clear for a subject that is suspected; it has no effect on others.
+func (tracker *Tracker) clearSuspect(subject Subject, at time.Time) {
+	if tracker.suspects.count(subject) > 0 {
+		tracker.clear(subject, at)
+	}
+}
+
+// Settle has new suspicions of parts count after a while without an answer to a prompt with
+// the part, and returns the parts whose quarantine has begun since the last call. It has to
+// be called regularly.
+func (tracker *Tracker) Settle(now time.Time) []Subject {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.suspects.settle(now)
+}
+
 // RecordAnswer records that a server began to answer a prompt with the given parts, so
 // that none of them crashes servers.
 func (tracker *Tracker) RecordAnswer(parts []Fingerprint, at time.Time) {
@@ -72,10 +106,7 @@
 	defer tracker.mutex.Unlock()
 	for _, part := range parts {
 		tracker.answers.record(part, at)
-		subject := Subject{Fingerprint: part, Part: true}
-		if tracker.suspects.count(subject) > 0 {
-			tracker.add(Suspicion{Fingerprint: part, Part: true, Cleared: true, At: at})
-		}
+		tracker.clearSuspect(Subject{Fingerprint: part, Part: true}, at)
 	}
 }
 
@@ -84,9 +115,7 @@
 func (tracker *Tracker) RecordCompletion(fingerprint Fingerprint, at time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if tracker.suspects.count(Subject{Fingerprint: fingerprint}) > 0 {
-		tracker.add(Suspicion{Fingerprint: fingerprint, Cleared: true, At: at})
-	}
+	tracker.clearSuspect(Subject{Fingerprint: fingerprint}, at)
 }
 
 // Expire drops suspicions older than [SuspicionLifetime] and returns the subjects whose
@@ -94,9 +123,7 @@
 func (tracker *Tracker) Expire(now time.Time) []Subject {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	released := slices.Concat(tracker.released, tracker.suspects.expire(now))
-	tracker.released = nil
-	return released
+	return tracker.suspects.expire(now)
 }
 
 // Since returns the suspicions that were added after the one with the given number, and
@@ -131,17 +158,17 @@
 func (tracker *Tracker) Quarantined(fingerprint Fingerprint) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.suspects.quarantined(Subject{Fingerprint: fingerprint})
+	return tracker.suspects.quarantined(Subject{Fingerprint: fingerprint}, time.Time{})
 }
 
 // QuarantinedParts returns those of a prompt's parts with which it must not be sent to any
 // server.
-func (tracker *Tracker) QuarantinedParts(parts []Fingerprint) []Fingerprint {
+func (tracker *Tracker) QuarantinedParts(parts []Fingerprint, now time.Time) []Fingerprint {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	var quarantined []Fingerprint
 	for _, part := range parts {
-		if tracker.suspects.quarantined(Subject{Fingerprint: part, Part: true}) && !slices.Contains(quarantined, part) {
+		if tracker.suspects.quarantined(Subject{Fingerprint: part, Part: true}, now) && !slices.Contains(quarantined, part) {
 			quarantined = append(quarantined, part)
 		}
 	}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -31,7 +31,7 @@
 	if crashes.Empty() {
 		return false
 	}
-	parts := crashes.QuarantinedParts(exchange.sharedParts())
+	parts := crashes.QuarantinedParts(exchange.sharedParts(), exchange.now())
 	switch {
 	case crashes.Quarantined(exchange.fingerprint()) || len(parts) > 1:
 		return true
@@ -49,7 +49,11 @@
 	if exchange.probedPart != nil {
 		return *exchange.probedPart == part
 	}
-	if !exchange.relay.config.Crashes.StartProbe(part, exchange.now()) {
+	granted, err := exchange.relay.config.Coordinator.Probe(exchange.request.Context(), part)
+	if err != nil {
+		exchange.cause = err
+	}
+	if !granted {
 		return false
 	}
 	exchange.probedPart = &part
@@ -175,11 +179,12 @@
 	event.RequestSuspected.Log(relay.config.Log, suspect.fields())
 	incarnation := string(suspect.server.ID) + "/" + strconv.FormatInt(suspect.server.Incarnation, 10)
 	suspicions := make([]crash.Suspicion, 0, 1+len(suspect.parts))
-	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: relay.config.Clock.Now()})
+	now := relay.config.Clock.Now()
+	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: now})
 	for _, part := range suspect.parts {
 		suspicions = append(suspicions, crash.Suspicion{Fingerprint: part, Part: true, Server: incarnation, At: crashedAt})
 	}
-	for _, subject := range relay.config.Crashes.Add(suspicions...) {
+	for _, subject := range relay.config.Crashes.AddOwn(now, suspicions...) {
 		event.QuarantineBegun.Log(relay.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
 }
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -142,6 +142,9 @@
 	return time.Second, !fakeCoordinator.denyLoans, nil
 }
 
+// Probe implements [relay.Coordinator].
+func (*fakeCoordinator) Probe(context.Context, crash.Fingerprint) (bool, error) { return false, nil }
+
 // AddDemand implements [relay.Coordinator].
 func (*fakeCoordinator) AddDemand(names.Service, names.Model, float64) {}
 
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -76,7 +76,7 @@
 	}
 	if refusal.reason == ReasonQuarantined {
 		fields["fingerprint"] = exchange.fingerprint().String()
-		fields["parts"] = fmt.Sprint(exchange.relay.config.Crashes.QuarantinedParts(exchange.sharedParts()))
+		fields["parts"] = fmt.Sprint(exchange.relay.config.Crashes.QuarantinedParts(exchange.sharedParts(), exchange.now()))
 	}
 	event.RequestRefused.Log(exchange.relay.config.Log, exchange.fields(fields))
 	exchange.writeError(refusal.status, string(refusal.reason), retryAfter)
