--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -311,6 +311,12 @@
 			soak.store.setMode(storeMode(1 + random.IntN(int(storeModes)-1)))
 			soak.pause(time.Duration(random.IntN(4000)) * time.Millisecond)
 			soak.store.setMode(storeSound)
+		case disturbRestore:
+			copied := soak.store.copy()
+			soak.pause(time.Duration(random.IntN(4000)) * time.Millisecond)
+			soak.store.setMode(storeRefusing)
+			soak.pause(time.Duration(random.IntN(2000)) * time.Millisecond)
+			soak.store.restore(copied, time.Duration(random.IntN(1500))*time.Millisecond)
 		case disturbDrain:
 			server.replace(true, true, random)
 		case disturbCrash:
@@ -335,6 +341,7 @@
 	disturbHangUp        disturbance = "an entry reads its settings again"
 	disturbConfiguration disturbance = "a new configuration"
 	disturbStore         disturbance = "the store is slow, silent or refuses"
+	disturbRestore       disturbance = "the store comes back from a copy"
 	disturbDrain         disturbance = "a server drains and is replaced"
 	disturbCrash         disturbance = "a server crashes and returns"
 	disturbIncarnation   disturbance = "a new incarnation keeps the connections"
@@ -342,7 +349,7 @@
 )
 
 var allDisturbances = []disturbance{
-	disturbStop, disturbStop, disturbKill, disturbCoordinator, disturbHangUp, disturbConfiguration, disturbStore, disturbDrain,
+	disturbStop, disturbStop, disturbKill, disturbCoordinator, disturbHangUp, disturbConfiguration, disturbStore, disturbRestore, disturbDrain,
 	disturbCrash, disturbIncarnation, disturbAddress,
 }
 
