node: a restored registry brings no former incarnation back

A server that drained and started again under its identifier since the copy was made was listed as draining, by its former incarnation. The entry now counts once it is written again, as that of a server that was removed. Before: TestRestoredRegistryKeepsLaterIncarnations fails. After: go test ./node is green.

--- a/node/registryhandler.go
+++ b/node/registryhandler.go
@@ -27,8 +27,8 @@
 	known map[names.BackendServer]int64
 	// removed holds the servers whose entries were removed lately.
 	removed map[names.BackendServer]removal
-	// outdated maps the servers whose entries are ignored, as they had been removed before
-	// the service was restored, to the revisions of these entries.
+	// outdated maps the servers whose entries are ignored, as they had been removed or
+	// replaced before the service was restored, to the revisions of these entries.
 	outdated map[names.BackendServer]store.Revision
 	// era is the era of the entries read last.
 	era store.Era
@@ -110,7 +110,7 @@
 		registryHandler.pool.Reject(id, registryHandler.clock.Now())
 		return
 	}
-	if removed, found := registryHandler.removed[id]; restored && found && removed.incarnation == server.Incarnation {
+	if restored && registryHandler.hasEnded(id, server.Incarnation) {
 		registryHandler.outdated[id] = entry.Revision()
 		return
 	}
@@ -122,6 +122,16 @@
 	})
 }
 
+// hasEnded reports whether an incarnation of a server is known to have been removed or
+// replaced by another one.
+func (registryHandler *registryHandler) hasEnded(id names.BackendServer, incarnation int64) bool {
+	if known, found := registryHandler.known[id]; found {
+		return known != incarnation
+	}
+	removed, found := registryHandler.removed[id]
+	return found && removed.incarnation == incarnation
+}
+
 // remove processes the removal of a server's entry.
 func (registryHandler *registryHandler) remove(id names.BackendServer) {
 	delete(registryHandler.outdated, id)
--- a/node/registryrestore_test.go
+++ b/node/registryrestore_test.go
@@ -17,10 +17,33 @@
 // registryEntry returns the entry of a server in a state.
 func registryEntry(t *testing.T, id, state string, era store.Era, number int64) store.Entry {
 	t.Helper()
-	value := fmt.Sprintf(`{"service":"notes","address":"10.0.0.%s:80","zone":"a","slots":8,"state":%q,"born":1700000000000,"seq":1}`, id, state)
+	return incarnationEntry(t, id, state, 1700000000000, era, number)
+}
+
+// incarnationEntry is registryEntry for an incarnation.
+func incarnationEntry(t *testing.T, id, state string, incarnation int64, era store.Era, number int64) store.Entry {
+	t.Helper()
+	value := fmt.Sprintf(`{"service":"notes","address":"10.0.0.%s:80","zone":"a","slots":8,"state":%q,"born":%d,"seq":1}`, id, state, incarnation)
 	return storedEntry(t, platform.RegistryPrefix+id, value, era, number)
 }
 
+// TestRestoredRegistryKeepsLaterIncarnations restores the registry from a copy that lists a server
+// as it was before it drained and started again under its identifier.
+func TestRestoredRegistryKeepsLaterIncarnations(t *testing.T) {
+	g := NewWithT(t)
+	log, _ := test.NewNullLogger()
+	clock := clock.NewService(clock.ServiceConfig{})
+	servers := pool.New(pool.Config{RegistryPeriod: time.Second, Random: func() float64 { return 0 }})
+	handler := newRegistryHandler(servers, clock, log)
+	handler.Replaced([]store.Entry{incarnationEntry(t, "1", "draining", 1700000000000, 0, 2)})
+	handler.Changed([]store.Entry{incarnationEntry(t, "1", "ready", 1700000009000, 0, 5)})
+	handler.Replaced([]store.Entry{incarnationEntry(t, "1", "draining", 1700000000000, 1, 2)})
+	g.Expect(servers.Servers(time.Now())[0].Incarnation).To(Equal(int64(1700000009000)))
+	g.Expect(servers.Servers(time.Now())[0].Draining).To(BeFalse())
+	handler.Changed([]store.Entry{incarnationEntry(t, "1", "ready", 1700000012000, 1, 3)})
+	g.Expect(servers.Servers(time.Now())[0].Incarnation).To(Equal(int64(1700000012000)))
+}
+
 // TestRestoredRegistryBringsNoServerBack restores the registry from a copy that lists servers as
 // they were some seconds ago.
 func TestRestoredRegistryBringsNoServerBack(t *testing.T) {
