--- a/coord/client.go
+++ b/coord/client.go
@@ -322,6 +322,7 @@
 	for _, subject := range client.config.Crashes.Expire(now) {
 		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
+	metrics.GetOrRegisterGauge("crash.quarantined", client.config.Metrics).Update(int64(client.config.Crashes.QuarantinedCount(now)))
 }
 
 // applyChanges applies the coordinator's changes of the platform's keys, so that the
--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -70,6 +70,7 @@
 				if each.want {
 					g.Expect(quarantined).To(Equal([]crash.Fingerprint{part}))
 					g.Expect(begun).To(Equal([]crash.Subject{{Fingerprint: part, Part: true}}))
+					g.Expect(tracker.QuarantinedCount(settled)).To(Equal(1))
 				} else {
 					g.Expect(quarantined).To(BeEmpty())
 					g.Expect(begun).To(BeEmpty())
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -154,6 +154,19 @@
 	return len(tracker.suspects.bySubject) == 0
 }
 
+// QuarantinedCount returns the number of requests and parts that are quarantined.
+func (tracker *Tracker) QuarantinedCount(now time.Time) int {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	count := 0
+	for subject := range tracker.suspects.bySubject {
+		if tracker.suspects.quarantined(subject, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Quarantined reports whether a request must not be sent to any server.
 func (tracker *Tracker) Quarantined(fingerprint Fingerprint) bool {
 	tracker.mutex.Lock()
