--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -1,10 +1,8 @@
 package soak_test
 
 import (
+	"bytes"
 	"fmt"
-	"io"
-	"net"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -65,19 +63,8 @@
 	soak.ledger.report(t)
 }
 
-// servesRoute reports whether an entry knows the route of a kind.
-func (soak *soak) servesRoute(entry *entry, kind string) bool {
-	conn, err := net.DialTimeout("tcp", entry.address(frontPort), time.Second)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(responseTimeout))
-	caller := &caller{soak: soak, random: newRandom(uint64(soak.number.Add(1))), mode: "ordinary"}
-	asked := caller.draw()
-	asked.kind, asked.method, asked.model = kindLook, "POST", ""
-	asked.target = "/" + kind + "/last"
-	_, _ = io.WriteString(conn, caller.format(asked, "1.0"))
-	text, _ := io.ReadAll(conn)
-	return strings.HasPrefix(string(text), "HTTP/1.0 ") && !strings.HasPrefix(string(text), "HTTP/1.0 404")
+// servesRoute reports whether an entry knows a route to the service of lookups.
+func (soak *soak) servesRoute(entry *entry, route string) bool {
+	text := soak.response(entry, kindLook, route)
+	return bytes.HasPrefix(text, []byte("HTTP/1.0 ")) && !bytes.HasPrefix(text, []byte("HTTP/1.0 404"))
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -266,22 +266,28 @@
 
 // serves sends one ordinary request and reports whether it succeeds.
 func (soak *soak) serves(entry *entry, kind routeKind) bool {
+	return bytes.HasPrefix(soak.response(entry, kind, string(kind)), []byte("HTTP/1.0 200"))
+}
+
+// response sends one ordinary request of a kind to a route and returns the response, or
+// nothing if the entry accepts no connection.
+func (soak *soak) response(entry *entry, kind routeKind, route string) []byte {
 	conn, err := net.DialTimeout("tcp", entry.address(frontPort), time.Second)
 	if err != nil {
-		return false
+		return nil
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(responseTimeout))
 	caller := &caller{soak: soak, random: newRandom(uint64(soak.number.Add(1))), mode: "ordinary"}
 	asked := caller.draw()
 	asked.kind, asked.method, asked.model = kind, http.MethodPost, ""
-	asked.target = "/" + string(kind) + "/last"
+	asked.target = "/" + route + "/last"
 	if kind.streaming() {
 		asked.model = engineModels[0]
 	}
 	_, _ = io.WriteString(conn, caller.format(asked, "1.0"))
 	text, _ := io.ReadAll(conn)
-	return bytes.HasPrefix(text, []byte("HTTP/1.0 200"))
+	return text
 }
 
 // disturb causes disturbances until ctx is done, and undoes them.
