soak: a response that ends with its connection breaks off with a reset, whoever closes it

Traced: the stand-in wrote a part of the body, and a millisecond later a reset; a server that left meanwhile closed the connection in the ordinary way, which cannot be told from the end of such a response. The check is as it was.

--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -278,10 +278,12 @@
 		if !answer.broken || answer.head {
 			return serverConn.write(text) && !answer.endless
 		}
-		serverConn.write(text[:len(text)-1-random.IntN(len(answer.body))])
 		if answer.endless {
+			// The server may leave, and close its connections, before it breaks off itself.
 			answer.reset = true
+			_ = serverConn.conn.(*net.TCPConn).SetLinger(0)
 		}
+		serverConn.write(text[:len(text)-1-random.IntN(len(answer.body))])
 		return serverConn.breakOff(answer)
 	}
 	serverConn.write(fmt.Sprintf("HTTP/1.1 %d OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", answer.status, answer.header))
