--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -25,8 +25,11 @@
 	// partSound is the time after the fifth end from which sound requests have to be
 	// served.
 	partSound = 2 * partContact
-	// partWatched is how long requests are counted.
+	// partWatched is how long requests are counted at least. It goes on, up to partTimeout,
+	// until there are partSamples sound requests of each prompt.
 	partWatched = 14 * time.Second
+	partTimeout = 2 * time.Minute
+	partSamples = 20
 )
 
 // soundCount counts sound requests by the parts of their prompts.
@@ -45,6 +48,13 @@
 	}
 }
 
+// enough reports whether there are partSamples requests of each prompt.
+func (soundCount *soundCount) enough(prompts []string) bool {
+	soundCount.mutex.Lock()
+	defer soundCount.mutex.Unlock()
+	return !slices.ContainsFunc(prompts, func(prompt string) bool { return soundCount.sent[prompt] < partSamples })
+}
+
 // hasPart reports whether one of the parts of a request's prompt, except for the last one, is
 // in parts.
 func hasPart(request *http.Request, parts ...string) bool {
@@ -147,6 +157,7 @@
 			for index := range 4 {
 				call(index, each.late, func() bool { return !fleet.fifthEnd().IsZero() }, settled)
 			}
+			prompts := slices.Concat(each.sound, each.late)
 			began := time.Now()
 			for number := 0; ; number++ {
 				time.Sleep(125 * time.Millisecond)
@@ -158,7 +169,8 @@
 				callers.Go(func() {
 					front.call(http.MethodPost, "/draft/"+last, last, map[string]string{"Parts": each.deadly[number%len(each.deadly)] + "," + last})
 				})
-				if (!at.IsZero() && sent.After(at.Add(partWatched))) || sent.Sub(began) > 2*partWatched {
+				watched := !at.IsZero() && sent.After(at.Add(partWatched)) && sound.enough(prompts)
+				if watched || sent.Sub(began) > partTimeout {
 					break
 				}
 				if each.disturb != nil && number%16 == 15 {
@@ -169,8 +181,8 @@
 			callers.Wait()
 			g.Expect(fleet.fifthEnd()).NotTo(BeZero(), "five servers have ended")
 			g.Expect(late.Load()).To(BeNumerically("<=", partRetries*len(each.parts)), "requests with the part that reached servers")
-			for _, prompt := range slices.Concat(each.sound, each.late) {
-				g.Expect(sound.sent[prompt]).To(BeNumerically(">=", 20), prompt)
+			for _, prompt := range prompts {
+				g.Expect(sound.sent[prompt]).To(BeNumerically(">=", partSamples), prompt)
 				g.Expect(2*sound.served[prompt]).To(BeNumerically(">=", sound.sent[prompt]), "%q: %d of %d", prompt, sound.served[prompt], sound.sent[prompt])
 			}
 		})
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -70,14 +70,17 @@
 		return response.StatusCode, err
 	}
 	var callers sync.WaitGroup
-	signalled := time.Now().Add(time.Second)
+	// signalled is when the signal is or will be sent. Only this goroutine writes it.
+	sent, signalled := false, time.Now().Add(time.Second)
 	for number := 0; time.Since(signalled) < 9*time.Second; number++ {
-		if number > 0 && time.Since(signalled) >= 0 && time.Since(signalled) < interval {
+		if !sent && time.Since(signalled) >= 0 {
 			entry.mutex.Lock()
 			entry.expected = true
 			_ = entry.command.Process.Signal(syscall.SIGTERM)
 			entry.mutex.Unlock()
-			signalled = time.Now()
+			mutex.Lock()
+			sent, signalled = true, time.Now()
+			mutex.Unlock()
 		}
 		callers.Go(func() {
 			conn, err := net.DialTimeout("tcp", entry.address(frontPort), time.Second)
@@ -96,7 +99,9 @@
 				soak.pause(interval)
 			}
 			key := fmt.Sprintf("%012x", 2*number+1)
+			mutex.Lock()
 			outcome := stopOutcome{sentAt: time.Since(signalled)}
+			mutex.Unlock()
 			outcome.status, outcome.err = send(conn, kindOrder, key)
 			mutex.Lock()
 			defer mutex.Unlock()
@@ -107,6 +112,8 @@
 	<-entry.ended
 	close(over)
 	callers.Wait()
+	mutex.Lock()
+	defer mutex.Unlock()
 	ran := 0
 	for key, outcome := range outcomes {
 		switch {
