crash: the coordinator settles suspicions only when a probe is asked for

Read in the diff: each of the entries' reports, four a second each, made the coordinator go through all suspicions that it stores, up to 8192 requests and as many parts, although only probes need that.

--- a/crash/aggregator.go
+++ b/crash/aggregator.go
@@ -56,10 +56,7 @@
 }
 
 // Expire drops suspicions older than [SuspicionLifetime].
-func (aggregator *Aggregator) Expire(now time.Time) {
-	aggregator.suspects.settle(now)
-	aggregator.suspects.expire(now)
-}
+func (aggregator *Aggregator) Expire(now time.Time) { aggregator.suspects.expire(now) }
 
 // Since returns the suspicions that all entries need and that were added after the one
 // with the given number, and the number to pass next time. Zero asks for all.
