coord: loans, permits and probes are requested in one way

Client.Probe was written as a third copy of Client.Borrow and Client.Permit, and the coordinator's Probe as a second one of Permit. No change of behaviour. go test ./coord, ./relay -run 'PartThat|RequestsThanTheyDeclare|Permit|Budget': green.

--- a/coord/client.go
+++ b/coord/client.go
@@ -31,9 +31,6 @@
 	// reportTimeout bounds a report. Links take 5 ms one way, and a slow instance
 	// takes some tens of milliseconds.
 	reportTimeout = 600 * time.Millisecond
-	// borrowTimeout bounds a request for a loan of tokens, for which a caller's
-	// request waits.
-	borrowTimeout = 150 * time.Millisecond
 	// holdingLifetime is how long after a report the coordinator's view of engines
 	// takes precedence over the registry's.
 	holdingLifetime = 1500 * time.Millisecond
@@ -95,7 +92,7 @@
 	conn    *grpc.ClientConn
 	demands map[Target]Demand
 	// answeredAt is when a report was last answered; unansweredAt is when a request
-	// for a loan or a permit last failed.
+	// for a loan, a permit or a probe last failed.
 	answeredAt   time.Time
 	unansweredAt time.Time
 	lost         bool
@@ -182,34 +179,23 @@
 
 // Borrow implements [relay.Coordinator].
 func (client *Client) Borrow(ctx context.Context, account names.ClientAccount, cost float64) (time.Duration, bool, error) {
-	conn, self, err := client.coordinatorConn()
-	if err != nil {
-		return 0, false, err
-	}
-	if self {
-		return client.config.Coordinator.Borrow(account, cost)
-	}
-	if err := client.checkResponsive(); err != nil {
-		return 0, false, err
-	}
-	callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	reply, err := wire.NewCoordinationClient(conn).Borrow(callCtx, &wire.CoordBorrowRequest{Account: string(account), Cost: cost})
-	if err != nil {
-		client.recordUnanswered()
-		return 0, false, err
-	}
-	return time.Duration(reply.GetWaitMilliseconds()) * time.Millisecond, reply.GetLent(), nil
+	return client.requestGrant(ctx,
+		func(coordinator *Coordinator) (time.Duration, bool, error) { return coordinator.Borrow(account, cost) },
+		func(ctx context.Context, coordination wire.CoordinationClient) (grantReply, bool, error) {
+			reply, err := coordination.Borrow(ctx, &wire.CoordBorrowRequest{Account: string(account), Cost: cost})
+			return reply, reply.GetLent(), err
+		},
+	)
 }
 
-// recordUnanswered records that a request for a loan or a permit failed.
+// recordUnanswered records that a request for a loan, a permit or a probe failed.
 func (client *Client) recordUnanswered() {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	client.unansweredAt = client.config.Clock.Now()
 }
 
-// checkResponsive fails with a *[NoAnswerError] if a request for a loan or a permit has failed
+// checkResponsive fails with a *[NoAnswerError] if a request for a loan, a permit or a probe has failed
 // within the last report period and no report was answered since. Without it every
 // request would wait for an unresponsive coordinator.
 func (client *Client) checkResponsive() error {
--- a/coord/errors.go
+++ b/coord/errors.go
@@ -40,7 +40,7 @@
 	return fmt.Sprintf("client account %q is not in the policy in force", unknownAccountError.Account)
 }
 
-// NoAnswerError reports a request for a loan or a permit that was not sent because the
+// NoAnswerError reports a request for a loan, a permit or a probe that was not sent because the
 // coordinator has just failed to answer another one.
 type NoAnswerError struct {
 	// Since is the time since the coordinator failed to answer.
--- a/coord/probes.go
+++ b/coord/probes.go
@@ -9,23 +9,10 @@
 	"github.com/basilkeel/basilkeel/wire"
 )
 
-// probeTimeout bounds the question whether a part may be probed, for which a caller's
-// request waits.
-const probeTimeout = borrowTimeout
-
 // Probe reports whether a request may be sent although a part of its prompt is quarantined,
 // and otherwise how long to wait. It fails with a *[NotCoordinatingError].
 func (coordinator *Coordinator) Probe(part crash.Fingerprint) (time.Duration, bool, error) {
-	now := coordinator.config.Clock.Now()
-	snapshot := coordinator.config.Policy()
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	term, err := coordinator.currentTerm(snapshot)
-	if err != nil {
-		return 0, false, err
-	}
-	wait, granted := term.aggregator.Probe(part, now)
-	return wait, granted, nil
+	return coordinator.grant(func(term *term, now time.Time) (time.Duration, bool) { return term.aggregator.Probe(part, now) })
 }
 
 // Probe implements [relay.Coordinator]. It asks the coordinator only when a probe may be
@@ -54,22 +41,11 @@
 }
 
 func (client *Client) requestProbe(ctx context.Context, part crash.Fingerprint) (time.Duration, bool, error) {
-	conn, self, err := client.coordinatorConn()
-	if err != nil {
-		return 0, false, err
-	}
-	if self {
-		return client.config.Coordinator.Probe(part)
-	}
-	if err := client.checkResponsive(); err != nil {
-		return 0, false, err
-	}
-	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	reply, err := wire.NewCoordinationClient(conn).Probe(callCtx, &wire.CoordProbeRequest{Part: uint64(part)})
-	if err != nil {
-		client.recordUnanswered()
-		return 0, false, err
-	}
-	return time.Duration(reply.GetWaitMilliseconds()) * time.Millisecond, reply.GetGranted(), nil
+	return client.requestGrant(ctx,
+		func(coordinator *Coordinator) (time.Duration, bool, error) { return coordinator.Probe(part) },
+		func(ctx context.Context, coordination wire.CoordinationClient) (grantReply, bool, error) {
+			reply, err := coordination.Probe(ctx, &wire.CoordProbeRequest{Part: uint64(part)})
+			return reply, reply.GetGranted(), err
+		},
+	)
 }
