--- a/coord/client.go
+++ b/coord/client.go
@@ -255,7 +255,7 @@
 		return
 	}
 	asked := client.config.Clock.Now()
-	client.updateQuarantines(asked)
+	defer client.updateQuarantines()
 	report := Report{Instance: client.config.Instance, ShareState: client.config.Shares.State(asked), Loads: client.config.Pool.OwnRequests(), Revision: client.config.Mirror.Revision()}
 	report.Holdings, report.Departures = client.holdingsVersion, client.config.Pool.UnreportedDepartures(client.holdingsVersion.Term)
 	suspicions, reported := client.config.Crashes.Since(client.reportedSuspicions)
@@ -296,12 +296,12 @@
 	for _, subject := range client.config.Crashes.Add(reply.Suspicions...) {
 		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part, "term": reply.Term})
 	}
-	client.updateQuarantines(client.config.Clock.Now())
 }
 
 // updateQuarantines begins and ends quarantines whose time has come, also without a
 // coordinator.
-func (client *Client) updateQuarantines(now time.Time) {
+func (client *Client) updateQuarantines() {
+	now := client.config.Clock.Now()
 	for _, subject := range client.config.Crashes.Settle(now) {
 		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -23,11 +23,10 @@
 
 // suspect is what is known of one subject that is suspected of a crash.
 type suspect struct {
-	part bool
 	// servers maps each server that ended while it ran the subject to what is known of
 	// that.
 	servers map[string]ending
-	// lastCrash is the latest of these times.
+	// lastCrash is when the last of them ended.
 	lastCrash time.Time
 	// clearedAt is when the request or a prompt with the part was last known to be
 	// answered.
@@ -61,7 +60,7 @@
 		if suspects.len(subject.Part) >= suspects.maxSubjects {
 			suspects.evict(subject.Part)
 		}
-		known = &suspect{part: subject.Part, servers: map[string]ending{}}
+		known = &suspect{servers: map[string]ending{}}
 		suspects.bySubject[subject] = known
 		if subject.Part {
 			suspects.parts++
