--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -231,8 +231,7 @@
 	run.awayUntil = run.now.Add(span)
 }
 
-// TestFleetQuarantinesDeadlyParts plays sound requests and such with parts that end servers, ends of
-// servers for reasons of their own and losses of the coordinator, over fleets of all sizes.
+// Sound requests, plain crashes and losses of the coordinator, over fleets of all sizes.
 func TestFleetQuarantinesDeadlyParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		run := &fleetRun{t: t, now: epoch, aggregator: crash.NewAggregator(), term: 1}
--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -81,8 +81,7 @@
 	}
 }
 
-// TestAnswerAnywhereClearsPartEverywhere has two entries see a part crash servers, and a third
-// one see it answered.
+// Two entries see a part crash servers, a third one sees it answered.
 func TestAnswerAnywhereClearsPartEverywhere(t *testing.T) {
 	const part = crash.Fingerprint(7)
 	for _, answeredBefore := range []bool{true, false} {
--- a/elect/restore_test.go
+++ b/elect/restore_test.go
@@ -21,8 +21,7 @@
 	return elect.Leader{}
 }
 
-// TestTermsGrowAcrossRestoredStore restores the store from copies of different times. Numbers of
-// revisions are given out again, but no later term is below a former one, and no term goes on.
+// Numbers of revisions are given out again, but no later term is below a former one.
 func TestTermsGrowAcrossRestoredStore(t *testing.T) {
 	cases := []struct {
 		name string
--- a/engine/headcut_test.go
+++ b/engine/headcut_test.go
@@ -15,8 +15,7 @@
 	"github.com/basilkeel/basilkeel/engine"
 )
 
-// TestHeaderCutAnywhereIsNoResponse has servers close their connection within the header of a
-// response, after each of its bytes.
+// The server closes its connection after each byte of the header.
 func TestHeaderCutAnywhereIsNoResponse(t *testing.T) {
 	headers := []string{
 		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 4\r\n\r\n",
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -28,8 +28,7 @@
 	})
 }
 
-// TestRestoredServiceIsFollowed restores the service from a copy several times and writes until
-// its numbers have passed those of before. A second mirror gets its changes from the first.
+// Writes go on until the service's numbers have passed those of before.
 func TestRestoredServiceIsFollowed(t *testing.T) {
 	g := NewWithT(t)
 	service := newFakeService()
--- a/node/registryrestore_test.go
+++ b/node/registryrestore_test.go
@@ -27,8 +27,7 @@
 	return storedEntry(t, platform.RegistryPrefix+id, value, era, number)
 }
 
-// TestRestoredRegistryKeepsLaterIncarnations restores the registry from a copy that lists a server
-// as it was before it drained and started again under its identifier.
+// The copy lists a server as it was before it started again.
 func TestRestoredRegistryKeepsLaterIncarnations(t *testing.T) {
 	g := NewWithT(t)
 	log, _ := test.NewNullLogger()
@@ -44,8 +43,7 @@
 	g.Expect(servers.Servers(time.Now())[0].Incarnation).To(Equal(int64(1700000012000)))
 }
 
-// TestRestoredRegistryBringsNoServerBack restores the registry from a copy that lists servers as
-// they were some seconds ago.
+// The copy lists servers as they were some seconds ago.
 func TestRestoredRegistryBringsNoServerBack(t *testing.T) {
 	g := NewWithT(t)
 	log, _ := test.NewNullLogger()
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -23,8 +23,7 @@
 	return store.NewEntry(store.EntryConfig{Key: key, Value: []byte(value), Revision: revision})
 }
 
-// TestRecordsCanBeWrittenAfterRestore checks which revisions the next writes of the records
-// expect once the service was restored from a copy.
+// The next writes of the records have to expect the revisions of the copy.
 func TestRecordsCanBeWrittenAfterRestore(t *testing.T) {
 	const shares, suspects = `{"shares":{}}`, `{"sightings":[]}`
 	cases := []struct {
--- a/relay/completed_test.go
+++ b/relay/completed_test.go
@@ -11,8 +11,7 @@
 	"github.com/basilkeel/basilkeel/policy"
 )
 
-// TestCompletedRequestIsNoSuspect has two servers end by chance while they run the same lookup, which
-// others answer, before a third one ends.
+// Two servers end by chance while they run the same lookup, which others answer.
 func TestCompletedRequestIsNoSuspect(t *testing.T) {
 	g := NewWithT(t)
 	fixture := newFixture(t, route("look", policy.KindSafe, "desk"))
--- a/relay/headcut_test.go
+++ b/relay/headcut_test.go
@@ -78,8 +78,7 @@
 	}
 }
 
-// TestHeaderCutAnywhereIsNoResponse has a server close its connection within the header of a
-// response, after each of its bytes. No caller must get a response that looks complete.
+// The server closes its connection after each byte of the header.
 func TestHeaderCutAnywhereIsNoResponse(t *testing.T) {
 	const body = "fine"
 	cases := []struct {
@@ -126,8 +125,7 @@
 	}
 }
 
-// TestHeaderCutAnywhereContinuesNoStream has the second server of a resumable stream close its
-// connection within the header of its response.
+// The second server of a stream closes its connection after each byte of the header.
 func TestHeaderCutAnywhereContinuesNoStream(t *testing.T) {
 	g := NewWithT(t)
 	draft := route("draft", policy.KindStream, "desk")
--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -72,9 +72,7 @@
 	return fleet.ends[4]
 }
 
-// TestPartThatCrashesServersIsQuarantined sends requests to all entries, no two alike, that
-// share one part of their prompts, which ends each server that answers them, among sound
-// requests that share all other parts.
+// Requests that are no two alike share a deadly part, sound ones share all their other parts.
 func TestPartThatCrashesServersIsQuarantined(t *testing.T) {
 	cases := []struct {
 		name string
@@ -189,8 +187,7 @@
 	}
 }
 
-// TestPlainCrashesQuarantineNoPart ends servers for reasons of their own while requests wait for
-// their first event, and checks that no part of their prompts is quarantined.
+// Servers end for reasons of their own while requests wait for their first event.
 func TestPlainCrashesQuarantineNoPart(t *testing.T) {
 	const ends = 8
 	cases := []struct {
--- a/relay/progress_test.go
+++ b/relay/progress_test.go
@@ -10,7 +10,7 @@
 	"github.com/basilkeel/basilkeel/policy"
 )
 
-// TestEndedRequestsGetResponses ends requests in progress, as a stopping process does.
+// A stopping process ends the requests in progress.
 func TestEndedRequestsGetResponses(t *testing.T) {
 	g := NewWithT(t)
 	order := route("order", policy.KindUnsafe, "desk")
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -8,9 +8,7 @@
 	"time"
 )
 
-// TestRestoredStoreLosesNoChange takes the store away and brings it back from a copy some seconds
-// old, several times. A route that the operators add afterwards has to be served by every entry
-// in time, and what was written before stays in force.
+// Routes that are added after the store came back from a copy have to be served in time.
 func TestRestoredStoreLosesNoChange(t *testing.T) {
 	const (
 		drills = 3
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -20,10 +20,7 @@
 	err    error
 }
 
-// TestStopAnswersOrders stops an entry whose servers are too slow to answer orders within the
-// grace. Callers send orders, which must not be repeated, on new and on kept connections until
-// the process is gone. Each order that reaches a server gets a whole response, and none does that
-// is sent after the signal, as it could not be finished.
+// Servers are too slow to answer orders within the grace of a stopping entry.
 func TestStopAnswersOrders(t *testing.T) {
 	const (
 		orderTime = 30 * time.Second
