--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,8 @@
 	path     string
 	body     string
 	model    string
+	// tokens is the number of tokens of a request for a model; the default is a usual draft.
+	tokens   string
 	deadline time.Duration
 	// patience is how long the caller waits for the whole answer.
 	patience time.Duration
@@ -71,7 +74,7 @@
 	request.Header.Set("Authorization", "Bearer "+tenantKey)
 	if call.model != "" {
 		request.Header.Set("X-Model", call.model)
-		request.Header.Set("X-Token-Count", "600,100")
+		request.Header.Set("X-Token-Count", cmp.Or(call.tokens, "600,100"))
 	}
 	response, err := transport.RoundTrip(request)
 	if err == nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,6 +18,7 @@
 	"poison": playPoison,
 	"bodies": playBodies,
 	"swap":   playSwap,
+	"late":   playLate,
 }
 
 // Exit codes of a case.
