--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -21,10 +21,10 @@
 
 // call is a caller's request.
 type call struct {
-	method   string
-	path     string
-	body     string
-	model    string
+	method string
+	path   string
+	body   string
+	model  string
 	// tokens is the number of tokens of a request for a model; the default is a usual draft.
 	tokens   string
 	deadline time.Duration
