--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -13,6 +14,10 @@
 )
 
 const (
+	// bodyDeadline is the timeoutMs of the route and the deadline of its callers.
+	bodyDeadline = 12 * time.Second
+	// bodyWork is how long a server works on a request: that of a usual draft.
+	bodyWork = 1500 * time.Millisecond
 	// maxBody is the maxBodyBytes of the configuration.
 	maxBody = 4194304
 	// memoryMB is the memoryMb of the settings.
@@ -21,6 +26,10 @@
 	// it grows when many come at once.
 	usualCallers = 33
 	burstFactor  = 2.9
+	// linkBytes is what the entry's link carries in a second: the linkMbps of the settings.
+	linkBytes = 1000 * 1000 * 1000 / 8
+	// pieceBytes is how much of a body is sent at once.
+	pieceBytes = 64 << 10
 	// allowedLosses is how many requests from kept connections may be lost after they were
 	// passed on.
 	allowedLosses = 3
@@ -64,6 +73,42 @@
 	}
 }
 
+// link is the entry's link, which its callers share.
+type link struct {
+	// mutex guards freeAt, when the link has carried all that was sent, and longest, the longest
+	// time that a piece has waited for it.
+	mutex   sync.Mutex
+	freeAt  time.Time
+	longest time.Duration
+}
+
+// carry waits as long as the link takes to carry a number of bytes.
+func (link *link) carry(bytes int) {
+	link.mutex.Lock()
+	now := time.Now()
+	if link.freeAt.Before(now) {
+		link.freeAt = now
+	}
+	link.freeAt = link.freeAt.Add(time.Duration(float64(bytes) / linkBytes * float64(time.Second)))
+	wait := link.freeAt.Sub(now)
+	link.longest = max(link.longest, wait)
+	link.mutex.Unlock()
+	time.Sleep(wait)
+}
+
+// linkReader reads a body at the pace of a link.
+type linkReader struct {
+	link *link
+	body io.Reader
+}
+
+// Read implements [io.Reader].
+func (linkReader *linkReader) Read(buffer []byte) (int, error) {
+	count, err := linkReader.body.Read(buffer[:min(len(buffer), pieceBytes)])
+	linkReader.link.carry(count)
+	return count, err
+}
+
 // playBodies has callers send requests with bodies of the largest size that the operator's
 // limits allow, from connections that they keep, and then more callers at once.
 func playBodies(record *record, trouble bool) (bool, error) {
@@ -80,12 +125,12 @@
 		runs[request.Header.Get("X-Attempt-Id")] = true
 	}
 	for number := range 6 {
-		server := &server{fleet: fleet, service: deskService, number: number, slots: 32, workTime: 100 * time.Millisecond, ran: ran}
+		server := &server{fleet: fleet, service: deskService, number: number, slots: 32, workTime: bodyWork, ran: ran}
 		if err := server.run(); err != nil {
 			return false, err
 		}
 	}
-	publishDesk(fleet.store)
+	publishDesk(fleet.store, bodyDeadline)
 	if err := fleet.start(); err != nil {
 		return false, err
 	}
@@ -103,6 +148,7 @@
 		})
 	})
 	body := strings.Repeat("x", maxBody)
+	link := &link{}
 	send := func(number int, until time.Time) {
 		transport := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true}
 		defer transport.CloseIdleConnections()
@@ -111,10 +157,10 @@
 			if !kept {
 				text = "small"
 			}
-			outcome := target.sendOver(transport, call{method: http.MethodPost, path: orderPath + "2", body: text, deadline: 1500 * time.Millisecond, patience: 2 * time.Second})
+			outcome := target.sendOver(transport, call{method: http.MethodPost, path: orderPath + "2", body: text, link: link, deadline: bodyDeadline, patience: bodyDeadline})
 			mutex.Lock()
 			sent++
-			cut := outcome.status == 0 && outcome.took < 1500*time.Millisecond
+			cut := outcome.status == 0 && outcome.took < bodyDeadline
 			note := ""
 			if cut && kept && runs[outcome.id] {
 				lost++
@@ -129,7 +175,7 @@
 		}
 	}
 	callersNow := usualCallers
-	until := time.Now().Add(12 * time.Second)
+	until := time.Now().Add(14 * time.Second)
 	for number := range callersNow {
 		callers.Go(func() { send(number, until) })
 	}
@@ -138,7 +184,7 @@
 		extra := int(burstFactor*float64(callersNow)) - callersNow
 		record.add("%d more callers come at once", extra)
 		for number := range extra {
-			callers.Go(func() { send(callersNow+number, until.Add(-3*time.Second)) })
+			callers.Go(func() { send(callersNow+number, until.Add(-5*time.Second)) })
 		}
 	}
 	for time.Now().Before(until) {
@@ -149,6 +195,7 @@
 	callers.Wait()
 	close(stop)
 	keeper.Wait()
+	record.add("the longest that a piece of a body waited for the link: %d ms", link.longest.Milliseconds())
 	record.add("%d requests; memory up to %d MB or more, the process was killed %d times", sent, peak, kills)
 	record.add("%d requests from kept connections were lost after they had been passed on, allowed are %d", lost, allowedLosses)
 	return lost > allowedLosses, nil
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -26,7 +26,9 @@
 	body   string
 	model  string
 	// tokens is the number of tokens of a request for a model; the default is a usual draft.
-	tokens   string
+	tokens string
+	// link carries the body; nil means that it is sent at once.
+	link     *link
 	deadline time.Duration
 	// patience is how long the caller waits for the whole answer.
 	patience time.Duration
@@ -64,10 +66,15 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), call.patience)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+entry.address(frontPort)+call.path, strings.NewReader(call.body))
+	var body io.Reader = strings.NewReader(call.body)
+	if call.link != nil {
+		body = &linkReader{link: call.link, body: body}
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+entry.address(frontPort)+call.path, body)
 	if err != nil {
 		panic(err)
 	}
+	request.ContentLength = int64(len(call.body))
 	request.Host = callerHost
 	request.Header.Set("X-Attempt-Id", result.id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(call.deadline.Milliseconds()))
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -13,6 +13,8 @@
 const (
 	deskService = "franchise-desk"
 	orderPath   = "/orders/"
+	// orderTimeout is the timeoutMs of the route of orders and the deadline of their callers.
+	orderTimeout = 1500 * time.Millisecond
 	// contact is the contactMs of the settings.
 	contact = 3 * time.Second
 	// allowedRetries is how many retries may reach servers later than contact after the third
@@ -21,11 +23,11 @@
 )
 
 // publishDesk writes a configuration with one plain service.
-func publishDesk(store *store) {
+func publishDesk(store *store, timeout time.Duration) {
 	store.put("op/config", map[string]any{
 		"version": 3,
 		"routes": []map[string]any{{
-			"name": "r-orders", "host": callerHost, "pathPrefix": orderPath, "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 120,
+			"name": "r-orders", "host": callerHost, "pathPrefix": orderPath, "kind": "unsafe", "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 120,
 			"priority": 2, "service": deskService, "maxAttempts": 1, "public": false,
 		}},
 		"services": []map[string]any{{"name": deskService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false}},
@@ -68,7 +70,7 @@
 			return false, err
 		}
 	}
-	publishDesk(fleet.store)
+	publishDesk(fleet.store, orderTimeout)
 	if err := fleet.start(); err != nil {
 		return false, err
 	}
@@ -84,14 +86,14 @@
 		}
 	}
 	for _, entry := range fleet.entries {
-		outcome := entry.send(call{method: http.MethodPost, path: orderPath + "1", body: "timber", deadline: 1500 * time.Millisecond, patience: 2 * time.Second})
+		outcome := entry.send(call{method: http.MethodPost, path: orderPath + "1", body: "timber", deadline: orderTimeout, patience: orderTimeout + answerSlack})
 		record.add("sound order through %s: %v", entry.name, outcome)
 		if outcome.status != http.StatusOK {
 			return false, fmt.Errorf("a sound order failed before the trouble: %v", outcome)
 		}
 	}
 	sendPoison := func(entry *entry) outcome {
-		outcome := entry.send(call{method: http.MethodPost, path: orderPath + "2", body: poison, deadline: 1500 * time.Millisecond, patience: 2 * time.Second})
+		outcome := entry.send(call{method: http.MethodPost, path: orderPath + "2", body: poison, deadline: orderTimeout, patience: orderTimeout + answerSlack})
 		record.add("answer: the crashing order through %s (%s): %v", entry.name, outcome.id, outcome)
 		return outcome
 	}
@@ -126,7 +128,7 @@
 				case <-time.After(20 * time.Millisecond):
 				}
 				outcome := entry.send(call{
-					method: http.MethodPost, path: orderPath + "3", body: fmt.Sprintf("timber %d %d", number, index), deadline: 1500 * time.Millisecond, patience: 2 * time.Second,
+					method: http.MethodPost, path: orderPath + "3", body: fmt.Sprintf("timber %d %d", number, index), deadline: orderTimeout, patience: orderTimeout + answerSlack,
 				})
 				mutex.Lock()
 				sound++
