--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -20,6 +20,8 @@
 	bodyWork = 1500 * time.Millisecond
 	// maxBody is the maxBodyBytes of the configuration.
 	maxBody = 4194304
+	// usualBody is the length of a usual body.
+	usualBody = 1700
 	// memoryMB is the memoryMb of the settings.
 	memoryMB = 284
 	// usualCallers is the number of callers of the entry, burstFactor the largest one by which
@@ -109,8 +111,8 @@
 	return count, err
 }
 
-// playBodies has callers send requests with bodies of the largest size that the operator's
-// limits allow, from connections that they keep, and then more callers at once.
+// playBodies has callers send requests from connections that they keep, every other one with
+// bodies of the largest size that the operator's limits allow. Then more of these come at once.
 func playBodies(record *record, trouble bool) (bool, error) {
 	fleet, err := newFleet(record, 3)
 	if err != nil {
@@ -149,13 +151,14 @@
 	})
 	body := strings.Repeat("x", maxBody)
 	link := &link{}
+	callersNow := usualCallers
 	send := func(number int, until time.Time) {
 		transport := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true}
 		defer transport.CloseIdleConnections()
 		for kept := false; time.Now().Before(until); {
 			text := body
-			if !kept {
-				text = "small"
+			if !kept || (number < callersNow && number%2 == 0) {
+				text = strings.Repeat("x", usualBody)
 			}
 			outcome := target.sendOver(transport, call{method: http.MethodPost, path: orderPath + "2", body: text, link: link, deadline: bodyDeadline, patience: bodyDeadline})
 			mutex.Lock()
@@ -174,7 +177,6 @@
 			}
 		}
 	}
-	callersNow := usualCallers
 	until := time.Now().Add(14 * time.Second)
 	for number := range callersNow {
 		callers.Go(func() { send(number, until) })
