--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -24,9 +24,10 @@
 	usualBody = 1700
 	// memoryMB is the memoryMb of the settings.
 	memoryMB = 284
-	// usualCallers is the number of callers of the entry, burstFactor the largest one by which
-	// it grows when many come at once.
-	usualCallers = 33
+	// draftCallers and photoCallers are the usual numbers of callers with small and with large
+	// bodies, burstFactor is the largest factor by which they grow when many come at once.
+	draftCallers = 16
+	photoCallers = 33
 	burstFactor  = 2.9
 	// linkBytes is what the entry's link carries in a second: the linkMbps of the settings.
 	linkBytes = 1000 * 1000 * 1000 / 8
@@ -111,8 +112,11 @@
 	return count, err
 }
 
-// playBodies has callers send requests from connections that they keep, every other one with
-// bodies of the largest size that the operator's limits allow. Then more of these come at once.
+// grown returns the number of callers in a burst.
+func grown(callers int) int { return int(burstFactor * float64(callers)) }
+
+// playBodies has callers send requests from connections that they keep, many with
+// bodies of the largest size that the operator's limits allow. Then more of all come at once.
 func playBodies(record *record, trouble bool) (bool, error) {
 	fleet, err := newFleet(record, 3)
 	if err != nil {
@@ -149,15 +153,13 @@
 			record.add("%s has %d MB, more than its %d: the platform kills it", target.name, megabytes, memoryMB)
 		})
 	})
-	body := strings.Repeat("x", maxBody)
 	link := &link{}
-	callersNow := usualCallers
-	send := func(number int, until time.Time) {
+	send := func(caller string, body string, until time.Time) {
 		transport := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true}
 		defer transport.CloseIdleConnections()
 		for kept := false; time.Now().Before(until); {
 			text := body
-			if !kept || (number < callersNow && number%2 == 0) {
+			if !kept {
 				text = strings.Repeat("x", usualBody)
 			}
 			outcome := target.sendOver(transport, call{method: http.MethodPost, path: orderPath + "2", body: text, link: link, deadline: bodyDeadline, patience: bodyDeadline})
@@ -170,7 +172,7 @@
 				note = ": LOST after it was passed on, from a kept connection"
 			}
 			mutex.Unlock()
-			record.add("answer: caller %d, order %s of %d bytes: %v%s", number, outcome.id, len(text), outcome, note)
+			record.add("answer: %s, order %s of %d bytes: %v%s", caller, outcome.id, len(text), outcome, note)
 			kept = outcome.status == http.StatusOK
 			if !kept {
 				time.Sleep(500 * time.Millisecond)
@@ -178,16 +180,20 @@
 		}
 	}
 	until := time.Now().Add(14 * time.Second)
-	for number := range callersNow {
-		callers.Go(func() { send(number, until) })
+	large, small := strings.Repeat("x", maxBody), strings.Repeat("x", usualBody)
+	begin := func(kind, body string, first, count int, until time.Time) {
+		for number := range count {
+			callers.Go(func() { send(fmt.Sprintf("caller %d with %s", first+number, kind), body, until) })
+		}
 	}
+	begin("photos", large, 0, photoCallers, until)
+	begin("drafts", small, 0, draftCallers, until)
 	time.Sleep(4 * time.Second)
 	if trouble {
-		extra := int(burstFactor*float64(callersNow)) - callersNow
-		record.add("%d more callers come at once", extra)
-		for number := range extra {
-			callers.Go(func() { send(callersNow+number, until.Add(-5*time.Second)) })
-		}
+		record.add("%.1f times as many callers", burstFactor)
+		ended := until.Add(-5 * time.Second)
+		begin("photos", large, photoCallers, grown(photoCallers)-photoCallers, ended)
+		begin("drafts", small, draftCallers, grown(draftCallers)-draftCallers, ended)
 	}
 	for time.Now().Before(until) {
 		megabytes := target.residentKB() / 1024
