--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -65,6 +65,8 @@
 	events func(request *http.Request) int
 	// late returns whether an order stays unanswered and after what time it is carried out.
 	late func(engine *engine, order order) (time.Duration, bool)
+	// closes makes the engine close the connection of an order that it leaves unanswered.
+	closes bool
 	// overfilled is called when an order would exceed the engine's memory or its places for
 	// adapters, which crashes it.
 	overfilled func(engine *engine, order order, held string)
@@ -205,7 +207,9 @@
 					status := engine.carryOut(received)
 					engine.fleet.record.add("late order to %s arrives: %v: %d", engine.id, received, status)
 				})
-				<-request.Context().Done()
+				if !engine.closes {
+					<-request.Context().Done()
+				}
 				panic(http.ErrAbortHandler)
 			}
 		}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,7 +18,7 @@
 	"poison": playPoison,
 	"bodies": playBodies,
 	"swap":   playSwap,
-	"late":   playLate,
+	"ledger": playLedger,
 }
 
 // Exit codes of a case.
