--- a/review/stand/ledger.go
+++ b/review/stand/ledger.go
@@ -93,5 +93,6 @@
 	callers.Wait()
 	mutex.Lock()
 	defer mutex.Unlock()
+	record.add("%d orders to load more than an engine has places for", broken)
 	return broken > 0, nil
 }
