--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -70,7 +70,7 @@
 	if call.link != nil {
 		body = &linkReader{link: call.link, body: body}
 	}
-	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+entry.address(frontPort)+call.path, body)
+	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+entry.address(entry.fleet.ports.front)+call.path, body)
 	if err != nil {
 		panic(err)
 	}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -4,27 +4,66 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
+// ports are the ports of all entries, each of which has an address of its own.
+type ports struct {
+	front int
+	ready int
+	first int
+}
+
 const (
-	frontPort = 8221
-	readyPort = 8224
-	firstPort = 7600
+	// lowestPort and highestPort bound the ports that are tried. Outgoing connections get
+	// higher ones.
+	lowestPort  = 20000
+	highestPort = 32000
+	// portRange is the number of ports for communication between entries.
+	portRange = 16
+	// portTries bounds the search for free ports.
+	portTries = 50
 )
 
+// freePorts returns ports that are free at all addresses.
+func freePorts(addresses []string) (ports, error) {
+	for range portTries {
+		base := lowestPort + rand.IntN(highestPort-lowestPort)
+		found := ports{front: base, ready: base + 1, first: base + 2}
+		free := true
+		for _, address := range addresses {
+			for _, port := range []int{found.front, found.ready, found.first} {
+				listener, err := net.Listen("tcp", net.JoinHostPort(address, strconv.Itoa(port)))
+				if err != nil {
+					free = false
+					continue
+				}
+				listener.Close()
+			}
+		}
+		if free {
+			return found, nil
+		}
+	}
+	return ports{}, fmt.Errorf("no free ports at %v", addresses)
+}
+
 // fleet is a small deployment: the platform's store, entries as processes, and servers.
 type fleet struct {
 	record  *record
 	store   *store
 	folder  string
+	ports   ports
 	entries []*entry
 }
 
@@ -39,12 +78,15 @@
 	}
 	fleet := &fleet{record: record, store: store, folder: folder}
 	network := fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, (os.Getpid()/200)%250)
+	var addresses []string
 	for number := range entries {
 		fleet.entries = append(fleet.entries, &entry{
 			fleet: fleet, name: fmt.Sprintf("edge-%d", number+1), ip: fmt.Sprintf("%s.%d", network, number+1),
 		})
+		addresses = append(addresses, fleet.entries[number].ip)
 	}
-	return fleet, nil
+	fleet.ports, err = freePorts(addresses)
+	return fleet, err
 }
 
 // start starts all entries and waits until they are ready and one of them coordinates.
@@ -102,7 +144,7 @@
 	touchedAt time.Time
 }
 
-func (entry *entry) address(port int) string { return fmt.Sprintf("%s:%d", entry.ip, port) }
+func (entry *entry) address(port int) string { return net.JoinHostPort(entry.ip, strconv.Itoa(port)) }
 
 // start starts the process with the command of the deploy file.
 func (entry *entry) start() error {
@@ -123,7 +165,7 @@
 heartbeatMs: %[7]d
 bounds: {contactMs: 3000, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 54, requireFence: true, leaseMs: 3000, thawSlackMs: 300, ceilingWindowS: 5, ceilingOver: 1.1}
 platform: {address: %[8]q, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
-`, entry.name, entry.ip, frontPort, readyPort, firstPort, firstPort+15, heartbeat.Milliseconds(), entry.fleet.store.address())
+`, entry.name, entry.ip, entry.fleet.ports.front, entry.fleet.ports.ready, entry.fleet.ports.first, entry.fleet.ports.first+portRange-1, heartbeat.Milliseconds(), entry.fleet.store.address())
 	path := filepath.Join(entry.fleet.folder, entry.name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
@@ -153,7 +195,7 @@
 
 func (entry *entry) ready() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + entry.address(readyPort) + "/readyz")
+	response, err := client.Get("http://" + entry.address(entry.fleet.ports.ready) + "/readyz")
 	if err != nil {
 		return false
 	}
