--- a/coord/client.go
+++ b/coord/client.go
@@ -262,6 +262,7 @@
 	report.Suspicions, report.SuspicionsVersion = suspicions, client.suspicionsVersion
 	rates, reportedRates := client.config.Pool.Gate().Since(client.reportedRates)
 	report.Rates, report.RatesVersion = rates, client.ratesVersion
+	report.EngineUses = client.config.Pool.TakeUses()
 	client.mutex.Lock()
 	report.Demands = maps.Clone(client.demands)
 	client.mutex.Unlock()
--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/basilkeel/basilkeel/clock"
@@ -16,6 +17,7 @@
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/rate"
+	"github.com/basilkeel/basilkeel/sched"
 	"github.com/basilkeel/basilkeel/share"
 	"github.com/basilkeel/basilkeel/store"
 )
@@ -68,6 +70,9 @@
 	Log    logrus.FieldLogger
 	// Instance names this entry.
 	Instance names.Instance
+	// Cores is the part of a core that this process may use.
+	Cores   float64
+	Metrics metrics.Registry
 	// Policy returns the policy in force, or nil if there is none yet.
 	Policy func() *policy.Snapshot
 	// Servers returns the servers in the registry.
@@ -168,6 +173,11 @@
 	// holdings is what engines held at holdingsReadAt.
 	holdings       *holdings
 	holdingsReadAt time.Time
+	// schedulers are those of the services whose requests are scheduled. enginesReadAt is
+	// when they were last given the engines, and placeCalls the rate of their calls.
+	schedulers    map[names.Service]*sched.Scheduler
+	enginesReadAt time.Time
+	placeCalls    *rate.Meter
 	// departures maps each server that leaves to the time when that was first reported.
 	departures map[pool.Departure]time.Time
 }
@@ -210,6 +220,9 @@
 
 		requestRates: map[names.Service]*rate.Meter{},
 
+		schedulers: map[names.Service]*sched.Scheduler{},
+		placeCalls: rate.NewMeter(placeCallsHalfLife),
+
 		holdings:   newHoldings(),
 		departures: map[pool.Departure]time.Time{},
 	}
@@ -360,6 +373,7 @@
 		entryReport.waiting[target] = demand.Waiting
 	}
 	term.storeReport(report.Instance, entryReport, now)
+	coordinator.reportToSchedulers(term, report, snapshot, now)
 	reply := Reply{Term: term.number, Revision: coordinator.revision, Entries: term.reportedEntries(now)}
 	reply.Suspicions, reply.SuspicionsVersion = term.exchangeSuspicions(report, now)
 	reply.Rates, reply.RatesVersion = term.exchangeRates(report)
--- a/coord/errors.go
+++ b/coord/errors.go
@@ -51,3 +51,13 @@
 func (noAnswerError *NoAnswerError) Error() string {
 	return fmt.Sprintf("the coordinator failed to answer a request %v ago", noAnswerError.Since)
 }
+
+// OutcomeError reports a reply of the coordinator with an unknown outcome.
+type OutcomeError struct {
+	Outcome string
+}
+
+// Error implements error.
+func (outcomeError *OutcomeError) Error() string {
+	return fmt.Sprintf("the coordinator replied with the unknown outcome %q", outcomeError.Outcome)
+}
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -49,6 +49,8 @@
 	// RatesVersion is the number of the newest of the coordinator's changes of rates that
 	// the entry has. It belongs to the term in Holdings.
 	RatesVersion int64
+	// EngineUses is what the entry has measured on engines whose requests are scheduled.
+	EngineUses []pool.EngineUse
 }
 
 // Version identifies a state by its term and the number of changes within it.
--- /dev/null
+++ b/coord/place.go
@@ -0,0 +1,346 @@
+package coord
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/sched"
+	"github.com/basilkeel/basilkeel/wire"
+)
+
+const (
+	// enginesPeriod is the least time between two updates of the schedulers' engines.
+	enginesPeriod = 100 * time.Millisecond
+	// placeCallsPerCore is the number of calls a second that a coordinator answers for each
+	// core that it may use. A call takes 0.15 ms, and two thirds of its time is left for
+	// its own callers and for reports.
+	placeCallsPerCore  = 2200
+	placeCallsHalfLife = 500 * time.Millisecond
+)
+
+// Place schedules one attempt of a request. It fails with a *[NotCoordinatingError].
+func (coordinator *Coordinator) Place(service names.Service, request sched.Request) (sched.Decision, error) {
+	now := coordinator.config.Clock.Now()
+	snapshot := coordinator.config.Policy()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	term, err := coordinator.currentTerm(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	scheduler := coordinator.scheduler(term, service, snapshot, now)
+	term.placeCalls.Add(1, now)
+	if scheduler == nil || term.placeCalls.PerSecond(now) > placeCallsPerCore*coordinator.config.Cores {
+		metrics.GetOrRegisterCounter("coord.place.unscheduled", coordinator.config.Metrics).Inc(1)
+		return sched.Unscheduled{}, nil
+	}
+	decision := scheduler.Place(request, now)
+	metrics.GetOrRegisterCounter("coord.place."+outcomeOf(decision), coordinator.config.Metrics).Inc(1)
+	return decision, nil
+}
+
+// Explain returns the candidates for a request, the best first. It fails with a
+// *[NotCoordinatingError].
+func (coordinator *Coordinator) Explain(service names.Service, request sched.Request) ([]sched.Candidate, error) {
+	now := coordinator.config.Clock.Now()
+	snapshot := coordinator.config.Policy()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	term, err := coordinator.currentTerm(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	scheduler := coordinator.scheduler(term, service, snapshot, now)
+	if scheduler == nil {
+		return nil, nil
+	}
+	return scheduler.Explain(request, now), nil
+}
+
+// scheduler returns the scheduler of a service, or nil if its requests are not scheduled.
+// It is called with the coordinator's mutex held.
+func (coordinator *Coordinator) scheduler(term *term, service names.Service, snapshot *policy.Snapshot, now time.Time) *sched.Scheduler {
+	coordinator.refreshEngines(term, snapshot, now)
+	return term.schedulers[service]
+}
+
+// refreshEngines updates the schedulers by the policy, the registry and the holdings of
+// engines, at most once in enginesPeriod. It is called with the coordinator's mutex held.
+func (coordinator *Coordinator) refreshEngines(term *term, snapshot *policy.Snapshot, now time.Time) {
+	if !term.enginesReadAt.IsZero() && now.Sub(term.enginesReadAt) < enginesPeriod {
+		return
+	}
+	term.enginesReadAt = now
+	var servers []*pool.Server
+	for _, service := range snapshot.Services() {
+		scheduling := snapshot.Scheduling(service.Name)
+		if scheduling == nil {
+			delete(term.schedulers, service.Name)
+			continue
+		}
+		if servers == nil {
+			servers = coordinator.config.Servers(now)
+		}
+		config := schedulerConfig(service, scheduling, snapshot)
+		scheduler, found := term.schedulers[service.Name]
+		if found {
+			scheduler.Configure(config)
+		} else {
+			scheduler = sched.New(config)
+			term.schedulers[service.Name] = scheduler
+		}
+		scheduler.SetEngines(term.engines(service.Name, servers))
+	}
+}
+
+func schedulerConfig(service *policy.Service, scheduling *policy.Scheduling, snapshot *policy.Snapshot) sched.Config {
+	rates := map[names.ClientAccount]float64{}
+	for _, account := range snapshot.Accounts() {
+		rates[account.Name] = account.Rate
+	}
+	return sched.Config{
+		DeferFrom: scheduling.DeferFrom, GapObjective: scheduling.GapObjective, Priorities: scheduling.Priorities,
+		CacheTokens: service.Engine.CacheTokens,
+		AccountRate: func(account names.ClientAccount) float64 { return rates[account] },
+		Random:      rand.Float64,
+	}
+}
+
+// engines returns the engines of a service that accept requests. It is called with the
+// coordinator's mutex held.
+func (term *term) engines(service names.Service, servers []*pool.Server) []sched.Engine {
+	holdings := map[names.BackendServer]pool.Holding{}
+	for _, holding := range term.dispatcher.Holdings(service) {
+		holdings[holding.Server] = holding
+	}
+	var engines []sched.Engine
+	for _, server := range servers {
+		departed := pool.Departure{Server: server.ID, Incarnation: server.Incarnation}
+		if _, leaving := term.departures[departed]; server.Service != service || server.Draining || leaving {
+			continue
+		}
+		engine := sched.Engine{Server: server, Models: server.Models, Adapters: server.Adapters}
+		if holding, known := holdings[server.ID]; known && holding.Incarnation == server.Incarnation {
+			engine.Models, engine.Adapters, engine.Busy = holding.Models, holding.Adapters, holding.Busy
+		}
+		engines = append(engines, engine)
+	}
+	return engines
+}
+
+// reportToSchedulers passes an entry's report to the schedulers. It is called with the
+// coordinator's mutex held.
+func (coordinator *Coordinator) reportToSchedulers(term *term, report Report, snapshot *policy.Snapshot, now time.Time) {
+	coordinator.refreshEngines(term, snapshot, now)
+	for _, scheduler := range term.schedulers {
+		if invalid := scheduler.Report(report.Instance, report.Loads, report.EngineUses, now); invalid > 0 {
+			metrics.GetOrRegisterCounter("coord.place.invalidMeasurements", coordinator.config.Metrics).Inc(int64(invalid))
+		}
+	}
+}
+
+// Place implements [relay.Coordinator].
+func (client *Client) Place(ctx context.Context, service names.Service, request sched.Request) (sched.Decision, error) {
+	request.Instance = client.config.Instance
+	conn, self, err := client.coordinatorConn()
+	if err != nil {
+		return nil, err
+	}
+	if self {
+		return client.config.Coordinator.Place(service, request)
+	}
+	if err := client.checkResponsive(); err != nil {
+		return nil, err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	reply, err := wire.NewCoordinationClient(conn).Place(callCtx, encodePlaceRequest(service, request), grpc.WaitForReady(false))
+	if err != nil {
+		if ctx.Err() == nil {
+			client.recordUnanswered()
+		}
+		return nil, err
+	}
+	return decodePlaceReply(reply)
+}
+
+// Place implements [wire.CoordinationServer].
+func (server *Server) Place(_ context.Context, message *wire.CoordPlaceRequest) (*wire.CoordPlaceReply, error) {
+	service, request := decodePlaceRequest(message)
+	if message.GetExplain() {
+		candidates, err := server.coordinator.Explain(service, request)
+		if err != nil {
+			return nil, encodeError(err)
+		}
+		return &wire.CoordPlaceReply{Candidates: encodeCandidates(candidates)}, nil
+	}
+	decision, err := server.coordinator.Place(service, request)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return encodeDecision(decision), nil
+}
+
+// Outcomes of a call to schedule a request, as they are sent.
+const (
+	outcomePlaced      = "placed"
+	outcomeLater       = "later"
+	outcomeRefused     = "refused"
+	outcomeNoCopy      = "noCopy"
+	outcomeNoServer    = "noServer"
+	outcomeUnscheduled = "unscheduled"
+)
+
+func outcomeOf(decision sched.Decision) string {
+	switch decision.(type) {
+	case sched.Placed:
+		return outcomePlaced
+	case sched.Later:
+		return outcomeLater
+	case sched.Refused:
+		return outcomeRefused
+	case sched.NoCopy:
+		return outcomeNoCopy
+	case sched.NoServer:
+		return outcomeNoServer
+	default:
+		return outcomeUnscheduled
+	}
+}
+
+func encodeDecision(decision sched.Decision) *wire.CoordPlaceReply {
+	reply := &wire.CoordPlaceReply{Outcome: outcomeOf(decision)}
+	switch decision := decision.(type) {
+	case sched.Placed:
+		reply.Server, reply.Born, reply.WaitMilliseconds = string(decision.Server), decision.Incarnation, decision.Wait.Milliseconds()
+		reply.AdapterMissing, reply.Load, reply.Idle = decision.AdapterMissing, decision.Load, decision.Idle
+		reply.FirstMilliseconds, reply.UnreadTokens = decision.First.Milliseconds(), int32(decision.UnreadTokens)
+	case sched.Later:
+		reply.WaitMilliseconds = decision.Wait.Milliseconds()
+	case sched.Refused:
+		reply.WaitMilliseconds, reply.Load = decision.RetryAfter.Milliseconds(), decision.Load
+	case sched.NoCopy, sched.NoServer, sched.Unscheduled:
+	}
+	return reply
+}
+
+// decodePlaceReply fails with an *[OutcomeError].
+func decodePlaceReply(reply *wire.CoordPlaceReply) (sched.Decision, error) {
+	wait := time.Duration(max(reply.GetWaitMilliseconds(), 0)) * time.Millisecond
+	switch reply.GetOutcome() {
+	case outcomePlaced:
+		return sched.Placed{
+			Server: names.BackendServer(reply.GetServer()), Incarnation: reply.GetBorn(), Wait: wait, AdapterMissing: reply.GetAdapterMissing(),
+			Load: reply.GetLoad(), First: time.Duration(reply.GetFirstMilliseconds()) * time.Millisecond,
+			UnreadTokens: int64(reply.GetUnreadTokens()), Idle: reply.GetIdle(),
+		}, nil
+	case outcomeLater:
+		return sched.Later{Wait: wait}, nil
+	case outcomeRefused:
+		return sched.Refused{RetryAfter: wait, Load: reply.GetLoad()}, nil
+	case outcomeNoCopy:
+		return sched.NoCopy{}, nil
+	case outcomeNoServer:
+		return sched.NoServer{}, nil
+	case outcomeUnscheduled:
+		return sched.Unscheduled{}, nil
+	default:
+		return nil, &OutcomeError{Outcome: reply.GetOutcome()}
+	}
+}
+
+func encodePlaceRequest(service names.Service, request sched.Request) *wire.CoordPlaceRequest {
+	message := &wire.CoordPlaceRequest{
+		Instance: string(request.Instance), Service: string(service), Model: string(request.Model), Adapter: string(request.Adapter),
+		PromptTokens: int32(min(request.PromptTokens, maxPromptTokens)), Tokens: request.Tokens,
+		ElapsedMilliseconds: request.Elapsed.Milliseconds(), ObjectiveMilliseconds: request.Objective.Milliseconds(),
+		LeftMilliseconds: request.Left.Milliseconds(), Priority: int32(request.Priority), Account: string(request.Account),
+		Domain: string(request.Domain), Excluded: encodeServers(request.Excluded), Failing: encodeServers(request.Failing),
+	}
+	for _, part := range request.Parts {
+		message.Parts = append(message.Parts, &wire.CoordPromptPart{Id: part.ID, Tokens: int32(min(part.Tokens, maxPromptTokens))})
+	}
+	return message
+}
+
+// maxPromptTokens bounds the tokens of a prompt in a call.
+const maxPromptTokens = 1 << 30
+
+func decodePlaceRequest(message *wire.CoordPlaceRequest) (names.Service, sched.Request) {
+	request := sched.Request{
+		Instance: names.Instance(message.GetInstance()), Model: names.Model(message.GetModel()), Adapter: names.Adapter(message.GetAdapter()),
+		PromptTokens: int64(max(message.GetPromptTokens(), 0)), Tokens: max(message.GetTokens(), 0),
+		Elapsed:   time.Duration(message.GetElapsedMilliseconds()) * time.Millisecond,
+		Objective: time.Duration(message.GetObjectiveMilliseconds()) * time.Millisecond,
+		Left:      time.Duration(message.GetLeftMilliseconds()) * time.Millisecond,
+		Priority:  int(message.GetPriority()), Account: names.ClientAccount(message.GetAccount()), Domain: names.FailureDomain(message.GetDomain()),
+		Excluded: decodeServers(message.GetExcluded()), Failing: decodeServers(message.GetFailing()),
+	}
+	for _, part := range message.GetParts() {
+		request.Parts = append(request.Parts, sched.Part{ID: part.GetId(), Tokens: int64(max(part.GetTokens(), 0))})
+	}
+	return names.Service(message.GetService()), request
+}
+
+func encodeServers(servers []names.BackendServer) []string {
+	encoded := make([]string, 0, len(servers))
+	for _, server := range servers {
+		encoded = append(encoded, string(server))
+	}
+	return encoded
+}
+
+func decodeServers(encoded []string) []names.BackendServer {
+	servers := make([]names.BackendServer, 0, len(encoded))
+	for _, server := range encoded {
+		servers = append(servers, names.BackendServer(server))
+	}
+	return servers
+}
+
+func encodeCandidates(candidates []sched.Candidate) []*wire.CoordCandidate {
+	encoded := make([]*wire.CoordCandidate, 0, len(candidates))
+	for _, candidate := range candidates {
+		estimate := &candidate.Estimate
+		encoded = append(encoded, &wire.CoordCandidate{
+			Server: string(candidate.Server), Excluded: candidate.Excluded, Wait: estimate.Wait, Backlog: estimate.Backlog, Prompt: estimate.Prompt,
+			Adapter: estimate.Adapter, Distance: estimate.Distance, Load: estimate.Load, Pause: estimate.Pause, Total: estimate.Total(),
+			CachedTokens: int32(estimate.CachedTokens), Pace: estimate.Pace,
+		})
+	}
+	return encoded
+}
+
+func encodeUses(uses []pool.EngineUse) []*wire.CoordEngineUse {
+	encoded := make([]*wire.CoordEngineUse, 0, len(uses))
+	for _, use := range uses {
+		message := &wire.CoordEngineUse{Server: string(use.Server), Born: use.Incarnation, Events: int32(use.Events), EventMilliseconds: use.EventMilliseconds}
+		for _, reading := range use.Readings {
+			message.Readings = append(message.Readings, &wire.CoordReading{Tokens: int32(min(reading.Tokens, maxPromptTokens)), Milliseconds: reading.Milliseconds})
+		}
+		encoded = append(encoded, message)
+	}
+	return encoded
+}
+
+func decodeUses(encoded []*wire.CoordEngineUse) []pool.EngineUse {
+	uses := make([]pool.EngineUse, 0, len(encoded))
+	for _, message := range encoded {
+		use := pool.EngineUse{
+			Server: names.BackendServer(message.GetServer()), Incarnation: message.GetBorn(), Events: int(message.GetEvents()), EventMilliseconds: message.GetEventMilliseconds(),
+		}
+		for _, reading := range message.GetReadings() {
+			use.Readings = append(use.Readings, pool.Reading{Tokens: int64(reading.GetTokens()), Milliseconds: reading.GetMilliseconds()})
+		}
+		uses = append(uses, use)
+	}
+	return slices.Clip(uses)
+}
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -58,6 +58,7 @@
 	SuspectStore *suspectStore
 	Clock        *clock.Service
 	Log          logrus.FieldLogger
+	Metrics      metrics.Registry
 }
 
 func newCoordinator(parts coordinatorParts) *coord.Coordinator {
@@ -69,6 +70,8 @@
 		Mirror:          parts.Mirror,
 		LatestRevision:  latestRevision(parts.Store),
 		LoadWindow:      parts.Host.Bounds.LoadWindow,
+		Cores:           parts.Host.Cores,
+		Metrics:         parts.Metrics,
 	})
 }
 
--- a/policy/service.go
+++ b/policy/service.go
@@ -23,7 +23,10 @@
 	AdapterSlots int
 	// LoadsPerSecond bounds the rate of loads from the weight store, over all engines.
 	LoadsPerSecond float64
-	Models         map[names.Model]Model
+	// CacheTokens is an engine's memory for the tokens of running requests and cached
+	// prompts, or zero if it is unknown.
+	CacheTokens int64
+	Models      map[names.Model]Model
 }
 
 // Model is one base model that operators offer.
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -25,7 +25,8 @@
 	routes   map[string][]*Route
 	services map[names.Service]*Service
 	// keys maps the hash of each key to the account that it belongs to.
-	keys map[[sha256.Size]byte]*Account
+	keys       map[[sha256.Size]byte]*Account
+	scheduling map[names.Service]*Scheduling
 }
 
 // NewSnapshot returns a snapshot of config.
@@ -51,6 +52,7 @@
 			snapshot.keys[sha256.Sum256([]byte(key))] = account
 		}
 	}
+	snapshot.scheduling = schedulings(&config)
 	return snapshot
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -91,6 +91,8 @@
 	holdingsUntil time.Time
 	// changed is closed and replaced whenever a server may have become usable.
 	changed chan struct{}
+	// uses is what has been measured since the last report.
+	uses map[permit.Server]*EngineUse
 }
 
 // New returns an empty pool.
@@ -101,6 +103,7 @@
 	return &Pool{
 		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
 		holdings: map[names.BackendServer]*Holding{}, changed: make(chan struct{}),
+		uses: map[permit.Server]*EngineUse{},
 	}
 }
 
--- /dev/null
+++ b/pool/use.go
@@ -0,0 +1,105 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/permit"
+)
+
+// maxReadings bounds the readings of an engine in one report.
+const maxReadings = 8
+
+// EngineUse is what an entry has measured on the responses of an engine.
+type EngineUse struct {
+	Server      names.BackendServer
+	Incarnation int64
+	// Events is the number of events of streams, and EventMilliseconds the sum of the times
+	// between them.
+	Events            int
+	EventMilliseconds float64
+	Readings          []Reading
+}
+
+// Reading is the time that an engine took to begin to answer a prompt that did not have
+// to wait for others.
+type Reading struct {
+	Tokens       int64
+	Milliseconds float64
+}
+
+// RecordEvents records a number of events of a stream and the time in which they arrived.
+func (pool *Pool) RecordEvents(server *Server, events int, duration time.Duration) {
+	pool.updateUse(server, func(use *EngineUse) {
+		use.Events += events
+		use.EventMilliseconds += float64(duration) / float64(time.Millisecond)
+	})
+}
+
+// RecordReading records the time to the first event of a prompt that did not have to wait
+// for others.
+func (pool *Pool) RecordReading(server *Server, tokens int64, duration time.Duration) {
+	pool.updateUse(server, func(use *EngineUse) {
+		if len(use.Readings) < maxReadings {
+			use.Readings = append(use.Readings, Reading{Tokens: tokens, Milliseconds: float64(duration) / float64(time.Millisecond)})
+		}
+	})
+}
+
+// updateUse edits what has been measured on a server since the last report.
+func (pool *Pool) updateUse(server *Server, edit func(*EngineUse)) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	use, found := pool.uses[server.Identity()]
+	if !found {
+		use = &EngineUse{Server: server.ID, Incarnation: server.Incarnation}
+		pool.uses[server.Identity()] = use
+	}
+	edit(use)
+}
+
+// TakeUses returns what has been measured since the last call.
+func (pool *Pool) TakeUses() []EngineUse {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	uses := make([]EngineUse, 0, len(pool.uses))
+	for _, use := range pool.uses {
+		uses = append(uses, *use)
+	}
+	clear(pool.uses)
+	return uses
+}
+
+// UsableServer returns a server by its identity, and whether it may be sent a request.
+func (pool *Pool) UsableServer(id names.BackendServer, incarnation int64, now time.Time) (*Server, bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	member, found := pool.members[id]
+	if !found || member.server.Incarnation != incarnation || !pool.accepting(member, now) || member.paused(now) {
+		return nil, false
+	}
+	return member.server, true
+}
+
+// Unusable returns the servers that a query must not get, and those that have failed
+// lately.
+func (pool *Pool) Unusable(query Query, now time.Time) (excluded, failing []names.BackendServer) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	restrictions := pool.config.Gate.Restrictions(now)
+	for id, member := range pool.members {
+		if member.server.Service != query.Service {
+			continue
+		}
+		missingUntil, missing := member.missingModels[query.Model]
+		switch {
+		case !pool.accepting(member, now), member.paused(now), slices.Contains(query.Tried, id),
+			restrictions[member.server.Identity()] == permit.RestrictionClosed, missing && now.Before(missingUntil):
+			excluded = append(excluded, id)
+		case member.ejected(now), member.silent(now):
+			failing = append(failing, id)
+		}
+	}
+	return excluded, failing
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -187,6 +187,7 @@
 	buffer := make([]byte, readBufferBytes)
 	total := int64(0)
 	last := exchange.now()
+	meter := exchange.newEventMeter(response)
 	for {
 		count, err := response.Read(buffer)
 		now := exchange.now()
@@ -199,6 +200,7 @@
 		if events.begun && !exchange.answered {
 			exchange.recordAnswer()
 		}
+		meter.record(events.count, now)
 		ended := errors.Is(err, io.EOF)
 		var endErr error
 		if ended {
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -41,6 +41,8 @@
 	// SharedParts are the IDs of the parts of the prompt, in order, that other requests may
 	// have as well.
 	SharedParts []string
+	// SharedTokens are the numbers of tokens of SharedParts; a missing number is zero.
+	SharedTokens []int64
 }
 
 // Tokens returns the sum of the prompt's length and the maximum output, or -1 if
--- a/relay/events.go
+++ b/relay/events.go
@@ -136,6 +136,8 @@
 	begun bool
 	// unverified reports whether the run resumes the stream and has shown no event yet.
 	unverified bool
+	// count is the number of events of the run.
+	count int
 }
 
 func newEventBuffer(stream *stream) *eventBuffer {
@@ -159,6 +161,9 @@
 			buffer.unverified = false
 		}
 		buffer.begun = buffer.begun || event.dispatched
+		if event.dispatched {
+			buffer.count++
+		}
 		if !buffer.unverified {
 			buffer.stream.recordEvent(event)
 			ready = before + end
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/reply"
+	"github.com/basilkeel/basilkeel/sched"
 	"github.com/basilkeel/basilkeel/trunk"
 )
 
@@ -63,6 +64,9 @@
 	probedPart *crash.Fingerprint
 	// permit is the permit for the next attempt, if its server declares a request rate.
 	permit sendPermit
+	// scheduled is the reservation of the last attempt, or nil if the entry chose the server
+	// itself.
+	scheduled *sched.Placed
 	// waited is the time spent on selecting servers.
 	waited time.Duration
 	// cause is the error of the last failed step.
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -27,6 +27,7 @@
 	"github.com/basilkeel/basilkeel/proof"
 	"github.com/basilkeel/basilkeel/relay"
 	"github.com/basilkeel/basilkeel/reply"
+	"github.com/basilkeel/basilkeel/sched"
 	"github.com/basilkeel/basilkeel/share"
 	"github.com/basilkeel/basilkeel/trunk"
 )
@@ -104,6 +105,11 @@
 	onAdapter   func(server *pool.Server)
 }
 
+// Place implements [relay.Coordinator].
+func (*fakeCoordinator) Place(context.Context, names.Service, sched.Request) (sched.Decision, error) {
+	return sched.Unscheduled{}, nil
+}
+
 // AddWaiting implements [relay.Coordinator].
 func (fakeCoordinator *fakeCoordinator) AddWaiting(_ names.Service, model names.Model, delta int) {
 	fakeCoordinator.mutex.Lock()
--- a/relay/place.go
+++ b/relay/place.go
@@ -40,13 +40,18 @@
 
 // pick returns the pool's choice of a server that the request has not tried.
 func (exchange *exchange) pick() pool.Choice {
-	return exchange.relay.config.Pool.Pick(pool.Query{
+	return exchange.relay.config.Pool.Pick(exchange.query(), exchange.now())
+}
+
+// query describes the request to the pool.
+func (exchange *exchange) query() pool.Query {
+	return pool.Query{
 		Service: exchange.service,
 		Model:   exchange.info.Model,
 		Adapter: exchange.info.Adapter,
 		Domain:  exchange.relay.config.Domain,
 		Tried:   exchange.tried,
-	}, exchange.now())
+	}
 }
 
 // selectServer returns a server that holds the request's model and adapter. It waits
@@ -67,7 +72,11 @@
 			refusal.reason, refusal.retryAfter = ReasonQuarantined, 0
 			return nil, refusal
 		}
-		switch choice := exchange.pick().(type) {
+		choice, deferral := exchange.choose(ctx)
+		if deferral != nil {
+			return nil, deferral
+		}
+		switch choice := choice.(type) {
 		case pool.Chosen:
 			exchange.serverLoad = choice.Load
 			if !exchange.obtainPermit(ctx, choice) {
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -131,6 +131,10 @@
 		fields["load"] = exchange.serverLoad
 		fields["sends"] = exchange.sends
 	}
+	if exchange.scheduled != nil {
+		fields["expectedFirstMs"] = exchange.scheduled.First.Milliseconds()
+		fields["unreadTokens"] = exchange.scheduled.UnreadTokens
+	}
 	if !exchange.firstByteAt.IsZero() {
 		fields["firstMs"] = exchange.firstByteAt.Sub(exchange.started).Milliseconds()
 		fields["longestGapMs"] = exchange.longestGap.Milliseconds()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/reply"
+	"github.com/basilkeel/basilkeel/sched"
 	"github.com/basilkeel/basilkeel/share"
 	"github.com/basilkeel/basilkeel/trunk"
 )
@@ -46,6 +47,8 @@
 	EntryCount() int
 	// Reachable reports whether the coordinator has responded recently.
 	Reachable() bool
+	// Place schedules one attempt of a request on an engine of a service.
+	Place(ctx context.Context, service names.Service, request sched.Request) (sched.Decision, error)
 }
 
 // Config holds the settings and dependencies of a [Relay].
--- /dev/null
+++ b/relay/schedule.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/sched"
+)
+
+const (
+	// maxPlacements bounds the calls to the coordinator for one attempt.
+	maxPlacements = 64
+	// maxUnusable bounds the engines that the coordinator offers and the entry cannot use
+	// before the entry chooses by itself.
+	maxUnusable = 3
+)
+
+// choose returns the choice of a server that the request has not tried. If the requests
+// of the service are scheduled, the coordinator chooses, and choose waits until the
+// request may be sent. Without an answer from the coordinator the entry chooses by itself.
+func (exchange *exchange) choose(ctx context.Context) (pool.Choice, *refusal) {
+	exchange.scheduled = nil
+	snapshot := exchange.relay.snapshot.Load()
+	if snapshot.Scheduling(exchange.service) == nil || !exchange.relay.config.Coordinator.Reachable() {
+		return exchange.pick(), nil
+	}
+	var unusable []names.BackendServer
+	for range maxPlacements {
+		decision, err := exchange.relay.config.Coordinator.Place(ctx, exchange.service, exchange.schedulingRequest(unusable))
+		if err != nil {
+			exchange.logUnscheduled(err)
+			return exchange.pick(), nil
+		}
+		switch decision := decision.(type) {
+		case sched.Placed:
+			if !exchange.wait(ctx, decision.Wait) {
+				return nil, timeUp()
+			}
+			server, usable := exchange.relay.config.Pool.UsableServer(decision.Server, decision.Incarnation, exchange.now())
+			if usable {
+				exchange.countScheduling("placed")
+				exchange.scheduled = &decision
+				return pool.Chosen{Server: server, Load: decision.Load, AdapterMissing: decision.AdapterMissing, Alternatives: 1}, nil
+			}
+			if unusable = append(unusable, decision.Server); len(unusable) > maxUnusable {
+				return exchange.pick(), nil
+			}
+		case sched.Later:
+			exchange.countScheduling("later")
+			if !exchange.wait(ctx, decision.Wait) {
+				return nil, timeUp()
+			}
+		case sched.Refused:
+			exchange.countScheduling("refused")
+			return nil, &refusal{
+				status: http.StatusServiceUnavailable, reason: ReasonServersFull, retryAfter: decision.RetryAfter, leastLoad: decision.Load,
+			}
+		case sched.NoCopy:
+			return pool.NoCopy{}, nil
+		case sched.NoServer:
+			return pool.NoServer{}, nil
+		case sched.Unscheduled:
+			exchange.countScheduling("unscheduled")
+			return exchange.pick(), nil
+		}
+	}
+	return exchange.pick(), nil
+}
+
+// timeUp returns the refusal of a request whose deadline has passed.
+func timeUp() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonTimeUp, retryAfter: fullRetryAfter}
+}
+
+// wait waits for a time. It returns false if ctx ends before.
+func (exchange *exchange) wait(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-exchange.relay.config.Clock.After(duration):
+		return true
+	}
+}
+
+// schedulingRequest returns the request as the coordinator needs it.
+func (exchange *exchange) schedulingRequest(unusable []names.BackendServer) sched.Request {
+	config, now := &exchange.relay.config, exchange.now()
+	request := sched.Request{
+		Domain: config.Domain, Model: exchange.info.Model, Adapter: exchange.info.Adapter,
+		PromptTokens: exchange.info.PromptTokens, Tokens: exchange.cost,
+		Elapsed: now.Sub(exchange.started), Left: exchange.deadline.Sub(now), Objective: exchange.route.Objective,
+		Priority: exchange.priority(),
+	}
+	if request.PromptTokens < 0 {
+		request.PromptTokens = defaultPromptTokens
+	}
+	if exchange.account != nil {
+		request.Account = exchange.account.Name
+	}
+	request.Excluded, request.Failing = config.Pool.Unusable(exchange.query(), now)
+	request.Excluded = append(request.Excluded, unusable...)
+	digest := xxhash.New()
+	for index, id := range exchange.info.SharedParts {
+		// The separator keeps the IDs of different parts apart.
+		_, _ = digest.WriteString(id + ",")
+		if index < len(exchange.info.SharedTokens) {
+			request.Parts = append(request.Parts, sched.Part{ID: digest.Sum64(), Tokens: exchange.info.SharedTokens[index]})
+		}
+	}
+	return request
+}
+
+func (exchange *exchange) countScheduling(outcome string) {
+	metrics.GetOrRegisterCounter("relay.scheduling."+outcome, exchange.relay.config.Metrics).Inc(1)
+}
+
+// eventMeter measures the times between the events of a scheduled attempt.
+type eventMeter struct {
+	exchange *exchange
+	server   *pool.Server
+	sentAt   time.Time
+	count    int
+	lastAt   time.Time
+}
+
+// newEventMeter returns a meter for a response, or nil if the attempt is not scheduled.
+func (exchange *exchange) newEventMeter(response *responseReader) *eventMeter {
+	if exchange.scheduled == nil {
+		return nil
+	}
+	return &eventMeter{exchange: exchange, server: response.server, sentAt: response.sentAt}
+}
+
+// record records the number of events that have arrived by now.
+func (meter *eventMeter) record(count int, now time.Time) {
+	if meter == nil || count == meter.count {
+		return
+	}
+	relay := meter.exchange.relay
+	if meter.count == 0 {
+		meter.recordFirst(now.Sub(meter.sentAt))
+	} else {
+		relay.config.Pool.RecordEvents(meter.server, count-meter.count, now.Sub(meter.lastAt))
+	}
+	meter.count, meter.lastAt = count, now
+}
+
+// recordFirst records the time to the first event and the error of its estimate.
+func (meter *eventMeter) recordFirst(elapsed time.Duration) {
+	relay, scheduled := meter.exchange.relay, meter.exchange.scheduled
+	sample := func() metrics.Sample { return metrics.NewExpDecaySample(metricSampleSize, metricSampleAlpha) }
+	metrics.GetOrRegisterHistogram("relay.scheduling.firstMs", relay.config.Metrics, sample()).Update(elapsed.Milliseconds())
+	metrics.GetOrRegisterHistogram("relay.scheduling.firstErrorMs", relay.config.Metrics, sample()).Update((elapsed - scheduled.First).Milliseconds())
+	if scheduled.Idle && !scheduled.AdapterMissing {
+		relay.config.Pool.RecordReading(meter.server, scheduled.UnreadTokens, elapsed)
+	}
+}
+
+const (
+	// metricSampleSize and metricSampleAlpha are those of the metrics library's
+	// exponentially decaying samples over about five minutes.
+	metricSampleSize  = 256
+	metricSampleAlpha = 0.015
+)
+
+// logUnscheduled records that the coordinator did not answer.
+func (exchange *exchange) logUnscheduled(err error) {
+	exchange.countScheduling("unanswered")
+	event.RequestUnscheduled.Log(exchange.relay.config.Log, exchange.fields(logrus.Fields{"cause": err.Error()}))
+}
--- /dev/null
+++ b/sched/estimate.go
@@ -0,0 +1,145 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+)
+
+const (
+	// intakeFraction is the part of an engine's time in which it may read prompts. The
+	// rest is left for its streams, so that reading at most doubles the time between two
+	// of their events.
+	intakeFraction = 0.5
+	// windowFraction is the part of the pause objective that an event and the prompts that
+	// an engine has to read at a time may take together. The rest is left for errors
+	// of the estimate and for the network.
+	windowFraction = 0.6
+	// minWindow is the least number of prompt tokens that an engine may have to read at a
+	// time. A single prompt may have more.
+	minWindow = 400.0
+	// adapterCost is the time that an engine takes to load an adapter, with the order for
+	// it.
+	adapterCost = 25.0
+	// distanceCost is the cost of a server in another failure domain: a round trip of 2 to
+	// 11 ms, and traffic between failure domains.
+	distanceCost = 12.0
+	// loadCost is the cost of a server whose slots are all taken: streams there take longer
+	// for each event, and the next requests find no slot.
+	loadCost = 150.0
+	// pauseThreshold is the part of the pause objective from which a prompt is taken to
+	// interrupt the engine's streams for too long, streamPauseCost the cost for each of
+	// these streams and pauseCost that for the prompt's own.
+	pauseThreshold  = 0.8
+	streamPauseCost = 8.0
+	pauseCost       = 60.0
+)
+
+// Estimate is what it costs to run a request on an engine, in milliseconds.
+type Estimate struct {
+	// Wait is the time until the engine may be sent the prompt.
+	Wait float64
+	// Backlog is the time to read the prompts before it, Prompt that to read its own part
+	// that the engine does not keep.
+	Backlog float64
+	Prompt  float64
+	// Adapter is the time to load the adapter.
+	Adapter float64
+	// Distance is the cost of another failure domain.
+	Distance float64
+	// Load is the cost of the requests in flight on the engine.
+	Load float64
+	// Pause is the cost of interrupting the engine's streams.
+	Pause float64
+	// CachedTokens is the part of the prompt that the engine keeps.
+	CachedTokens int64
+	// Pace is the engine's time for an event relative to its peers'.
+	Pace float64
+}
+
+// Total returns the sum of the costs.
+func (estimate *Estimate) Total() float64 {
+	return estimate.Wait + estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + estimate.Load + estimate.Pause
+}
+
+// candidate is an engine that may run a request.
+type candidate struct {
+	state    *engineState
+	estimate Estimate
+	// readRate is the number of tokens that the engine reads in a millisecond.
+	readRate float64
+	unread   float64
+	startAt  time.Time
+	first    time.Duration
+	missing  bool
+}
+
+// estimate returns the estimate for a request on an engine.
+func (scheduler *Scheduler) estimate(state *engineState, request *Request, now time.Time) candidate {
+	pace := scheduler.paces.pace(state)
+	readRate, first := scheduler.readings.rate()
+	readRate /= pace
+	result := candidate{state: state, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
+	estimate := &result.estimate
+	estimate.Pace, estimate.CachedTokens = pace, state.prompts.cached(request)
+	result.unread = float64(max(request.PromptTokens-estimate.CachedTokens, 1))
+
+	gap := milliseconds(scheduler.config.GapObjective)
+	eventTime := scheduler.paces.usualMilliseconds * pace
+	window := max((windowFraction*gap-eventTime)*readRate, minWindow)
+	intakeRate := readRate * intakeFraction
+	result.startAt = now
+	if allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / intakeRate)); allowedAt.After(now) {
+		result.startAt = allowedAt
+	}
+	backlog := max(milliseconds(state.readyAt.Sub(result.startAt)), 0) * intakeRate
+
+	estimate.Wait = milliseconds(result.startAt.Sub(now))
+	estimate.Backlog = backlog / readRate
+	estimate.Prompt = result.unread / readRate
+	if result.missing {
+		estimate.Adapter = adapterCost
+	}
+	if request.Domain != state.engine.Server.Domain {
+		estimate.Distance = distanceCost
+	}
+	running := float64(state.running())
+	estimate.Load = loadCost * pace * running / state.slots()
+	if eventTime+estimate.Backlog+estimate.Prompt > pauseThreshold*gap {
+		estimate.Pause = pauseCost + streamPauseCost*running
+	}
+	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*pace)
+	return result
+}
+
+// reserve books the prompt on the engine.
+func (scheduler *Scheduler) reserve(candidate *candidate, request *Request) {
+	state := candidate.state
+	if state.readyAt.Before(candidate.startAt) {
+		state.readyAt = candidate.startAt
+	}
+	state.readyAt = state.readyAt.Add(duration(candidate.unread / (candidate.readRate * intakeFraction)))
+	state.placements = append(state.placements, placement{instance: request.Instance, sentAt: candidate.startAt})
+	state.prompts.add(request, int64(cachedFraction*float64(scheduler.config.CacheTokens)))
+}
+
+// cachedFraction is the part of an engine's memory for tokens that it is taken to keep
+// prompts in. The running requests need the rest.
+const cachedFraction = 0.5
+
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
+
+func duration(milliseconds float64) time.Duration {
+	return time.Duration(milliseconds * float64(time.Millisecond))
+}
+
+// Candidate is an engine as [Scheduler.Explain] shows it.
+type Candidate struct {
+	Server names.BackendServer
+	// Excluded is why the engine does not qualify; it is empty if it does.
+	Excluded string
+	Estimate Estimate
+}
--- /dev/null
+++ b/sched/scheduler.go
@@ -0,0 +1,355 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/rate"
+)
+
+const (
+	// reportDelay is how long after a request was to be sent the entry's next report
+	// contains it for certain: the reply has to arrive first.
+	reportDelay = 40 * time.Millisecond
+	// placementLifetime is how long a placement counts without a report of its entry, and
+	// reportLifetime how long a report counts.
+	placementLifetime = 2 * time.Second
+	reportLifetime    = 2 * time.Second
+	// failingSpan is the time within which two entries have to report an engine as failing
+	// for it to be avoided, and how long it is avoided then. A single entry may have lost its own
+	// link.
+	failingSpan = time.Second
+	// maxCachedParts bounds the parts of prompts that are remembered for an engine.
+	maxCachedParts = 512
+	// slotLimit is the number of requests on an engine, relative to its slots, from which
+	// it gets no further ones.
+	slotLimit = 1.0
+	// bookingHorizon bounds the time for which an engine's intake is reserved ahead.
+	// Requests of higher priority that come later have to wait for what is reserved.
+	bookingHorizon = 120 * time.Millisecond
+	// lowestHorizon is the part of bookingHorizon for the lowest priority, overRateHorizon
+	// that for accounts that use more than their rate.
+	lowestHorizon   = 0.5
+	overRateHorizon = 0.5
+	// deferUntil is the part of its objective for which a request that can wait for others
+	// does so.
+	deferUntil = 0.4
+	// deferLoad and overdueLoad are the loads of an engine up to which requests that wait for
+	// others are placed there: those with time left, and those that have missed
+	// their objective.
+	deferLoad   = 0.7
+	overdueLoad = 0.85
+	// idleBacklog is the wait for reading, in milliseconds, up to which an engine counts as having no
+	// other prompt to read.
+	idleBacklog = 8.0
+	// minLater and maxLater bound the time after which an entry asks again.
+	minLater = 25 * time.Millisecond
+	maxLater = 400 * time.Millisecond
+	// holdFraction and maxHold bound how long a request that has missed its objective is
+	// held: callers give up on a stream after some seconds without an event.
+	holdFraction = 0.25
+	maxHold      = 1500 * time.Millisecond
+	// returnSpacing is the time between the returns of two refused callers, and maxReturn
+	// the longest time until one.
+	returnSpacing = 10 * time.Millisecond
+	minReturn     = 250 * time.Millisecond
+	maxReturn     = 3 * time.Second
+	// accountHalfLife smooths the use of an account.
+	accountHalfLife = time.Second
+)
+
+// Config configures a [Scheduler].
+type Config struct {
+	// DeferFrom is the objective from which requests can wait for others.
+	DeferFrom time.Duration
+	// GapObjective is the shortest objective for the pause between a stream's events.
+	GapObjective time.Duration
+	// Priorities are those of the service's routes, in any order.
+	Priorities []int
+	// CacheTokens is an engine's memory for the tokens of running requests and cached
+	// prompts, or zero if it is unknown.
+	CacheTokens int64
+	// AccountRate returns the rate limit of a client account, or zero if there is none.
+	AccountRate func(names.ClientAccount) float64
+	// Random returns a uniformly distributed number in [0, 1).
+	Random func() float64
+}
+
+// Scheduler schedules the requests of one service. It is not safe for concurrent use.
+type Scheduler struct {
+	config   Config
+	engines  map[names.BackendServer]*engineState
+	sorted   []*engineState
+	paces    paces
+	readings *readings
+	reports  map[names.Instance]entryReport
+	accounts map[names.ClientAccount]*rate.Meter
+	failures map[names.BackendServer]failure
+	// nextReturn is when the next refused caller should return.
+	nextReturn time.Time
+}
+
+// entryReport is what an entry has last reported.
+type entryReport struct {
+	at    time.Time
+	loads map[names.BackendServer]int
+}
+
+// failure is the last report of an engine as failing.
+type failure struct {
+	instance names.Instance
+	at       time.Time
+}
+
+// New returns a scheduler without engines.
+func New(config Config) *Scheduler {
+	scheduler := &Scheduler{
+		engines: map[names.BackendServer]*engineState{}, readings: newReadings(), reports: map[names.Instance]entryReport{},
+		accounts: map[names.ClientAccount]*rate.Meter{}, failures: map[names.BackendServer]failure{},
+	}
+	scheduler.Configure(config)
+	return scheduler
+}
+
+// Configure replaces the configuration and keeps all state.
+func (scheduler *Scheduler) Configure(config Config) {
+	config.Priorities = slices.Clone(config.Priorities)
+	slices.Sort(config.Priorities)
+	config.Priorities = slices.Compact(config.Priorities)
+	scheduler.config = config
+}
+
+// SetEngines replaces the engines that accept requests. A new incarnation or address loses what
+// is known of the former one.
+func (scheduler *Scheduler) SetEngines(engines []Engine) {
+	former := scheduler.engines
+	scheduler.engines = make(map[names.BackendServer]*engineState, len(engines))
+	scheduler.sorted = scheduler.sorted[:0]
+	for _, engine := range engines {
+		state, known := former[engine.Server.ID]
+		if !known || state.engine.Server.Incarnation != engine.Server.Incarnation || state.engine.Server.Address != engine.Server.Address {
+			state = &engineState{}
+			for _, report := range scheduler.reports {
+				state.reported += report.loads[engine.Server.ID]
+			}
+		}
+		state.engine = engine
+		state.prompts.retain(func(model names.Model) bool { return slices.Contains(engine.Models, model) })
+		scheduler.engines[engine.Server.ID] = state
+		scheduler.sorted = append(scheduler.sorted, state)
+	}
+	slices.SortFunc(scheduler.sorted, func(a, b *engineState) int { return cmp.Compare(a.engine.Server.ID, b.engine.Server.ID) })
+}
+
+// Report stores the requests in flight of an entry, and what it has measured since its
+// last report. It returns the number of implausible measurements, which it ignores.
+func (scheduler *Scheduler) Report(instance names.Instance, loads map[names.BackendServer]int, uses []pool.EngineUse, now time.Time) int {
+	former := scheduler.reports[instance]
+	scheduler.reports[instance] = entryReport{at: now, loads: loads}
+	for _, state := range scheduler.sorted {
+		state.reported = max(state.reported+loads[state.engine.Server.ID]-former.loads[state.engine.Server.ID], 0)
+		state.dropReported(instance, now)
+	}
+	scheduler.expire(now)
+	invalid := 0
+	for _, use := range uses {
+		state, known := scheduler.engines[use.Server]
+		if !known || state.engine.Server.Incarnation != use.Incarnation {
+			continue
+		}
+		if use.Events < 0 || !(use.EventMilliseconds >= 0) || use.EventMilliseconds > float64(use.Events)*maxEventMilliseconds {
+			invalid++
+			continue
+		}
+		if use.Events > 0 {
+			state.speed.add(use.Events, use.EventMilliseconds, now)
+		}
+		for _, reading := range use.Readings {
+			if !valid(reading) {
+				invalid++
+				continue
+			}
+			scheduler.readings.observe(reading, scheduler.paces.pace(state))
+		}
+	}
+	scheduler.paces.update(scheduler.sorted)
+	return invalid
+}
+
+// expire drops old reports and unused accounts.
+func (scheduler *Scheduler) expire(now time.Time) {
+	for instance, report := range scheduler.reports {
+		if now.Sub(report.at) <= reportLifetime {
+			continue
+		}
+		for _, state := range scheduler.sorted {
+			state.reported = max(state.reported-report.loads[state.engine.Server.ID], 0)
+		}
+		delete(scheduler.reports, instance)
+	}
+	for account, meter := range scheduler.accounts {
+		if meter.PerSecond(now) < 1 {
+			delete(scheduler.accounts, account)
+		}
+	}
+	for server, failure := range scheduler.failures {
+		if now.Sub(failure.at) > failingSpan {
+			delete(scheduler.failures, server)
+		}
+	}
+}
+
+// Place decides about one attempt of a request.
+func (scheduler *Scheduler) Place(request Request, now time.Time) Decision {
+	scheduler.recordFailing(&request, now)
+	best, found, full := scheduler.best(&request, now)
+	switch {
+	case len(scheduler.sorted) == 0:
+		return NoServer{}
+	case !found && !full:
+		return NoCopy{}
+	case !found:
+		return scheduler.hold(&request, minLater, 1, now)
+	}
+	load := float64(best.state.running()) / best.state.slots()
+	idle := best.estimate.Wait == 0 && best.estimate.Backlog <= idleBacklog
+	deferrable := request.Objective >= scheduler.config.DeferFrom
+	wait := duration(best.estimate.Wait)
+	switch {
+	case deferrable && request.Elapsed < time.Duration(deferUntil*float64(request.Objective)):
+		if !idle || load > deferLoad {
+			return scheduler.later(wait + 2*minLater)
+		}
+	case request.Elapsed+wait+best.first > request.Objective:
+		if !idle || load > overdueLoad {
+			return scheduler.hold(&request, wait, load, now)
+		}
+	case wait > scheduler.horizon(&request, now):
+		return scheduler.later(wait - scheduler.horizon(&request, now)/2)
+	}
+	scheduler.reserve(&best, &request)
+	scheduler.recordAccount(&request, now)
+	server := best.state.engine.Server
+	return Placed{
+		Server: server.ID, Incarnation: server.Incarnation, Wait: wait, AdapterMissing: best.missing, Load: load,
+		First: best.first, UnreadTokens: int64(best.unread), Idle: idle,
+	}
+}
+
+// later returns a decision to ask again after about wait.
+func (scheduler *Scheduler) later(wait time.Duration) Later {
+	wait = min(max(wait, minLater), maxLater)
+	return Later{Wait: wait + time.Duration(0.25*scheduler.config.Random()*float64(wait))}
+}
+
+// hold decides about a request that cannot meet its objective: it waits for a while for
+// an idle engine, and is refused then.
+func (scheduler *Scheduler) hold(request *Request, wait time.Duration, load float64, now time.Time) Decision {
+	limit := min(time.Duration(holdFraction*float64(request.Elapsed+request.Left)), maxHold)
+	if request.Elapsed < max(limit, request.Objective) && request.Left > 2*maxLater {
+		return scheduler.later(wait + minLater)
+	}
+	due := now.Add(max(wait, minReturn))
+	if scheduler.nextReturn.After(due) {
+		due = scheduler.nextReturn
+	}
+	scheduler.nextReturn = due.Add(returnSpacing)
+	return Refused{RetryAfter: min(due.Sub(now), maxReturn), Load: load}
+}
+
+// horizon returns for how long the request may reserve an engine ahead.
+func (scheduler *Scheduler) horizon(request *Request, now time.Time) time.Duration {
+	horizon := float64(bookingHorizon)
+	if others := len(scheduler.config.Priorities) - 1; others > 0 {
+		rank, _ := slices.BinarySearch(scheduler.config.Priorities, request.Priority)
+		horizon *= 1 - (1-lowestHorizon)*float64(min(rank, others))/float64(others)
+	}
+	if meter, known := scheduler.accounts[request.Account]; known {
+		if limit := scheduler.config.AccountRate(request.Account); limit > 0 && meter.PerSecond(now) > limit {
+			horizon *= overRateHorizon
+		}
+	}
+	return time.Duration(horizon)
+}
+
+// recordAccount adds the request to the use of its account.
+func (scheduler *Scheduler) recordAccount(request *Request, now time.Time) {
+	if request.Account == "" {
+		return
+	}
+	meter, known := scheduler.accounts[request.Account]
+	if !known {
+		meter = rate.NewMeter(accountHalfLife)
+		scheduler.accounts[request.Account] = meter
+	}
+	meter.Add(float64(request.Tokens), now)
+}
+
+// recordFailing records which engines fail at the entry.
+func (scheduler *Scheduler) recordFailing(request *Request, now time.Time) {
+	for _, server := range request.Failing {
+		state, known := scheduler.engines[server]
+		if !known {
+			continue
+		}
+		former, reported := scheduler.failures[server]
+		if reported && former.instance != request.Instance && now.Sub(former.at) <= failingSpan {
+			state.failingUntil = now.Add(failingSpan)
+		}
+		scheduler.failures[server] = failure{instance: request.Instance, at: now}
+	}
+}
+
+// exclusion returns why an engine does not qualify for a request, or an empty string.
+func (scheduler *Scheduler) exclusion(state *engineState, request *Request) string {
+	switch {
+	case !slices.Contains(state.engine.Models, request.Model):
+		return "modelMissing"
+	case slices.Contains(request.Excluded, state.engine.Server.ID):
+		return "excluded"
+	case request.Adapter != "" && state.engine.Busy && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter}):
+		return "busy"
+	case float64(state.running()) >= slotLimit*state.slots():
+		return "full"
+	default:
+		return ""
+	}
+}
+
+// best returns the candidate with the lowest cost. If none is found, full reports whether
+// an engine holds the model.
+func (scheduler *Scheduler) best(request *Request, now time.Time) (best candidate, found, full bool) {
+	bestFailing := false
+	for _, state := range scheduler.sorted {
+		switch scheduler.exclusion(state, request) {
+		case "":
+		case "busy", "full":
+			full = true
+			continue
+		default:
+			continue
+		}
+		failing := now.Before(state.failingUntil) || slices.Contains(request.Failing, state.engine.Server.ID)
+		current := scheduler.estimate(state, request, now)
+		if !found || (bestFailing && !failing) || (failing == bestFailing && current.estimate.Total() < best.estimate.Total()) {
+			best, bestFailing, found = current, failing, true
+		}
+	}
+	return best, found, full
+}
+
+// Explain returns all engines with their estimates, the best first. It reserves nothing.
+func (scheduler *Scheduler) Explain(request Request, now time.Time) []Candidate {
+	candidates := make([]Candidate, 0, len(scheduler.sorted))
+	for _, state := range scheduler.sorted {
+		estimated := scheduler.estimate(state, &request, now)
+		candidates = append(candidates, Candidate{Server: state.engine.Server.ID, Excluded: scheduler.exclusion(state, &request), Estimate: estimated.estimate})
+	}
+	slices.SortStableFunc(candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(min(len(a.Excluded), 1), min(len(b.Excluded), 1)), cmp.Compare(a.Estimate.Total(), b.Estimate.Total()))
+	})
+	return candidates
+}
