--- a/coord/place.go
+++ b/coord/place.go
@@ -20,9 +20,8 @@
 	// enginesPeriod is the least time between two updates of the schedulers' engines.
 	enginesPeriod = 100 * time.Millisecond
 	// placeCallsPerCore is the number of calls a second that a coordinator answers for each
-	// core that it may use. A call takes 0.15 ms, and two thirds of its time is left for
-	// its own callers and for reports.
-	placeCallsPerCore  = 2200
+	// core that it may use. A call takes about 0.1 ms.
+	placeCallsPerCore  = 5000
 	placeCallsHalfLife = 500 * time.Millisecond
 )
 
@@ -108,7 +107,7 @@
 	}
 	return sched.Config{
 		DeferFrom: scheduling.DeferFrom, GapObjective: scheduling.GapObjective, Priorities: scheduling.Priorities,
-		CacheTokens: service.Engine.CacheTokens,
+		CacheTokens: service.Engine.CacheTokens, EventTokens: service.Engine.EventTokens,
 		AccountRate: func(account names.ClientAccount) float64 { return rates[account] },
 		Random:      rand.Float64,
 	}
@@ -149,7 +148,7 @@
 
 // Place implements [relay.Coordinator].
 func (client *Client) Place(ctx context.Context, service names.Service, request sched.Request) (sched.Decision, error) {
-	request.Instance = client.config.Instance
+	request.Instance, request.Slowdowns = client.config.Instance, client.config.Pool.TakeSlowdowns()
 	conn, self, err := client.coordinatorConn()
 	if err != nil {
 		return nil, err
@@ -162,7 +161,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	reply, err := wire.NewCoordinationClient(conn).Place(callCtx, encodePlaceRequest(service, request), grpc.WaitForReady(false))
+	reply, err := wire.NewCoordinationClient(conn).Place(callCtx, encodePlaceRequest(service, request, client.config.Clock.Now()), grpc.WaitForReady(false))
 	if err != nil {
 		if ctx.Err() == nil {
 			client.recordUnanswered()
@@ -174,7 +173,7 @@
 
 // Place implements [wire.CoordinationServer].
 func (server *Server) Place(_ context.Context, message *wire.CoordPlaceRequest) (*wire.CoordPlaceReply, error) {
-	service, request := decodePlaceRequest(message)
+	service, request := decodePlaceRequest(message, server.coordinator.config.Clock.Now())
 	if message.GetExplain() {
 		candidates, err := server.coordinator.Explain(service, request)
 		if err != nil {
@@ -257,12 +256,13 @@
 	}
 }
 
-func encodePlaceRequest(service names.Service, request sched.Request) *wire.CoordPlaceRequest {
+func encodePlaceRequest(service names.Service, request sched.Request, now time.Time) *wire.CoordPlaceRequest {
 	message := &wire.CoordPlaceRequest{
 		Instance: string(request.Instance), Service: string(service), Model: string(request.Model), Adapter: string(request.Adapter),
 		PromptTokens: int32(min(request.PromptTokens, maxPromptTokens)), Tokens: request.Tokens,
 		ElapsedMilliseconds: request.Elapsed.Milliseconds(), ObjectiveMilliseconds: request.Objective.Milliseconds(),
 		LeftMilliseconds: request.Left.Milliseconds(), Priority: int32(request.Priority), Account: string(request.Account),
+		OutputTokens: int32(min(request.OutputTokens, maxPromptTokens)), Slowdowns: encodeUses(request.Slowdowns, now),
 		Domain: string(request.Domain), Excluded: encodeServers(request.Excluded), Failing: encodeServers(request.Failing),
 	}
 	for _, part := range request.Parts {
@@ -274,10 +274,11 @@
 // maxPromptTokens bounds the tokens of a prompt in a call.
 const maxPromptTokens = 1 << 30
 
-func decodePlaceRequest(message *wire.CoordPlaceRequest) (names.Service, sched.Request) {
+func decodePlaceRequest(message *wire.CoordPlaceRequest, now time.Time) (names.Service, sched.Request) {
 	request := sched.Request{
 		Instance: names.Instance(message.GetInstance()), Model: names.Model(message.GetModel()), Adapter: names.Adapter(message.GetAdapter()),
 		PromptTokens: int64(max(message.GetPromptTokens(), 0)), Tokens: max(message.GetTokens(), 0),
+		OutputTokens: int64(max(message.GetOutputTokens(), 0)), Slowdowns: decodeUses(message.GetSlowdowns(), now),
 		Elapsed:   time.Duration(message.GetElapsedMilliseconds()) * time.Millisecond,
 		Objective: time.Duration(message.GetObjectiveMilliseconds()) * time.Millisecond,
 		Left:      time.Duration(message.GetLeftMilliseconds()) * time.Millisecond,
@@ -312,26 +313,29 @@
 		estimate := &candidate.Estimate
 		encoded = append(encoded, &wire.CoordCandidate{
 			Server: string(candidate.Server), Excluded: candidate.Excluded, Wait: estimate.Wait, Backlog: estimate.Backlog, Prompt: estimate.Prompt,
-			Adapter: estimate.Adapter, Distance: estimate.Distance, Load: estimate.Load, Pause: estimate.Pause, Total: estimate.Total(),
+			Adapter: estimate.Adapter, Distance: estimate.Distance, Load: estimate.Load, Pause: estimate.Pause, Stream: estimate.Stream, Total: estimate.Total(),
 			CachedTokens: int32(estimate.CachedTokens), Pace: estimate.Pace,
 		})
 	}
 	return encoded
 }
 
-func encodeUses(uses []pool.EngineUse) []*wire.CoordEngineUse {
+func encodeUses(uses []pool.EngineUse, now time.Time) []*wire.CoordEngineUse {
 	encoded := make([]*wire.CoordEngineUse, 0, len(uses))
 	for _, use := range uses {
 		message := &wire.CoordEngineUse{Server: string(use.Server), Born: use.Incarnation, Events: int32(use.Events), EventMilliseconds: use.EventMilliseconds}
 		for _, reading := range use.Readings {
 			message.Readings = append(message.Readings, &wire.CoordReading{Tokens: int32(min(reading.Tokens, maxPromptTokens)), Milliseconds: reading.Milliseconds})
 		}
+		for _, slowdown := range use.Slowdowns {
+			message.Slowdowns = append(message.Slowdowns, &wire.CoordSlowdown{Factor: slowdown.Factor, AgeMilliseconds: now.Sub(slowdown.At).Milliseconds()})
+		}
 		encoded = append(encoded, message)
 	}
 	return encoded
 }
 
-func decodeUses(encoded []*wire.CoordEngineUse) []pool.EngineUse {
+func decodeUses(encoded []*wire.CoordEngineUse, now time.Time) []pool.EngineUse {
 	uses := make([]pool.EngineUse, 0, len(encoded))
 	for _, message := range encoded {
 		use := pool.EngineUse{
@@ -340,6 +344,10 @@
 		for _, reading := range message.GetReadings() {
 			use.Readings = append(use.Readings, pool.Reading{Tokens: int64(reading.GetTokens()), Milliseconds: reading.GetMilliseconds()})
 		}
+		for _, slowdown := range message.GetSlowdowns() {
+			age := time.Duration(max(slowdown.GetAgeMilliseconds(), 0)) * time.Millisecond
+			use.Slowdowns = append(use.Slowdowns, pool.Slowdown{At: now.Add(-age), Factor: slowdown.GetFactor()})
+		}
 		uses = append(uses, use)
 	}
 	return slices.Clip(uses)
--- a/policy/service.go
+++ b/policy/service.go
@@ -26,6 +26,9 @@
 	// CacheTokens is an engine's memory for the tokens of running requests and cached
 	// prompts, or zero if it is unknown.
 	CacheTokens int64
+	// EventTokens is the number of output tokens in an event of a stream, or zero if it is
+	// unknown.
+	EventTokens int64
 	Models      map[names.Model]Model
 }
 
--- a/pool/use.go
+++ b/pool/use.go
@@ -8,8 +8,12 @@
 	"github.com/basilkeel/basilkeel/permit"
 )
 
-// maxReadings bounds the readings of an engine in one report.
-const maxReadings = 8
+// maxReadings and maxSlowdowns bound the readings and slowdowns of an engine in one
+// report.
+const (
+	maxReadings  = 8
+	maxSlowdowns = 4
+)
 
 // EngineUse is what an entry has measured on the responses of an engine.
 type EngineUse struct {
@@ -20,6 +24,14 @@
 	Events            int
 	EventMilliseconds float64
 	Readings          []Reading
+	// Slowdowns are those that the engine has stated in its responses.
+	Slowdowns []Slowdown
+}
+
+// Slowdown is how long work takes on an engine's machine at a time relative to usual.
+type Slowdown struct {
+	At     time.Time
+	Factor float64
 }
 
 // Reading is the time that an engine took to begin to answer a prompt that did not have
@@ -47,6 +59,30 @@
 	})
 }
 
+// RecordSlowdown records the slowdown that a response of an engine states.
+func (pool *Pool) RecordSlowdown(server *Server, factor float64, now time.Time) {
+	pool.updateUse(server, func(use *EngineUse) {
+		use.Slowdowns = append(use.Slowdowns, Slowdown{At: now, Factor: factor})
+		if len(use.Slowdowns) > maxSlowdowns {
+			use.Slowdowns = use.Slowdowns[1:]
+		}
+	})
+}
+
+// TakeSlowdowns returns the slowdowns that engines have stated since the last call.
+func (pool *Pool) TakeSlowdowns() []EngineUse {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	var uses []EngineUse
+	for _, use := range pool.uses {
+		if len(use.Slowdowns) > 0 {
+			uses = append(uses, EngineUse{Server: use.Server, Incarnation: use.Incarnation, Slowdowns: use.Slowdowns})
+			use.Slowdowns = nil
+		}
+	}
+	return uses
+}
+
 // updateUse edits what has been measured on a server since the last report.
 func (pool *Pool) updateUse(server *Server, edit func(*EngineUse)) {
 	pool.mutex.Lock()
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -91,4 +91,7 @@
 	// Rate is what the response says about the rate of requests that the server accepts
 	// from all entries together; nil is the same as [permit.Unreadable].
 	Rate permit.Declaration
+	// Slowdown is how long work takes on the server's machine at the moment relative to
+	// usual, or zero if the response does not state it.
+	Slowdown float64
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -67,6 +67,9 @@
 	// scheduled is the reservation of the last attempt, or nil if the entry chose the server
 	// itself.
 	scheduled *sched.Placed
+	// unscheduled is why the entry chose the last attempt's server itself although the
+	// requests of the service are scheduled.
+	unscheduled string
 	// waited is the time spent on selecting servers.
 	waited time.Duration
 	// cause is the error of the last failed step.
@@ -380,6 +383,9 @@
 		return
 	}
 	exchange.applyRate(server, responseInfo.Rate, sentAt)
+	if exchange.scheduled != nil && responseInfo.Slowdown > 0 {
+		exchange.relay.config.Pool.RecordSlowdown(server, responseInfo.Slowdown, exchange.now())
+	}
 	if responseInfo.Leaving && exchange.relay.config.Pool.RecordDeparture(server, exchange.now()) {
 		event.ServerLeaving.Log(exchange.relay.config.Log, logrus.Fields{"server": string(server.ID), "request": exchange.info.ID})
 	}
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -131,6 +131,9 @@
 		fields["load"] = exchange.serverLoad
 		fields["sends"] = exchange.sends
 	}
+	if exchange.unscheduled != "" {
+		fields["unscheduled"] = exchange.unscheduled
+	}
 	if exchange.scheduled != nil {
 		fields["expectedFirstMs"] = exchange.scheduled.First.Milliseconds()
 		fields["unreadTokens"] = exchange.scheduled.UnreadTokens
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -27,17 +27,19 @@
 // of the service are scheduled, the coordinator chooses, and choose waits until the
 // request may be sent. Without an answer from the coordinator the entry chooses by itself.
 func (exchange *exchange) choose(ctx context.Context) (pool.Choice, *refusal) {
-	exchange.scheduled = nil
-	snapshot := exchange.relay.snapshot.Load()
-	if snapshot.Scheduling(exchange.service) == nil || !exchange.relay.config.Coordinator.Reachable() {
+	exchange.scheduled, exchange.unscheduled = nil, ""
+	if exchange.relay.snapshot.Load().Scheduling(exchange.service) == nil {
 		return exchange.pick(), nil
 	}
+	if !exchange.relay.config.Coordinator.Reachable() {
+		return exchange.pickUnscheduled("unreachable"), nil
+	}
 	var unusable []names.BackendServer
 	for range maxPlacements {
 		decision, err := exchange.relay.config.Coordinator.Place(ctx, exchange.service, exchange.schedulingRequest(unusable))
 		if err != nil {
 			exchange.logUnscheduled(err)
-			return exchange.pick(), nil
+			return exchange.pickUnscheduled("unanswered"), nil
 		}
 		switch decision := decision.(type) {
 		case sched.Placed:
@@ -51,7 +53,7 @@
 				return pool.Chosen{Server: server, Load: decision.Load, AdapterMissing: decision.AdapterMissing, Alternatives: 1}, nil
 			}
 			if unusable = append(unusable, decision.Server); len(unusable) > maxUnusable {
-				return exchange.pick(), nil
+				return exchange.pickUnscheduled("unusable"), nil
 			}
 		case sched.Later:
 			exchange.countScheduling("later")
@@ -68,11 +70,18 @@
 		case sched.NoServer:
 			return pool.NoServer{}, nil
 		case sched.Unscheduled:
-			exchange.countScheduling("unscheduled")
-			return exchange.pick(), nil
+			return exchange.pickUnscheduled("overloaded"), nil
 		}
 	}
-	return exchange.pick(), nil
+	return exchange.pickUnscheduled("undecided"), nil
+}
+
+// pickUnscheduled is pick for a request that the coordinator does not schedule for a
+// reason.
+func (exchange *exchange) pickUnscheduled(reason string) pool.Choice {
+	exchange.countScheduling(reason)
+	exchange.unscheduled = reason
+	return exchange.pick()
 }
 
 // timeUp returns the refusal of a request whose deadline has passed.
@@ -105,6 +114,9 @@
 	if request.PromptTokens < 0 {
 		request.PromptTokens = defaultPromptTokens
 	}
+	if request.OutputTokens = exchange.info.OutputTokens; request.OutputTokens < 0 {
+		request.OutputTokens = defaultOutputTokens
+	}
 	if exchange.account != nil {
 		request.Account = exchange.account.Name
 	}
@@ -174,8 +186,7 @@
 	metricSampleAlpha = 0.015
 )
 
-// logUnscheduled records that the coordinator did not answer.
+// logUnscheduled logs that the coordinator did not answer.
 func (exchange *exchange) logUnscheduled(err error) {
-	exchange.countScheduling("unanswered")
 	event.RequestUnscheduled.Log(exchange.relay.config.Log, exchange.fields(logrus.Fields{"cause": err.Error()}))
 }
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -28,7 +28,9 @@
 	// placements are those that the entries' reports don't contain yet.
 	placements []placement
 	speed      speed
-	prompts    promptCache
+	// slowdown is the latest one that the engine has stated.
+	slowdown pool.Slowdown
+	prompts  promptCache
 	// failingUntil is until when the engine is avoided because an entry has reported it as
 	// failing.
 	failingUntil time.Time
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -13,9 +13,9 @@
 	// of their events.
 	intakeFraction = 0.5
 	// windowFraction is the part of the pause objective that an event and the prompts that
-	// an engine has to read at a time may take together. The rest is left for errors
-	// of the estimate and for the network.
-	windowFraction = 0.6
+	// an engine has to read at a time may take together while the engine is slowed down. The
+	// rest is left for errors of the estimate and for the network.
+	windowFraction = 0.9
 	// minWindow is the least number of prompt tokens that an engine may have to read at a
 	// time. A single prompt may have more.
 	minWindow = 400.0
@@ -34,6 +34,12 @@
 	pauseThreshold  = 0.8
 	streamPauseCost = 8.0
 	pauseCost       = 60.0
+	// streamCost is the cost of each millisecond that the response is expected to take. A
+	// long stream on a slow engine takes a slot for longer, and every second of it is
+	// another chance of a pause.
+	streamCost = 0.1
+	// defaultEventTokens is assumed where the policy states no number.
+	defaultEventTokens = 6
 )
 
 // Estimate is what it costs to run a request on an engine, in milliseconds.
@@ -48,8 +54,10 @@
 	Adapter float64
 	// Distance is the cost of another failure domain.
 	Distance float64
-	// Load is the cost of the requests in flight on the engine.
-	Load float64
+	// Load is the cost of the requests in flight on the engine, Stream that of the time that the
+	// response takes.
+	Load   float64
+	Stream float64
 	// Pause is the cost of interrupting the engine's streams.
 	Pause float64
 	// CachedTokens is the part of the prompt that the engine keeps.
@@ -60,7 +68,7 @@
 
 // Total returns the sum of the costs.
 func (estimate *Estimate) Total() float64 {
-	return estimate.Wait + estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + estimate.Load + estimate.Pause
+	return estimate.Wait + estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + estimate.Load + estimate.Stream + estimate.Pause
 }
 
 // candidate is an engine that may run a request.
@@ -77,7 +85,7 @@
 
 // estimate returns the estimate for a request on an engine.
 func (scheduler *Scheduler) estimate(state *engineState, request *Request, now time.Time) candidate {
-	pace := scheduler.paces.pace(state)
+	pace := scheduler.paces.pace(state) * state.slowdownAt(now)
 	readRate, first := scheduler.readings.rate()
 	readRate /= pace
 	result := candidate{state: state, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
@@ -87,7 +95,7 @@
 
 	gap := milliseconds(scheduler.config.GapObjective)
 	eventTime := scheduler.paces.usualMilliseconds * pace
-	window := max((windowFraction*gap-eventTime)*readRate, minWindow)
+	window := max((windowFraction*gap/scheduler.slowdowns.margin-eventTime)*readRate, minWindow)
 	intakeRate := readRate * intakeFraction
 	result.startAt = now
 	if allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / intakeRate)); allowedAt.After(now) {
@@ -106,6 +114,7 @@
 	}
 	running := float64(state.running())
 	estimate.Load = loadCost * pace * running / state.slots()
+	estimate.Stream = streamCost * eventTime * float64(request.OutputTokens/max(scheduler.config.EventTokens, 1))
 	if eventTime+estimate.Backlog+estimate.Prompt > pauseThreshold*gap {
 		estimate.Pause = pauseCost + streamPauseCost*running
 	}
--- a/sched/request.go
+++ b/sched/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/pool"
 )
 
 // Part is a part of a prompt that other requests may have as well.
@@ -23,6 +24,8 @@
 	// Adapter is empty if the request needs none.
 	Adapter      names.Adapter
 	PromptTokens int64
+	// OutputTokens is the largest number of tokens of the response.
+	OutputTokens int64
 	// Tokens is what the request counts against its account's limits.
 	Tokens float64
 	// Elapsed is the time since the request arrived, Left the time to its deadline.
@@ -38,6 +41,8 @@
 	Failing  []names.BackendServer
 	// Parts are the parts that the prompt shares with others, in order.
 	Parts []Part
+	// Slowdowns are those that engines have stated to the entry lately.
+	Slowdowns []pool.EngineUse
 }
 
 // Decision is the result of [Scheduler.Place]: [Placed], [Later], [Refused],
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -45,18 +45,11 @@
 	// idleBacklog is the wait for reading, in milliseconds, up to which an engine counts as having no
 	// other prompt to read.
 	idleBacklog = 8.0
-	// minLater and maxLater bound the time after which an entry asks again.
-	minLater = 25 * time.Millisecond
-	maxLater = 400 * time.Millisecond
-	// holdFraction and maxHold bound how long a request that has missed its objective is
-	// held: callers give up on a stream after some seconds without an event.
-	holdFraction = 0.25
-	maxHold      = 1500 * time.Millisecond
-	// returnSpacing is the time between the returns of two refused callers, and maxReturn
-	// the longest time until one.
-	returnSpacing = 10 * time.Millisecond
-	minReturn     = 250 * time.Millisecond
-	maxReturn     = 3 * time.Second
+	// minLater and maxLater bound the time after which an entry asks again, and laterGrowth
+	// is its least part of the time that the request has waited.
+	minLater    = 25 * time.Millisecond
+	maxLater    = 400 * time.Millisecond
+	laterGrowth = 0.25
 	// accountHalfLife smooths the use of an account.
 	accountHalfLife = time.Second
 )
@@ -72,6 +65,8 @@
 	// CacheTokens is an engine's memory for the tokens of running requests and cached
 	// prompts, or zero if it is unknown.
 	CacheTokens int64
+	// EventTokens is the number of output tokens in an event, or zero if it is unknown.
+	EventTokens int64
 	// AccountRate returns the rate limit of a client account, or zero if there is none.
 	AccountRate func(names.ClientAccount) float64
 	// Random returns a uniformly distributed number in [0, 1).
@@ -80,16 +75,16 @@
 
 // Scheduler schedules the requests of one service. It is not safe for concurrent use.
 type Scheduler struct {
-	config   Config
-	engines  map[names.BackendServer]*engineState
-	sorted   []*engineState
-	paces    paces
-	readings *readings
-	reports  map[names.Instance]entryReport
-	accounts map[names.ClientAccount]*rate.Meter
-	failures map[names.BackendServer]failure
-	// nextReturn is when the next refused caller should return.
-	nextReturn time.Time
+	config    Config
+	engines   map[names.BackendServer]*engineState
+	sorted    []*engineState
+	paces     paces
+	readings  *readings
+	slowdowns *slowdowns
+	reports   map[names.Instance]entryReport
+	accounts  map[names.ClientAccount]*rate.Meter
+	failures  map[names.BackendServer]failure
+	models    map[names.Model]*modelState
 }
 
 // entryReport is what an entry has last reported.
@@ -107,8 +102,9 @@
 // New returns a scheduler without engines.
 func New(config Config) *Scheduler {
 	scheduler := &Scheduler{
-		engines: map[names.BackendServer]*engineState{}, readings: newReadings(), reports: map[names.Instance]entryReport{},
+		engines: map[names.BackendServer]*engineState{}, readings: newReadings(), slowdowns: newSlowdowns(), reports: map[names.Instance]entryReport{},
 		accounts: map[names.ClientAccount]*rate.Meter{}, failures: map[names.BackendServer]failure{},
+		models: map[names.Model]*modelState{},
 	}
 	scheduler.Configure(config)
 	return scheduler
@@ -154,7 +150,7 @@
 		state.dropReported(instance, now)
 	}
 	scheduler.expire(now)
-	invalid := 0
+	invalid := scheduler.observe(uses)
 	for _, use := range uses {
 		state, known := scheduler.engines[use.Server]
 		if !known || state.engine.Server.Incarnation != use.Incarnation {
@@ -195,6 +191,11 @@
 			delete(scheduler.accounts, account)
 		}
 	}
+	for name, state := range scheduler.models {
+		if state.placed.PerSecond(now)+state.overdueRefused.PerSecond(now) < negligibleRate {
+			delete(scheduler.models, name)
+		}
+	}
 	for server, failure := range scheduler.failures {
 		if now.Sub(failure.at) > failingSpan {
 			delete(scheduler.failures, server)
@@ -204,6 +205,7 @@
 
 // Place decides about one attempt of a request.
 func (scheduler *Scheduler) Place(request Request, now time.Time) Decision {
+	scheduler.observe(request.Slowdowns)
 	scheduler.recordFailing(&request, now)
 	best, found, full := scheduler.best(&request, now)
 	switch {
@@ -221,17 +223,18 @@
 	switch {
 	case deferrable && request.Elapsed < time.Duration(deferUntil*float64(request.Objective)):
 		if !idle || load > deferLoad {
-			return scheduler.later(wait + 2*minLater)
+			return scheduler.later(&request, wait+2*minLater)
 		}
 	case request.Elapsed+wait+best.first > request.Objective:
 		if !idle || load > overdueLoad {
 			return scheduler.hold(&request, wait, load, now)
 		}
 	case wait > scheduler.horizon(&request, now):
-		return scheduler.later(wait - scheduler.horizon(&request, now)/2)
+		return scheduler.later(&request, wait-scheduler.horizon(&request, now)/2)
 	}
 	scheduler.reserve(&best, &request)
 	scheduler.recordAccount(&request, now)
+	scheduler.recordPlaced(&request, now)
 	server := best.state.engine.Server
 	return Placed{
 		Server: server.ID, Incarnation: server.Incarnation, Wait: wait, AdapterMissing: best.missing, Load: load,
@@ -239,27 +242,13 @@
 	}
 }
 
-// later returns a decision to ask again after about wait.
-func (scheduler *Scheduler) later(wait time.Duration) Later {
-	wait = min(max(wait, minLater), maxLater)
+// later returns a decision to ask again after about wait. A request that has waited for long
+// asks less often.
+func (scheduler *Scheduler) later(request *Request, wait time.Duration) Later {
+	wait = min(max(wait, minLater, time.Duration(laterGrowth*float64(request.Elapsed))), maxLater)
 	return Later{Wait: wait + time.Duration(0.25*scheduler.config.Random()*float64(wait))}
 }
 
-// hold decides about a request that cannot meet its objective: it waits for a while for
-// an idle engine, and is refused then.
-func (scheduler *Scheduler) hold(request *Request, wait time.Duration, load float64, now time.Time) Decision {
-	limit := min(time.Duration(holdFraction*float64(request.Elapsed+request.Left)), maxHold)
-	if request.Elapsed < max(limit, request.Objective) && request.Left > 2*maxLater {
-		return scheduler.later(wait + minLater)
-	}
-	due := now.Add(max(wait, minReturn))
-	if scheduler.nextReturn.After(due) {
-		due = scheduler.nextReturn
-	}
-	scheduler.nextReturn = due.Add(returnSpacing)
-	return Refused{RetryAfter: min(due.Sub(now), maxReturn), Load: load}
-}
-
 // horizon returns for how long the request may reserve an engine ahead.
 func (scheduler *Scheduler) horizon(request *Request, now time.Time) time.Duration {
 	horizon := float64(bookingHorizon)
