coord: end LoadAdapter with its context at the coordinator's own entry

Cause: other entries are protected by the deadline of the RPC; the coordinator's own entry called the dispatcher directly, and waited for the order in flight, or for a step, beyond its caller's time.

Change: Coordinator.LoadAdapter returns when its context is done, for all callers; the order in flight is still awaited in the background, so that its outcome becomes known. coord, share, permit, trunk and crash were searched for other locks that are held across calls: none are.

TestLoadAdapterEndsWithItsContext does not end with the former code.

--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -206,7 +206,7 @@
 		startedAt: now,
 		cancel:    cancel,
 		dispatcher: copies.NewDispatcher(copies.DispatcherConfig{
-			Engines: coordinator.config.Engine, Clock: coordinator.config.Clock, Log: coordinator.config.Log, Holder: string(coordinator.config.Instance),
+			Engines: coordinator.config.Engine, Clock: coordinator.config.Clock, Log: coordinator.config.Log, Metrics: coordinator.config.Metrics, Holder: string(coordinator.config.Instance),
 			Term: func() int64 { return coordinator.orderTerm(number) },
 		}),
 		planners:   map[names.Service]*copies.Planner{},
@@ -425,7 +425,9 @@
 }
 
 // LoadAdapter orders a server to load an adapter. It fails with a
-// *[NotCoordinatingError] or an error of package copies.
+// *[NotCoordinatingError] or an error of package copies. It returns when ctx is done, for
+// callers in this process as for others; an order in flight is then still awaited, so
+// that its outcome becomes known.
 func (coordinator *Coordinator) LoadAdapter(ctx context.Context, server names.BackendServer, adapter pool.Adapter) error {
 	snapshot := coordinator.config.Policy()
 	coordinator.mutex.Lock()
@@ -439,7 +441,14 @@
 			continue
 		}
 		if _, known := service.Engine.Models[adapter.Model]; known {
-			return term.dispatcher.LoadAdapter(ctx, server, adapter, service.Engine)
+			loaded := make(chan error, 1)
+			go func() { loaded <- term.dispatcher.LoadAdapter(ctx, server, adapter, service.Engine) }()
+			select {
+			case err := <-loaded:
+				return err
+			case <-ctx.Done():
+				return ctx.Err()
+			}
 		}
 	}
 	return &copies.UnknownEngineError{Server: server}
--- a/coord/coordinator_test.go
+++ b/coord/coordinator_test.go
@@ -28,8 +28,9 @@
 
 const term = 7
 
-// acceptingEngine accepts every order.
+// acceptingEngine accepts every order, once frozen, if it is set, is closed.
 type acceptingEngine struct {
+	frozen chan struct{}
 	// mutex guards accepted.
 	mutex    sync.Mutex
 	accepted int64
@@ -37,6 +38,9 @@
 
 // Order implements [copies.EngineClient].
 func (acceptingEngine *acceptingEngine) Order(context.Context, copies.OrderRequest) (copies.Outcome, error) {
+	if acceptingEngine.frozen != nil {
+		<-acceptingEngine.frozen
+	}
 	acceptingEngine.mutex.Lock()
 	defer acceptingEngine.mutex.Unlock()
 	acceptingEngine.accepted++
@@ -142,6 +146,11 @@
 }
 
 func newCoordinatorWith(t *testing.T, lease *lease, crashStore *crashStore) *coord.Coordinator {
+	t.Helper()
+	return newCoordinatorOf(t, lease, crashStore, &acceptingEngine{})
+}
+
+func newCoordinatorOf(t *testing.T, lease *lease, crashStore *crashStore, engine copies.EngineClient) *coord.Coordinator {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -151,7 +160,7 @@
 	}}}})
 	server := &pool.Server{ID: "engine-1", Service: "notes", Address: "10.0.0.1:80", Slots: 8, Models: []names.Model{"m"}, Incarnation: 1}
 	coordinator := coord.NewCoordinator(coord.CoordinatorConfig{
-		Engine: &acceptingEngine{}, Clock: clock.NewService(clock.ServiceConfig{}), Log: log, Instance: "edge-1",
+		Engine: engine, Clock: clock.NewService(clock.ServiceConfig{}), Log: log, Instance: "edge-1",
 		Policy: func() *policy.Snapshot { return snapshot }, Servers: func(time.Time) []*pool.Server { return []*pool.Server{server} },
 		Term: lease.term, UnconfirmedTerm: func() int64 { return term }, Fenced: true, ShareStore: emptyShareStore{}, CrashStore: crashStore, Mirror: emptyMirror{},
 		LatestRevision: func(context.Context) (store.Revision, error) { return 0, errors.New("no answer") }, LoadWindow: 5 * time.Second,
@@ -211,6 +220,22 @@
 	}
 }
 
+// TestLoadAdapterEndsWithItsContext guards against requests at the coordinator's own entry
+// that wait beyond their time for an engine that does not answer.
+func TestLoadAdapterEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	engine := &acceptingEngine{frozen: make(chan struct{})}
+	coordinator := newCoordinatorOf(t, &lease{}, &crashStore{}, engine)
+	defer close(engine.frozen)
+	load := func(adapter names.Adapter) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		return coordinator.LoadAdapter(ctx, "engine-1", pool.Adapter{Model: "m", Name: adapter})
+	}
+	g.Eventually(func() error { return load("a1") }, 5*time.Second).Should(MatchError(context.DeadlineExceeded), "the order is in flight")
+	g.Expect(load("a2")).To(MatchError(context.DeadlineExceeded), "the order of another request is in flight")
+}
+
 // TestEntriesAreToldWhatIsNew checks that an entry is sent all holdings at first, then
 // only those that have changed, and all again by another coordinator.
 func TestEntriesAreToldWhatIsNew(t *testing.T) {
