Evacuate zones at the operators' request

An operator who writes op/evacuate/ZONE wants nothing more sent to the servers of the zone. No part of the system read that key.

Each entry follows the keys by its mirror of the platform's service, before it applies the registry, and the pool accepts no request for a server of an evacuated zone: choice, waiting requests, retries, resumed streams and reservations of the scheduler go through the same check, and requests that were chosen before are checked again right before the first byte. The coordinator gives the scheduler no engines of the zone, sends them no orders and no report requests, and its planner treats them as draining, so that models without another copy are loaded elsewhere first. If all servers of a service are evacuated its requests get 503 at once.

Ruled out: a list of zones in the coordinator's replies (the keys reach each entry anyway, also without a coordinator); removing evacuated servers from the pool (requests in progress there would lose their accounting); sending on until the models are loaded elsewhere (loads take up to 6 s).

With the check in the pool switched off, TestServersOfEvacuatedDomainsGet- Nothing, TestEvacuationsReachRequestsInProgress and the tests of node fail; with the one before the first byte off, the request that had been chosen reaches the zone. Tests: go test ./pool ./copies ./coord ./platform ./node ./mirror ./event ./relay.

--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -77,6 +77,9 @@
 	Policy func() *policy.Snapshot
 	// Servers returns the servers in the registry.
 	Servers func(now time.Time) []*pool.Server
+	// Evacuated reports whether nothing may be sent to the servers of a failure domain;
+	// nil means that it never does.
+	Evacuated func(domain names.FailureDomain) bool
 	// Term returns this entry's term while it certainly is the coordinator, else zero.
 	Term func() int64
 	// UnconfirmedTerm returns this entry's term if its lease has expired only because
@@ -207,7 +210,7 @@
 		cancel:    cancel,
 		dispatcher: copies.NewDispatcher(copies.DispatcherConfig{
 			Engines: coordinator.config.Engine, Clock: coordinator.config.Clock, Log: coordinator.config.Log, Holder: string(coordinator.config.Instance),
-			Term: func() int64 { return coordinator.orderTerm(number) },
+			Term: func() int64 { return coordinator.orderTerm(number) }, Evacuated: coordinator.config.Evacuated,
 		}),
 		planners:   map[names.Service]*copies.Planner{},
 		divider:    divider,
--- a/coord/place.go
+++ b/coord/place.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		if servers == nil {
-			servers = coordinator.config.Servers(now)
+			servers = coordinator.withoutEvacuated(coordinator.config.Servers(now))
 		}
 		config := schedulerConfig(service, scheduling, snapshot)
 		scheduler, found := term.schedulers[service.Name]
@@ -101,6 +101,14 @@
 	}
 }
 
+// withoutEvacuated removes the servers of evacuated failure domains.
+func (coordinator *Coordinator) withoutEvacuated(servers []*pool.Server) []*pool.Server {
+	if coordinator.config.Evacuated == nil {
+		return servers
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(server *pool.Server) bool { return coordinator.config.Evacuated(server.Domain) })
+}
+
 func schedulerConfig(service *policy.Service, scheduling *policy.Scheduling, snapshot *policy.Snapshot) sched.Config {
 	rates := map[names.ClientAccount]float64{}
 	for _, account := range snapshot.Accounts() {
--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -47,6 +47,9 @@
 	Holder string
 	// Term returns the coordinator's term, or zero once it has ended.
 	Term func() int64
+	// Evacuated reports whether nothing may be sent to the engines of a failure domain;
+	// nil means that it never does.
+	Evacuated func(domain names.FailureDomain) bool
 }
 
 // Dispatcher sends the coordinator's orders to engines during one term. It is safe
@@ -93,7 +96,7 @@
 // unknown.
 func (dispatcher *Dispatcher) QueryUnknown(ctx context.Context, service names.Service) {
 	for _, tracker := range dispatcher.trackersOf(service) {
-		if !tracker.beginQuery() {
+		if dispatcher.evacuated(tracker) || !tracker.beginQuery() {
 			continue
 		}
 		dispatcher.background.Go(func() {
@@ -143,7 +146,9 @@
 	trackers := dispatcher.trackersOf(service)
 	states := make([]EngineState, 0, len(trackers))
 	for _, tracker := range trackers {
-		states = append(states, tracker.state())
+		state := tracker.state()
+		state.Draining = state.Draining || dispatcher.evacuated(tracker)
+		states = append(states, state)
 	}
 	return states
 }
@@ -306,10 +311,12 @@
 	for range attempts {
 		orderRequest := request
 		orderRequest.Holder, orderRequest.Term = dispatcher.config.Holder, dispatcher.config.Term()
-		if orderRequest.Term == 0 || ctx.Err() != nil || !tracker.concerns(request) {
+		if orderRequest.Term == 0 || ctx.Err() != nil || !tracker.concerns(request) || dispatcher.evacuated(tracker) {
 			return false
 		}
-		orderRequest.TermValid = func() bool { return dispatcher.config.Term() == orderRequest.Term }
+		orderRequest.TermValid = func() bool {
+			return dispatcher.config.Term() == orderRequest.Term && !dispatcher.evacuated(tracker)
+		}
 		outcome := dispatcher.attemptOrder(ctx, orderRequest)
 		switch outcome {
 		case OutcomeAccepted, OutcomeUnchanged:
@@ -385,6 +392,9 @@
 
 // query requests the engine's report and applies it.
 func (dispatcher *Dispatcher) query(ctx context.Context, tracker *Tracker) {
+	if dispatcher.evacuated(tracker) {
+		return
+	}
 	tracker.mutex.Lock()
 	server := tracker.server
 	tracker.mutex.Unlock()
--- a/copies/order.go
+++ b/copies/order.go
@@ -29,8 +29,8 @@
 	// Holder and Term identify the coordinator.
 	Holder string
 	Term   int64
-	// TermValid reports whether the term is still valid. It is called again right before
-	// the order is sent.
+	// TermValid reports whether the term is still valid and the engine is not evacuated. It
+	// is called again right before the order is sent.
 	TermValid func() bool
 }
 
--- a/copies/planner.go
+++ b/copies/planner.go
@@ -70,7 +70,7 @@
 	// Blocked reports whether the engine accepts no orders now: a step is running, its
 	// state is unknown, or it refuses the orders of this term.
 	Blocked bool
-	// Draining reports whether the engine is leaving and accepts no requests.
+	// Draining reports whether the engine is leaving or evacuated and accepts no requests.
 	Draining bool
 }
 
--- a/node/relay.go
+++ b/node/relay.go
@@ -74,9 +74,9 @@
 		fx.Supply(host, output, hangUps, settingsPath(path)),
 		fx.Provide(
 			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newLimiter, crash.NewTracker,
-			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newMirror,
+			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newEvacuationHandler, newMirror,
 		),
-		fx.Invoke(captureStandardLog, serveCoordination, followPlatform, runCoordination, serveReadiness, serveRelay, sweep, watchSettings, logLifecycle, resignOnStop),
+		fx.Invoke(captureStandardLog, serveCoordination, followPlatform, runCoordination, serveReadiness, serveRelay, sweep, watchSettings, logLifecycle, expireEvacuations, resignOnStop),
 	)
 	return run(ctx, app, host.Bounds.StopGrace)
 }
--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -213,18 +213,21 @@
 	Relay   *relay.Relay
 	Pool    *pool.Pool
 	OwnKeys *ownKeys
-	Clock   *clock.Service
-	Log     logrus.FieldLogger
+	// Evacuations applies operators' requests to evacuate failure domains.
+	Evacuations *evacuationHandler
+	Clock       *clock.Service
+	Log         logrus.FieldLogger
 }
 
 // newMirror follows all keys with a single watch: their revisions then have no
 // gaps, so that a stalled watch can be distinguished from a time without changes.
 func newMirror(parts mirrorParts) *mirror.Mirror {
-	return mirror.New(mirror.Config{Source: parts.Store, Clock: parts.Clock, Log: parts.Log, Handler: mirror.PrefixHandlers{
+	handlers := mirror.PrefixHandlers{
 		{Prefix: platform.PolicyKey, Handler: &policyHandler{relay: parts.Relay, log: parts.Log}},
-		{Prefix: platform.RegistryPrefix, Handler: newRegistryHandler(parts.Pool, parts.Clock, parts.Log)},
 		{Prefix: ownPrefix, Handler: parts.OwnKeys},
-	}})
+	}
+	handlers = append(evacuationPrefixes(parts.Evacuations, newRegistryHandler(parts.Pool, parts.Clock, parts.Log)), handlers...)
+	return mirror.New(mirror.Config{Source: parts.Store, Clock: parts.Clock, Log: parts.Log, Handler: handlers})
 }
 
 // platformFollowerParts are the dependencies of followPlatform.
--- a/node/relayfollow_test.go
+++ b/node/relayfollow_test.go
@@ -22,6 +22,7 @@
 	"github.com/basilkeel/basilkeel/mirror"
 	"github.com/basilkeel/basilkeel/platform"
 	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/setup"
 )
 
 // storedItem is one change in a fakeStore, as JSON.
@@ -144,9 +145,11 @@
 	clock := clock.NewService(clock.ServiceConfig{})
 	servers := pool.New(pool.Config{RegistryPeriod: time.Second, Random: func() float64 { return 0.5 }})
 	follower := mirror.New(mirror.Config{
-		Source:  platform.NewStore(platform.StoreConfig{Address: strings.TrimPrefix(server.URL, "http://"), Transport: transport, Metrics: metrics.NewRegistry(), Log: log}),
-		Handler: mirror.PrefixHandlers{{Prefix: platform.RegistryPrefix, Handler: newRegistryHandler(servers, clock, log)}},
-		Clock:   clock, Log: log,
+		Source: platform.NewStore(platform.StoreConfig{Address: strings.TrimPrefix(server.URL, "http://"), Transport: transport, Metrics: metrics.NewRegistry(), Log: log}),
+		Handler: evacuationPrefixes(
+			newEvacuationHandler(evacuationParts{Host: &setup.Host{}, Pool: servers, Clock: clock, Log: log, Metrics: metrics.NewRegistry()}), newRegistryHandler(servers, clock, log),
+		),
+		Clock: clock, Log: log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -93,6 +93,10 @@
 	changed chan struct{}
 	// uses is what has been measured since the last report.
 	uses map[permit.Server]*EngineUse
+	// evacuated are the failure domains whose servers get no requests. returnedAt is when
+	// the evacuations of others ended.
+	evacuated  map[names.FailureDomain]struct{}
+	returnedAt map[names.FailureDomain]time.Time
 }
 
 // New returns an empty pool.
@@ -103,7 +107,7 @@
 	return &Pool{
 		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
 		holdings: map[names.BackendServer]*Holding{}, changed: make(chan struct{}),
-		uses: map[permit.Server]*EngineUse{},
+		uses: map[permit.Server]*EngineUse{}, returnedAt: map[names.FailureDomain]time.Time{},
 	}
 }
 
@@ -212,7 +216,8 @@
 // accepting reports whether a server accepts new requests, as far as is known. The
 // caller holds the mutex.
 func (pool *Pool) accepting(member *member, now time.Time) bool {
-	return !member.server.Draining && !pool.gone(member, now) && !pool.departed(member.server.ID, member.server.Incarnation)
+	return !member.server.Draining && !pool.gone(member, now) && !pool.departed(member.server.ID, member.server.Incarnation) &&
+		!pool.isEvacuated(member.server.Domain)
 }
 
 // Sweep drops servers that are idle and have been gone for longer than
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -316,7 +316,7 @@
 		Body:        exchange.body,
 		Matches:     exchange.matcher(),
 		Skipped:     func(status int, header http.Header) { exchange.recordSkipped(server, status, header) },
-		StillWanted: func() bool { return exchange.usePermit(server) },
+		StillWanted: func() bool { return exchange.maySend(server) && exchange.usePermit(server) },
 	})
 }
 
--- a/setup/host.go
+++ b/setup/host.go
@@ -51,6 +51,9 @@
 	// LoadWindow is the time window in which loads from the weight store are
 	// counted.
 	LoadWindow time.Duration
+	// Evacuate is the time after an operator's request within which the servers of a
+	// failure domain must get no more requests; zero means unknown.
+	Evacuate time.Duration
 }
 
 // Validate returns a *[ValidationError] with every invalid setting, or nil.
