--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -54,6 +54,9 @@
 	Holder string
 	// Term returns the coordinator's term, or zero once it has ended.
 	Term func() int64
+	// Evacuated reports whether nothing may be sent to the engines of a failure domain;
+	// nil means that it never does.
+	Evacuated func(domain names.FailureDomain) bool
 }
 
 // Dispatcher sends the coordinator's orders to engines during one term. It is safe
@@ -107,7 +110,7 @@
 // unknown, and those that were found to execute an order that was taken to be done.
 func (dispatcher *Dispatcher) QueryUnknown(ctx context.Context, service names.Service) {
 	for _, tracker := range dispatcher.trackersOf(service) {
-		if !tracker.beginQuery() {
+		if dispatcher.evacuated(tracker) || !tracker.beginQuery() {
 			continue
 		}
 		dispatcher.background.Go(func() {
@@ -164,7 +167,9 @@
 	trackers, now := dispatcher.trackersOf(service), dispatcher.config.Clock.Now()
 	states := make([]EngineState, 0, len(trackers))
 	for _, tracker := range trackers {
-		states = append(states, tracker.state(now))
+		state := tracker.state(now)
+		state.Draining = state.Draining || dispatcher.evacuated(tracker)
+		states = append(states, state)
 	}
 	return states
 }
@@ -447,10 +452,12 @@
 	for range attempts {
 		orderRequest := request
 		orderRequest.Holder, orderRequest.Term = dispatcher.config.Holder, dispatcher.config.Term()
-		if orderRequest.Term == 0 || ctx.Err() != nil || !tracker.concerns(request) {
+		if orderRequest.Term == 0 || ctx.Err() != nil || !tracker.concerns(request) || dispatcher.evacuated(tracker) {
 			return false
 		}
-		orderRequest.TermValid = func() bool { return dispatcher.config.Term() == orderRequest.Term }
+		orderRequest.TermValid = func() bool {
+			return dispatcher.config.Term() == orderRequest.Term && !dispatcher.evacuated(tracker)
+		}
 		outcome := dispatcher.attemptOrder(ctx, orderRequest)
 		switch outcome {
 		case OutcomeAccepted, OutcomeUnchanged:
@@ -528,6 +535,9 @@
 // query requests the engine's report and applies it. It is called with the tracker's
 // orderLock taken, so that no order is in flight.
 func (dispatcher *Dispatcher) query(ctx context.Context, tracker *Tracker) (engineReport EngineReport, reported bool) {
+	if dispatcher.evacuated(tracker) {
+		return EngineReport{}, false
+	}
 	tracker.mutex.Lock()
 	server := tracker.server
 	tracker.mutex.Unlock()
