--- a/sched/engine.go
+++ b/sched/engine.go
@@ -27,7 +27,9 @@
 	reported int
 	// placements are those that the entries' reports don't contain yet.
 	placements []placement
-	speed      speed
+	// recent and lasting measure the event times of the engine's streams.
+	recent  speed
+	lasting speed
 	// slowdown is the latest one that the engine has stated.
 	slowdown pool.Slowdown
 	prompts  promptCache
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -85,16 +85,16 @@
 
 // estimate returns the estimate for a request on an engine.
 func (scheduler *Scheduler) estimate(state *engineState, request *Request, now time.Time) candidate {
-	pace := scheduler.paces.pace(state) * state.slowdownAt(now)
+	pace, slowdown := scheduler.paces.pace(state), state.slowdownAt(now)
 	readRate, first := scheduler.readings.rate()
-	readRate /= pace
+	readRate /= pace * slowdown
 	result := candidate{state: state, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
 	estimate := &result.estimate
 	estimate.Pace, estimate.CachedTokens = pace, state.prompts.cached(request)
 	result.unread = float64(max(request.PromptTokens-estimate.CachedTokens, 1))
 
 	gap := milliseconds(scheduler.config.GapObjective)
-	eventTime := scheduler.paces.usualMilliseconds * pace
+	eventTime := scheduler.paces.eventTime(state) * slowdown
 	window := max((windowFraction*gap/scheduler.slowdowns.margin-eventTime)*readRate, minWindow)
 	intakeRate := readRate * intakeFraction
 	result.startAt = now
@@ -114,11 +114,11 @@
 	}
 	running := float64(state.running())
 	estimate.Load = loadCost * pace * running / state.slots()
-	estimate.Stream = streamCost * eventTime * float64(request.OutputTokens/max(scheduler.config.EventTokens, 1))
+	estimate.Stream = streamCost * scheduler.paces.lasting * pace * float64(request.OutputTokens/max(scheduler.config.EventTokens, 1))
 	if eventTime+estimate.Backlog+estimate.Prompt > pauseThreshold*gap {
 		estimate.Pause = pauseCost + streamPauseCost*running
 	}
-	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*pace)
+	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*pace*slowdown)
 	return result
 }
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -127,7 +127,7 @@
 	for _, engine := range engines {
 		state, known := former[engine.Server.ID]
 		if !known || state.engine.Server.Incarnation != engine.Server.Incarnation || state.engine.Server.Address != engine.Server.Address {
-			state = &engineState{}
+			state = &engineState{recent: speed{halfLife: recentHalfLife}, lasting: speed{halfLife: lastingHalfLife}}
 			for _, report := range scheduler.reports {
 				state.reported += report.loads[engine.Server.ID]
 			}
@@ -161,7 +161,8 @@
 			continue
 		}
 		if use.Events > 0 {
-			state.speed.add(use.Events, use.EventMilliseconds, now)
+			state.recent.add(use.Events, use.EventMilliseconds, now)
+			state.lasting.add(use.Events, use.EventMilliseconds, now)
 		}
 		for _, reading := range use.Readings {
 			if !valid(reading) {
