copies: move copies of scheduled services in time, those that end soonest first

Cause: the planner did not know how many streams run for a copy, so that it evicted busy ones; each unload waited 500 ms, then for all of its streams with the engine closed to adapters; a planned step could not be taken back.

Change, for services whose requests are scheduled: entries report the requests that they run for each model on each engine (CoordModelLoad). The cost of an unload depends on them and on the adapters that go with the copy. The unload is sent when two requests are left, at once if there are none; until then the engine loads adapters, and the step is canceled if its demand has gone. The load follows once entries report no requests. A copy that fits into free memory needs half of the gain. A model counts as requested for a while after its last request. Other services are planned for as before. relay counts the requests.

Not measured in a deployment.

--- a/coord/client.go
+++ b/coord/client.go
@@ -263,6 +263,7 @@
 	rates, reportedRates := client.config.Pool.Gate().Since(client.reportedRates)
 	report.Rates, report.RatesVersion = rates, client.ratesVersion
 	report.EngineUses = client.config.Pool.TakeUses()
+	report.ModelLoads = client.ownModelLoads(snapshot)
 	client.mutex.Lock()
 	report.Demands = maps.Clone(client.demands)
 	client.mutex.Unlock()
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -30,6 +30,7 @@
 	message.Departures = encodeDepartures(report.Departures)
 	message.Rates, message.RatesVersion = encodeRates(report.Rates, now), report.RatesVersion
 	message.EngineUses = encodeUses(report.EngineUses)
+	message.ModelLoads = encodeModelLoads(report.ModelLoads)
 	for target, demand := range report.Demands {
 		message.Demands = append(message.Demands, &wire.CoordModelDemand{
 			Service: string(target.Service), Model: string(target.Model), Work: demand.Work, Waiting: int32(demand.Waiting), Requests: int32(demand.Requests),
@@ -59,6 +60,7 @@
 	report.Departures = decodeDepartures(message.GetDepartures())
 	report.Rates, report.RatesVersion = decodeRates(message.GetRates(), now), message.GetRatesVersion()
 	report.EngineUses = decodeUses(message.GetEngineUses())
+	report.ModelLoads = decodeModelLoads(message.GetModelLoads())
 	for _, each := range message.GetDemands() {
 		target := Target{Service: names.Service(each.GetService()), Model: names.Model(each.GetModel())}
 		report.Demands[target] = Demand{Work: each.GetWork(), Waiting: int(each.GetWaiting()), Requests: int(each.GetRequests())}
--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -178,6 +178,8 @@
 	schedulers    map[names.Service]*sched.Scheduler
 	enginesReadAt time.Time
 	placeCalls    *rate.Meter
+	// modelLoads are the sums of those in all reports that count.
+	modelLoads modelLoads
 	// departures maps each server that leaves to the time when that was first reported.
 	departures map[pool.Departure]time.Time
 }
@@ -187,6 +189,8 @@
 	receivedAt time.Time
 	loads      map[names.BackendServer]int
 	waiting    map[Target]int
+	// modelLoads are the requests that the entry runs for copies of models.
+	modelLoads map[modelCopy]int
 	// loadsSentAt is when the entry was last sent the loads of the others.
 	loadsSentAt time.Time
 }
@@ -226,6 +230,9 @@
 		holdings:   newHoldings(),
 		departures: map[pool.Departure]time.Time{},
 	}
+	term.dispatcher.SetRequestCounter(func(server *pool.Server, model names.Model) (int, bool) {
+		return coordinator.modelRequests(term, server, model)
+	})
 	coordinator.mutex.Lock()
 	coordinator.term = term
 	coordinator.mutex.Unlock()
@@ -361,7 +368,11 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	entryReport := entryReport{receivedAt: now, loads: report.Loads, waiting: map[Target]int{}}
+	modelLoads, invalid := modelLoadsOf(report)
+	if invalid > 0 {
+		metrics.GetOrRegisterCounter("coord.modelLoads.invalid", coordinator.config.Metrics).Inc(int64(invalid))
+	}
+	entryReport := entryReport{receivedAt: now, loads: report.Loads, waiting: map[Target]int{}, modelLoads: modelLoads}
 	for target, demand := range report.Demands {
 		trend, found := term.trends[target]
 		if !found {
@@ -473,7 +484,9 @@
 			continue
 		}
 		term.dispatcher.QueryUnknown(ctx, service.Name)
-		planInput := copies.PlanInput{Engine: service.Engine, Engines: term.dispatcher.States(service.Name), Now: now}
+		planInput := copies.PlanInput{
+			Engine: service.Engine, Engines: term.dispatcher.States(service.Name), Now: now, Scheduled: snapshot.Scheduling(service.Name) != nil,
+		}
 		coordinator.mutex.Lock()
 		planInput.Demand = term.demandOf(service, now)
 		planInput.Rates, planInput.RequestsPerSecond = term.declaredRates(servers), term.requestRate(service.Name, now)
@@ -483,6 +496,7 @@
 			term.planners[service.Name] = planner
 		}
 		coordinator.mutex.Unlock()
+		term.dispatcher.CancelSteps(service.Name, planInput.Demand)
 		for _, step := range planner.Plan(planInput) {
 			event.CopyPlanned.Log(coordinator.config.Log, logrus.Fields{
 				"server": string(step.Server), "load": string(step.Load), "unload": step.Unload, "fromStore": step.FromStore,
--- a/coord/exchange.go
+++ b/coord/exchange.go
@@ -51,6 +51,9 @@
 	RatesVersion int64
 	// EngineUses is what the entry has measured on engines whose requests are scheduled.
 	EngineUses []pool.EngineUse
+	// ModelLoads are the requests in flight for copies of models of services whose requests
+	// are scheduled.
+	ModelLoads []pool.ModelLoad
 }
 
 // Version identifies a state by its term and the number of changes within it.
--- /dev/null
+++ b/coord/modelloads.go
@@ -0,0 +1,114 @@
+package coord
+
+import (
+	"time"
+	"unicode/utf8"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/wire"
+)
+
+const (
+	// modelLoadsPeriod is the least time between two sums of the reported loads of models.
+	modelLoadsPeriod = 50 * time.Millisecond
+	// maxModelRequests is more than an entry runs for a model on one engine.
+	maxModelRequests = 1 << 16
+)
+
+// modelCopy identifies a copy of a model.
+type modelCopy struct {
+	server      names.BackendServer
+	incarnation int64
+	model       names.Model
+}
+
+// modelLoads are the numbers of requests that run for copies of models, by the last reports
+// of all entries.
+type modelLoads struct {
+	sums    map[modelCopy]int
+	addedAt time.Time
+}
+
+// modelLoadsOf returns the loads in a report by copy, and the number of those that are
+// malformed, which are ignored.
+func modelLoadsOf(report Report) (loads map[modelCopy]int, invalid int) {
+	for _, each := range report.ModelLoads {
+		if each.Running <= 0 || each.Running > maxModelRequests || each.Model == "" {
+			invalid++
+			continue
+		}
+		if loads == nil {
+			loads = map[modelCopy]int{}
+		}
+		loads[modelCopy{server: each.Server, incarnation: each.Incarnation, model: each.Model}] = each.Running
+	}
+	return loads, invalid
+}
+
+// modelRequests returns the number of requests that all entries run for a model on a
+// server. It is unknown for a service whose requests are not scheduled, and until all
+// entries have had the time to report in this term.
+func (coordinator *Coordinator) modelRequests(term *term, server *pool.Server, model names.Model) (running int, known bool) {
+	snapshot := coordinator.config.Policy()
+	if snapshot == nil || snapshot.Scheduling(server.Service) == nil {
+		return 0, false
+	}
+	now := coordinator.config.Clock.Now()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if now.Sub(term.startedAt) < reportLifetime {
+		return 0, false
+	}
+	if now.Sub(term.modelLoads.addedAt) >= modelLoadsPeriod {
+		term.modelLoads = term.sumModelLoads(now)
+	}
+	return term.modelLoads.sums[modelCopy{server: server.ID, incarnation: server.Incarnation, model: model}], true
+}
+
+// sumModelLoads adds up the loads in the reports that count. It is called with the
+// coordinator's mutex held.
+func (term *term) sumModelLoads(now time.Time) modelLoads {
+	sums := map[modelCopy]int{}
+	for _, entryReport := range term.reports {
+		if now.Sub(entryReport.receivedAt) > reportLifetime {
+			continue
+		}
+		for modelCopy, running := range entryReport.modelLoads {
+			sums[modelCopy] += running
+		}
+	}
+	return modelLoads{sums: sums, addedAt: now}
+}
+
+// ownModelLoads returns this entry's requests for copies of the services whose requests are
+// scheduled. A name that is not UTF-8 text could not be encoded, and is that of no model.
+func (client *Client) ownModelLoads(snapshot *policy.Snapshot) []pool.ModelLoad {
+	loads := client.config.Pool.OwnModelLoads(func(service names.Service) bool { return snapshot.Scheduling(service) != nil })
+	kept := loads[:0]
+	for _, load := range loads {
+		if utf8.ValidString(string(load.Model)) {
+			kept = append(kept, load)
+		}
+	}
+	return kept
+}
+
+func encodeModelLoads(loads []pool.ModelLoad) []*wire.CoordModelLoad {
+	encoded := make([]*wire.CoordModelLoad, 0, len(loads))
+	for _, load := range loads {
+		encoded = append(encoded, &wire.CoordModelLoad{Server: string(load.Server), Born: load.Incarnation, Model: string(load.Model), Running: int32(load.Running)})
+	}
+	return encoded
+}
+
+func decodeModelLoads(encoded []*wire.CoordModelLoad) []pool.ModelLoad {
+	loads := make([]pool.ModelLoad, 0, len(encoded))
+	for _, message := range encoded {
+		loads = append(loads, pool.ModelLoad{
+			Server: names.BackendServer(message.GetServer()), Incarnation: message.GetBorn(), Model: names.Model(message.GetModel()), Running: int(message.GetRunning()),
+		})
+	}
+	return loads
+}
--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -25,6 +25,9 @@
 	// an adapter; it is lower because a caller's request waits for it.
 	modelOrderAttempts   = 10
 	adapterOrderAttempts = 5
+	// conflictPause is the pause after a conflict of an order for a model although the
+	// engine reports to be idle. Its report is some hundred milliseconds old.
+	conflictPause = 250 * time.Millisecond
 	// adapterOrderTime is how long an engine is busy with an order for an adapter.
 	adapterOrderTime = 10 * time.Millisecond
 	// unloadPollPause is the pause between two reports while an engine unloads a model,
@@ -61,9 +64,12 @@
 type Dispatcher struct {
 	config DispatcherConfig
 	// mutex guards trackers.
-	mutex      sync.Mutex
-	trackers   map[names.BackendServer]*Tracker
-	background sync.WaitGroup
+	mutex    sync.Mutex
+	trackers map[names.BackendServer]*Tracker
+	// countRequests returns the number of requests that run for a model on a server. It is
+	// called without any mutex held.
+	countRequests func(server *pool.Server, model names.Model) (running int, known bool)
+	background    sync.WaitGroup
 	// inFlight is read-locked while an order is sent to an engine and its answer is
 	// awaited. It is locked after a tracker's orderLock is taken.
 	inFlight sync.RWMutex
@@ -74,7 +80,16 @@
 	if config.Metrics == nil {
 		config.Metrics = metrics.NewRegistry()
 	}
-	return &Dispatcher{config: config, trackers: map[names.BackendServer]*Tracker{}}
+	return &Dispatcher{
+		config: config, trackers: map[names.BackendServer]*Tracker{},
+		countRequests: func(*pool.Server, names.Model) (int, bool) { return 0, false },
+	}
+}
+
+// SetRequestCounter sets the function that returns the number of requests that run for a
+// model on a server, and whether that is known. It is called before all other methods.
+func (dispatcher *Dispatcher) SetRequestCounter(count func(server *pool.Server, model names.Model) (running int, known bool)) {
+	dispatcher.countRequests = count
 }
 
 // SyncRegistry updates the engines from the registry and ends loads that are due.
@@ -164,7 +179,9 @@
 	trackers, now := dispatcher.trackersOf(service), dispatcher.config.Clock.Now()
 	states := make([]EngineState, 0, len(trackers))
 	for _, tracker := range trackers {
-		states = append(states, tracker.state(now))
+		state := tracker.state(now)
+		state.Requests = dispatcher.requests(tracker, state.Models)
+		states = append(states, state)
 	}
 	return states
 }
@@ -220,14 +237,15 @@
 		return
 	}
 	tracker.stepRunning, tracker.loading, tracker.readyAt = true, step.Load, time.Time{}
-	tracker.unloading = step.Unload
+	tracker.unloading, tracker.step, tracker.canceled = step.Unload, step, false
+	tracker.awaiting = step.Scheduled && len(step.Unload) > 0
 	planned := tracker.server
 	tracker.mutex.Unlock()
 	dispatcher.background.Go(func() {
 		accepted := dispatcher.executeStep(ctx, tracker, planned, step, engine)
 		tracker.mutex.Lock()
 		defer tracker.mutex.Unlock()
-		tracker.stepRunning, tracker.switching, tracker.unloading = false, false, nil
+		tracker.stepRunning, tracker.switching, tracker.awaiting, tracker.unloading = false, false, false, nil
 		if !accepted && tracker.loading == step.Load {
 			tracker.loading = ""
 		}
@@ -240,7 +258,8 @@
 func (tracker *Tracker) beginSwitch(planned *pool.Server) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if !tracker.known() || !tracker.isIncarnation(planned.Incarnation, planned.Address) {
+	tracker.awaiting = false
+	if !tracker.known() || tracker.canceled || !tracker.isIncarnation(planned.Incarnation, planned.Address) {
 		return false
 	}
 	tracker.switching = true
@@ -250,14 +269,8 @@
 // executeStep unloads and loads the models of a step, and reports whether the engine
 // has accepted the load.
 func (dispatcher *Dispatcher) executeStep(ctx context.Context, tracker *Tracker, planned *pool.Server, step Step, engine *policy.Engine) bool {
-	if len(step.Unload) > 0 {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-dispatcher.config.Clock.After(unloadDelay):
-		}
-	}
-	if !tracker.beginSwitch(planned) {
+	plannedAt := dispatcher.config.Clock.Now()
+	if len(step.Unload) > 0 && !dispatcher.awaitRequests(ctx, tracker, step) || !tracker.beginSwitch(planned) {
 		return false
 	}
 	for _, model := range step.Unload {
@@ -269,6 +282,7 @@
 	if !dispatcher.sendStepOrder(ctx, tracker, planned, Order{Model: step.Load}, engine) {
 		return false
 	}
+	metrics.GetOrRegisterTimer("copies.steps.loadAcceptedAfter", dispatcher.config.Metrics).Update(dispatcher.config.Clock.Now().Sub(plannedAt))
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	if tracker.loading == step.Load && tracker.isIncarnation(planned.Incarnation, planned.Address) {
@@ -300,6 +314,10 @@
 			return false
 		case <-dispatcher.config.Clock.After(unloadPollPause):
 		}
+		if running := dispatcher.requests(tracker, []names.Model{model}); running != nil && running[model] == 0 {
+			// Reports of the engine would show this some hundred milliseconds later.
+			return true
+		}
 		if tracker.lockOrders(ctx) != nil {
 			return false
 		}
@@ -331,7 +349,7 @@
 		return &UnknownEngineError{Server: server}
 	}
 	order := Order{Model: adapter.Model, Adapter: adapter.Name}
-	if !tracker.mayTakeAdapters() {
+	if !tracker.mayTakeAdapters(adapter.Model) {
 		return dispatcher.busyError(server, order)
 	}
 	if err := tracker.lockOrders(ctx); err != nil {
@@ -339,7 +357,7 @@
 	}
 	defer tracker.unlockOrders()
 	for {
-		if !tracker.mayTakeAdapters() || !tracker.isKnown() {
+		if !tracker.mayTakeAdapters(adapter.Model) || !tracker.isKnown() {
 			return dispatcher.busyError(server, order)
 		}
 		victim, full, present := tracker.adapterSlot(adapter, engine.AdapterSlots)
@@ -372,12 +390,12 @@
 	metrics.GetOrRegisterCounter("copies.orders."+outcome, dispatcher.config.Metrics).Inc(1)
 }
 
-// mayTakeAdapters reports whether the engine may accept an order for an adapter, once an
-// order without an answer that is being repeated has one.
-func (tracker *Tracker) mayTakeAdapters() bool {
+// mayTakeAdapters reports whether the engine may accept an order for an adapter of a model,
+// once an order without an answer that is being repeated has one.
+func (tracker *Tracker) mayTakeAdapters(model names.Model) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.consistent && !tracker.switching && !tracker.busySeen && !tracker.fenced && (tracker.loading == "" || tracker.stepRunning)
+	return !slices.Contains(tracker.unloading, model) && tracker.consistent && !tracker.switching && !tracker.busySeen && !tracker.fenced && (tracker.loading == "" || tracker.stepRunning)
 }
 
 // adapterSlot reports in present whether the adapter is loaded. Otherwise full reports
@@ -451,7 +469,7 @@
 			return false
 		}
 		orderRequest.TermValid = func() bool { return dispatcher.config.Term() == orderRequest.Term }
-		outcome := dispatcher.attemptOrder(ctx, orderRequest)
+		outcome, pause := dispatcher.attemptOrder(ctx, orderRequest), orderRetryPause
 		switch outcome {
 		case OutcomeAccepted, OutcomeUnchanged:
 			return tracker.recordAccepted(request, outcome, dispatcher.config.Clock.Now())
@@ -466,6 +484,8 @@
 			case !reported:
 			case engineReport.Accepted != request.Accepted:
 				return false
+			case order.Adapter == "" && !engineReport.Busy:
+				pause = conflictPause
 			case engineReport.Busy && (order.Adapter != "" || !dispatcher.awaitIdle(ctx, tracker, request)):
 				return false
 			}
@@ -475,7 +495,7 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-dispatcher.config.Clock.After(orderRetryPause):
+		case <-dispatcher.config.Clock.After(pause):
 		}
 	}
 	return false
--- a/copies/fleet_test.go
+++ b/copies/fleet_test.go
@@ -77,6 +77,25 @@
 	downUntil time.Time
 	// idleAt is when all accepted requests are done.
 	idleAt time.Time
+	// streamEnds are when the streams of each model end. They are simulated only for a
+	// fleet with streams.
+	streamEnds map[names.Model][]time.Time
+	plannedAt  time.Time
+}
+
+// running returns the number of streams of a model, and when the last one ends.
+func (engine *fleetEngine) running(name names.Model, now time.Time) (int, time.Time) {
+	if len(engine.streamEnds[name]) == 0 {
+		return 0, now
+	}
+	engine.streamEnds[name] = slices.DeleteFunc(engine.streamEnds[name], func(end time.Time) bool { return !end.After(now) })
+	last := now
+	for _, end := range engine.streamEnds[name] {
+		if end.After(last) {
+			last = end
+		}
+	}
+	return len(engine.streamEnds[name]), last
 }
 
 // simulatedFleet simulates requests for models, the engines that serve them, and the
@@ -94,6 +113,12 @@
 	inTime   int
 	late     int
 	loads    int
+	// streams makes unloads wait for the streams of their model rather than for a fixed
+	// time, and scheduled plans with the knowledge of these.
+	streams   bool
+	scheduled bool
+	// waits are the times from the plans of copies that evict others to their first use.
+	waits []time.Duration
 }
 
 func newSimulatedFleet(kind fleetKind, seed uint64) *simulatedFleet {
@@ -231,6 +256,9 @@
 			engine.memory, engine.disk = append(engine.memory, engine.loading), append(engine.disk, engine.loading)
 			engine.loadedAt[engine.loading] = fleet.now
 			engine.loading = ""
+			if engine.loadStartsAt.After(engine.plannedAt) {
+				fleet.waits = append(fleet.waits, engine.readyAt.Sub(engine.plannedAt))
+			}
 		}
 	}
 }
@@ -256,11 +284,42 @@
 	} else {
 		fleet.inTime++
 	}
+	if fleet.streams {
+		if best.streamEnds == nil {
+			best.streamEnds = map[names.Model][]time.Time{}
+		}
+		duration := shortestStream + time.Duration(fleet.random.Float64()*float64(longestStream-shortestStream))
+		best.streamEnds[name] = append(best.streamEnds[name], fleet.now.Add(duration))
+	}
 	best.idleAt = best.idleAt.Add(time.Duration(fleet.random.ExpFloat64() * fleet.kind.work * float64(time.Second)))
 }
 
+// shortestStream and longestStream bound the time that a stream takes.
+const (
+	shortestStream = 300 * time.Millisecond
+	longestStream  = 3 * time.Second
+)
+
+// unloadTime returns the time from a plan to the end of its unloads.
+func (fleet *simulatedFleet) unloadTime(engine *fleetEngine, unload []names.Model) time.Duration {
+	const reportDelay, poll = 300 * time.Millisecond, 60 * time.Millisecond
+	if !fleet.streams {
+		return 500*time.Millisecond + fleet.kind.unload
+	}
+	until := fleet.now
+	for _, name := range unload {
+		if _, end := engine.running(name, fleet.now); end.After(until) {
+			until = end
+		}
+	}
+	if fleet.scheduled {
+		return until.Sub(fleet.now) + poll + 120*time.Millisecond
+	}
+	return max(until.Sub(fleet.now), 500*time.Millisecond) + reportDelay
+}
+
 func (fleet *simulatedFleet) plan() {
-	planInput := copies.PlanInput{Engine: fleet.spec, Now: fleet.now, Demand: map[names.Model]copies.Demand{}}
+	planInput := copies.PlanInput{Engine: fleet.spec, Now: fleet.now, Scheduled: fleet.scheduled, Demand: map[names.Model]copies.Demand{}}
 	for name, trend := range fleet.trends {
 		planInput.Demand[name] = copies.Demand{Work: trend.Forecast(fleet.now), Steady: trend.Steady(fleet.now)}
 	}
@@ -268,8 +327,16 @@
 		if engine.downUntil.After(fleet.now) {
 			continue
 		}
+		var requests map[names.Model]int
+		if fleet.scheduled {
+			requests = map[names.Model]int{}
+			for _, name := range engine.models {
+				requests[name], _ = engine.running(name, fleet.now)
+			}
+		}
 		planInput.Engines = append(planInput.Engines, copies.EngineState{
-			Server: names.BackendServer(fmt.Sprintf("%d", index)), Models: slices.Clone(engine.models), Loading: engine.loading,
+			Requests: requests,
+			Server:   names.BackendServer(fmt.Sprintf("%d", index)), Models: slices.Clone(engine.models), Loading: engine.loading,
 			InMemory: engine.memory, OnDisk: engine.disk, LoadedAt: engine.loadedAt,
 			Unloading: engine.loading != "" && engine.loadStartsAt.After(fleet.now), Blocked: engine.loading != "",
 		})
@@ -279,9 +346,9 @@
 		var index int
 		_, _ = fmt.Sscanf(string(step.Server), "%d", &index)
 		engine := fleet.engines[index]
-		engine.loadStartsAt = fleet.now
+		engine.loadStartsAt, engine.plannedAt = fleet.now, fleet.now
 		if len(step.Unload) > 0 {
-			engine.loadStartsAt = fleet.now.Add(500*time.Millisecond + fleet.kind.unload)
+			engine.loadStartsAt = fleet.now.Add(fleet.unloadTime(engine, step.Unload))
 		}
 		engine.models = slices.DeleteFunc(engine.models, func(name names.Model) bool { return slices.Contains(step.Unload, name) })
 		load := fleet.kind.load
@@ -315,6 +382,49 @@
 	}
 }
 
+// TestScheduledFleetsMoveCopiesSooner guards against copies that wait for the streams of
+// those that they evict although others end sooner, and against service lost for that.
+func TestScheduledFleetsMoveCopiesSooner(t *testing.T) {
+	type result struct {
+		inTime, late float64
+		loads        int
+		thirdQuarter time.Duration
+	}
+	play := func(kind fleetKind, scheduled bool) result {
+		var result result
+		var waits []time.Duration
+		requests := 0.0
+		for seed := range uint64(2) {
+			fleet := newSimulatedFleet(kind, seed)
+			fleet.streams, fleet.scheduled = true, scheduled
+			fleet.simulate(36)
+			requests += float64(fleet.requests)
+			result.inTime += float64(fleet.inTime)
+			result.late += float64(fleet.late)
+			result.loads += fleet.loads
+			waits = append(waits, fleet.waits...)
+		}
+		slices.Sort(waits)
+		if len(waits) > 0 {
+			result.thirdQuarter = waits[len(waits)*3/4]
+		}
+		result.inTime, result.late = result.inTime/requests, result.late/requests
+		if len(waits) == 0 {
+			waits = []time.Duration{0}
+		}
+		t.Logf("%s, scheduled %t: in time %.3f, late %.3f, loads %d, %d evict, median %v, third quarter %v", kind.name, scheduled, result.inTime, result.late, result.loads, len(waits), waits[len(waits)/2], result.thirdQuarter)
+		return result
+	}
+	for _, kind := range fleetKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			g := NewWithT(t)
+			before, after := play(kind, false), play(kind, true)
+			g.Expect(after.thirdQuarter).To(BeNumerically("<", before.thirdQuarter))
+			g.Expect(after.inTime).To(BeNumerically(">=", before.inTime-0.005))
+		})
+	}
+}
+
 // BenchmarkPlan measures a plan for a fleet of the target size after a shift of demand.
 func BenchmarkPlan(b *testing.B) {
 	kind := fleetKinds[0]
--- a/copies/planner.go
+++ b/copies/planner.go
@@ -64,6 +64,10 @@
 	OnDisk   []names.Model
 	// LoadedAt is when each copy was loaded, if known.
 	LoadedAt map[names.Model]time.Time
+	// Requests counts the requests that run for each model, or is nil if they are not
+	// known. Adapters counts the adapters of each model.
+	Requests map[names.Model]int
+	Adapters map[names.Model]int
 	// Unloading reports whether the engine has yet to unload models before it loads one.
 	// Running streams of these models have to end first.
 	Unloading bool
@@ -97,7 +101,10 @@
 	// the rate of all requests that make up Demand, or zero if it is not known.
 	Rates             map[names.BackendServer]float64
 	RequestsPerSecond float64
-	Now               time.Time
+	// Scheduled reports whether the requests of the service are scheduled. Copies of its
+	// models move earlier, and those whose requests end soonest are evicted first.
+	Scheduled bool
+	Now       time.Time
 }
 
 // Step is one change on an engine: the models to unload first, and the one to load.
@@ -107,6 +114,10 @@
 	Load   names.Model
 	// FromStore reports whether the weights come from the weight store.
 	FromStore bool
+	// Scheduled reports whether the requests of the service are scheduled. Demand is then
+	// the demand for the model to load that the step was planned for.
+	Scheduled bool
+	Demand    Demand
 }
 
 // Planner decides which copies to add. It is not safe for concurrent use.
@@ -184,6 +195,9 @@
 		return Step{}, 0, false
 	}
 	step := Step{Server: engine.Server, Load: model}
+	if view.input.Scheduled {
+		step.Scheduled, step.Demand = true, view.input.Demand[model]
+	}
 	cost := 0.0
 	switch {
 	case slices.Contains(engine.InMemory, model):
--- a/copies/refused_test.go
+++ b/copies/refused_test.go
@@ -22,7 +22,8 @@
 	streamsEnd time.Time
 	stopping   names.Model
 	refused    int
-	orders     int
+	// unloadAt is when the unload of a model was accepted.
+	unloadAt time.Time
 }
 
 // settle ends the running unload if its streams have ended.
@@ -37,10 +38,10 @@
 // Order implements [copies.EngineClient].
 func (engine *streamingEngine) Order(ctx context.Context, orderRequest copies.OrderRequest) (copies.Outcome, error) {
 	engine.settle()
-	engine.orders++
 	if orderRequest.Unload && orderRequest.Adapter == "" && engine.stopping == "" {
 		engine.stopping, engine.loading = orderRequest.Model, orderRequest.Model
 		engine.accepted++
+		engine.unloadAt = engine.clock.Now()
 		engine.record()
 		return copies.OutcomeAccepted, nil
 	}
--- /dev/null
+++ b/copies/steps.go
@@ -0,0 +1,114 @@
+package copies
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/names"
+)
+
+const (
+	// requestsPollPause is the pause between two looks at the requests for the models that
+	// a step will unload.
+	requestsPollPause = 60 * time.Millisecond
+	// fewRequests is the number of requests for these models at which the unload is sent.
+	// Until then the engine accepts orders for adapters, and the step can be canceled; it
+	// does not end earlier if the unload is sent earlier.
+	fewRequests = 2
+	// maxRequestsWait bounds that wait.
+	maxRequestsWait = 4 * time.Second
+	// lostDemandFraction is the fraction of the demand that a step was planned for below
+	// which it is canceled.
+	lostDemandFraction = 0.5
+)
+
+// requests returns the number of requests that run for models on an engine, or nil if they
+// are not known.
+func (dispatcher *Dispatcher) requests(tracker *Tracker, models []names.Model) map[names.Model]int {
+	tracker.mutex.Lock()
+	server := tracker.server
+	tracker.mutex.Unlock()
+	requests := make(map[names.Model]int, len(models))
+	for _, model := range models {
+		running, known := dispatcher.countRequests(server, model)
+		if !known {
+			return nil
+		}
+		requests[model] = running
+	}
+	return requests
+}
+
+// awaitRequests waits before the first unload of a step. If the requests are not known or
+// not scheduled, it is for the time that entries take to learn of the decision; otherwise
+// until few requests for the models are left. It reports false if the step is canceled.
+func (dispatcher *Dispatcher) awaitRequests(ctx context.Context, tracker *Tracker, step Step) bool {
+	end := dispatcher.config.Clock.Now().Add(maxRequestsWait)
+	for {
+		pause := requestsPollPause
+		requests := dispatcher.requests(tracker, step.Unload)
+		if !step.Scheduled || requests == nil {
+			pause, end = unloadDelay, time.Time{}
+		}
+		running := 0
+		for _, each := range requests {
+			running += each
+		}
+		if tracker.isCanceled() {
+			return false
+		}
+		if step.Scheduled && requests != nil && (running <= fewRequests || !dispatcher.config.Clock.Now().Before(end)) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-dispatcher.config.Clock.After(pause):
+		}
+		if end.IsZero() {
+			return true
+		}
+	}
+}
+
+func (tracker *Tracker) isCanceled() bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.canceled
+}
+
+// CancelSteps cancels the steps of a service that have sent no order yet and whose demand
+// has gone.
+func (dispatcher *Dispatcher) CancelSteps(service names.Service, demand map[names.Model]Demand) {
+	for _, tracker := range dispatcher.trackersOf(service) {
+		if step, canceled := tracker.cancelStep(demand); canceled {
+			event.StepCanceled.Log(dispatcher.config.Log, logrus.Fields{
+				"server": string(step.Server), "load": string(step.Load), "unload": step.Unload, "work": demand[step.Load].Work, "plannedFor": step.Demand.Work,
+			})
+			dispatcher.count("stepsCanceled")
+		}
+	}
+}
+
+// cancelStep cancels the running step if it has sent no order yet and the demand for its
+// model has gone.
+func (tracker *Tracker) cancelStep(demand map[names.Model]Demand) (Step, bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if !tracker.stepRunning || !tracker.awaiting || tracker.canceled || !tracker.step.Demand.goneBy(demand[tracker.step.Load]) {
+		return Step{}, false
+	}
+	tracker.canceled = true
+	return tracker.step, true
+}
+
+// goneBy reports whether a later demand is too small for what was planned for this one.
+func (demand Demand) goneBy(later Demand) bool {
+	if demand.Work == 0 && demand.Waiting == 0 {
+		return false
+	}
+	return later.Waiting == 0 && later.Work <= lostDemandFraction*demand.Work
+}
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -62,6 +62,12 @@
 	// requests for them.
 	unloading   []names.Model
 	stepRunning bool
+	// step is the step that runs or ran last. awaiting reports whether it waits for the
+	// requests for the models that it will unload, while the engine accepts other orders;
+	// canceled reports whether it is to end without an order.
+	step     Step
+	awaiting bool
+	canceled bool
 	// switching reports whether the running step has begun to send orders. Until it ends
 	// the engine would refuse others.
 	switching bool
@@ -253,12 +259,23 @@
 		InMemory:  tracker.inMemory,
 		OnDisk:    tracker.onDisk,
 		LoadedAt:  tracker.loadedAtCopy(),
+		Adapters:  tracker.adapterCounts(),
 		Unloading: len(tracker.unloading) > 0,
 		Blocked:   tracker.stepRunning || tracker.fenced || !tracker.known() || tracker.loading != "" || tracker.busySeen || now.Before(tracker.withheldUntil),
 		Draining:  tracker.server.Draining,
 	}
 }
 
+// adapterCounts returns the number of adapters of each model. It is called with the mutex
+// held.
+func (tracker *Tracker) adapterCounts() map[names.Model]int {
+	counts := map[names.Model]int{}
+	for _, adapter := range tracker.adapters {
+		counts[adapter.Model]++
+	}
+	return counts
+}
+
 // loadedAtCopy returns a copy of loadedAt. It is called with the mutex held.
 func (tracker *Tracker) loadedAtCopy() map[names.Model]time.Time {
 	since := make(map[names.Model]time.Time, len(tracker.loadedAt))
@@ -282,7 +299,7 @@
 	defer tracker.mutex.Unlock()
 	return pool.Holding{
 		Server: tracker.server.ID, Incarnation: tracker.server.Incarnation, Models: tracker.remainingModels(), Adapters: slices.Clone(tracker.adapters),
-		Busy: !tracker.known() || tracker.stepRunning || tracker.loading != "" || tracker.busySeen || tracker.fenced,
+		Busy: !tracker.known() || tracker.busySeen || tracker.fenced || !tracker.awaiting && (tracker.stepRunning || tracker.loading != ""),
 	}
 }
 
--- a/copies/view.go
+++ b/copies/view.go
@@ -265,7 +265,7 @@
 func (view *view) makeRoom(index int, missingMB float64, need need, payoff float64) ([]names.Model, float64, bool) {
 	victims := slices.Clone(view.engines[index].Models)
 	sort.SliceStable(victims, func(i, j int) bool {
-		return view.evictionLoss(victims[i], index) < view.evictionLoss(victims[j], index)
+		return view.victimCost(victims[i], index) < view.victimCost(victims[j], index)
 	})
 	var unload []names.Model
 	loss := 0.0
@@ -277,7 +277,7 @@
 			continue
 		}
 		unload = append(unload, victim)
-		loss += unloadCost
+		loss += view.unloadCost(victim, index)
 		if view.copies[victim] <= 1 {
 			loss += lastCopyLoss
 		}
@@ -286,9 +286,44 @@
 	return unload, loss, missingMB <= 0
 }
 
-// unloadCost is the cost of an unload, in units of the load of an engine. An unload waits
-// two to three seconds for running streams, and the next load starts only then.
-const unloadCost = 0.3
+const (
+	// usualUnloadCost is the cost of an unload, in units of the load of an engine, if the
+	// model's requests are not known. An unload waits two to three seconds for running
+	// streams, and the next load starts only then.
+	usualUnloadCost = 0.3
+	// idleUnloadCost is that of a model without requests. With requests it grows from
+	// minUnloadCost to maxUnloadCost, and is in the middle with halfUnloadRequests: the
+	// more requests there are, the later the last one ends.
+	idleUnloadCost     = 0.05
+	minUnloadCost      = 0.1
+	maxUnloadCost      = 0.4
+	halfUnloadRequests = 6
+	// adapterCost is the cost of each adapter that has to be loaded elsewhere again.
+	adapterCost = 0.01
+)
+
+// unloadCost returns the cost of unloading a model from an engine, in units of the load of
+// an engine.
+func (view *view) unloadCost(model names.Model, index int) float64 {
+	engine := &view.engines[index]
+	if !view.input.Scheduled || engine.Requests == nil {
+		return usualUnloadCost
+	}
+	cost := idleUnloadCost
+	if running := float64(engine.Requests[model]); running > 0 {
+		cost = minUnloadCost + (maxUnloadCost-minUnloadCost)*running/(running+halfUnloadRequests)
+	}
+	return cost + adapterCost*float64(engine.Adapters[model])
+}
+
+// victimCost orders the models of an engine by what their eviction costs.
+func (view *view) victimCost(model names.Model, index int) float64 {
+	cost := view.evictionLoss(model, index)
+	if view.input.Scheduled {
+		cost += view.unloadCost(model, index)
+	}
+	return cost
+}
 
 // evictionLoss returns what is lost if a model is evicted from an engine: the load that each
 // other copy takes over, or much more if there is no other copy.
@@ -322,21 +357,42 @@
 		return view.work[victim] == 0 && last.Waiting == 0 && last.Steady*lastCopyDemandFactor <= demand.Steady && wanted && view.copies[need.model] == 0
 	}
 	if view.copies[need.model] == 0 {
-		return wanted || view.work[victim] == 0
+		return wanted || !view.requested(victim)
 	}
 	return view.loss(victim, index)*evictionGainFactor < need.gain*payoff
 }
 
+// requestedWork is the mean work per second over a longer time from which a model counts
+// as requested, although it has no requests at the moment.
+const requestedWork = 0.002
+
+// requested reports whether a model has requests, or had some lately.
+func (view *view) requested(model names.Model) bool {
+	if view.work[model] > 0 {
+		return true
+	}
+	demand := view.input.Demand[model]
+	return view.input.Scheduled && (demand.Waiting > 0 || demand.Steady >= requestedWork)
+}
+
 // minGain returns the least gain that another copy has to bring. The bound depends on
 // whether the copy evicts others, and otherwise on the time of its load.
 func (view *view) minGain(evicts bool, load time.Duration) float64 {
 	minimum := minFreeGain + gainPerLoadSecond*load.Seconds()
-	if evicts {
+	switch {
+	case evicts:
 		minimum = minEvictingGain
+	case view.input.Scheduled:
+		minimum *= scheduledFreeGainFactor
 	}
 	return minimum * max(view.mean, minMeanLoad)
 }
 
+// scheduledFreeGainFactor multiplies the least gain of a copy that fits into unused memory,
+// for a service whose requests are scheduled: demand shifts after seven to eight seconds,
+// so that such a copy has to be loaded at the beginning of a shift.
+const scheduledFreeGainFactor = 0.5
+
 // apply applies a planned step to the view.
 func (view *view) apply(step Step) {
 	for index := range view.engines {
--- a/event/copies.go
+++ b/event/copies.go
@@ -10,4 +10,6 @@
 	// IncarnationOutdated is logged when the registry lists an earlier incarnation of an
 	// engine than before.
 	IncarnationOutdated = define(9141, logrus.InfoLevel, "incarnationOutdated", "The registry lists an earlier incarnation of a model engine than it did before; the entry is ignored unless it stays for 5 s.")
+	// StepCanceled is logged when a planned copy is given up before its first order.
+	StepCanceled = define(9142, logrus.InfoLevel, "stepCanceled", "A planned copy of a model was given up before the copy that it would have evicted was unloaded, as the demand for it has gone.")
 )
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -93,6 +93,8 @@
 	changed chan struct{}
 	// uses is what has been measured since the last report.
 	uses map[permit.Server]*EngineUse
+	// modelRequests counts this instance's requests in flight for models.
+	modelRequests map[modelOnServer]int
 }
 
 // New returns an empty pool.
@@ -103,7 +105,7 @@
 	return &Pool{
 		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
 		holdings: map[names.BackendServer]*Holding{}, changed: make(chan struct{}),
-		uses: map[permit.Server]*EngineUse{},
+		uses: map[permit.Server]*EngineUse{}, modelRequests: map[modelOnServer]int{},
 	}
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -183,6 +183,8 @@
 	sentAt := exchange.now()
 	relay.config.Pool.StartRequest(server.ID, prompt, sentAt)
 	defer relay.config.Pool.EndRequest(server.ID)
+	relay.config.Pool.AddModelRequests(server, exchange.info.Model, 1)
+	defer relay.config.Pool.AddModelRequests(server, exchange.info.Model, -1)
 	attemptCtx, cancel := exchange.attemptContext(ctx)
 	defer cancel()
 	response, err := exchange.send(attemptCtx, server)
