copies: keep adapters on the engines where requests use them

Cause: the adapter that was loaded first was dropped, also while requests used it, and was loaded again a moment later.

Change, for services whose requests are scheduled: the reported model loads name adapters, and the adapter that was not used for longest goes; its order counts as use. Elsewhere the one that was loaded first goes, as before.

TestAdaptersInUseStay: with the former choice a1, in use all the time, goes.

--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -180,6 +180,8 @@
 	placeCalls    *rate.Meter
 	// modelLoads are the sums of those in all reports that count.
 	modelLoads modelLoads
+	// adapterUses are when a report last stated a request for an adapter.
+	adapterUses map[adapterCopy]time.Time
 	// departures maps each server that leaves to the time when that was first reported.
 	departures map[pool.Departure]time.Time
 }
@@ -222,6 +224,8 @@
 		totalLoads: map[names.BackendServer]int{},
 		trends:     map[Target]*copies.Trend{},
 
+		adapterUses: map[adapterCopy]time.Time{},
+
 		requestRates: map[names.Service]*rate.Meter{},
 
 		schedulers: map[names.Service]*sched.Scheduler{},
@@ -230,9 +234,7 @@
 		holdings:   newHoldings(),
 		departures: map[pool.Departure]time.Time{},
 	}
-	term.dispatcher.SetRequestCounter(func(server *pool.Server, model names.Model) (int, bool) {
-		return coordinator.modelRequests(term, server, model)
-	})
+	term.dispatcher.SetUsage(&engineUsage{coordinator: coordinator, term: term})
 	coordinator.mutex.Lock()
 	coordinator.term = term
 	coordinator.mutex.Unlock()
@@ -383,6 +385,7 @@
 		term.addRequests(target.Service, demand.Requests, now)
 		entryReport.waiting[target] = demand.Waiting
 	}
+	term.recordAdapterUses(report, now)
 	term.storeReport(report.Instance, entryReport, now)
 	coordinator.reportToSchedulers(term, report, snapshot, now)
 	reply := Reply{Term: term.number, Revision: coordinator.revision, Entries: term.reportedEntries(now)}
--- a/coord/modelloads.go
+++ b/coord/modelloads.go
@@ -13,6 +13,8 @@
 const (
 	// modelLoadsPeriod is the least time between two sums of the reported loads of models.
 	modelLoadsPeriod = 50 * time.Millisecond
+	// adapterUseLifetime is how long the use of an adapter is remembered.
+	adapterUseLifetime = time.Minute
 	// maxModelRequests is more than an entry runs for a model on one engine.
 	maxModelRequests = 1 << 16
 )
@@ -24,6 +26,12 @@
 	model       names.Model
 }
 
+// adapterCopy identifies an adapter of a copy.
+type adapterCopy struct {
+	modelCopy
+	adapter names.Adapter
+}
+
 // modelLoads are the numbers of requests that run for copies of models, by the last reports
 // of all entries.
 type modelLoads struct {
@@ -42,11 +50,50 @@
 		if loads == nil {
 			loads = map[modelCopy]int{}
 		}
-		loads[modelCopy{server: each.Server, incarnation: each.Incarnation, model: each.Model}] = each.Running
+		loads[copyOf(each)] += each.Running
 	}
 	return loads, invalid
 }
 
+func copyOf(load pool.ModelLoad) modelCopy {
+	return modelCopy{server: load.Server, incarnation: load.Incarnation, model: load.Model}
+}
+
+// recordAdapterUses records the adapters that requests use. It is called with the
+// coordinator's mutex held.
+func (term *term) recordAdapterUses(report Report, now time.Time) {
+	for _, each := range report.ModelLoads {
+		if each.Adapter != "" && each.Running > 0 {
+			term.adapterUses[adapterCopy{modelCopy: copyOf(each), adapter: each.Adapter}] = now
+		}
+	}
+}
+
+// engineUsage is what entries report of the use of engines in a term. It implements
+// [copies.Usage].
+type engineUsage struct {
+	coordinator *Coordinator
+	term        *term
+}
+
+// AdapterUsedAt implements [copies.Usage].
+func (engineUsage *engineUsage) AdapterUsedAt(server *pool.Server, adapter pool.Adapter) (usedAt time.Time, known bool) {
+	coordinator := engineUsage.coordinator
+	snapshot := coordinator.config.Policy()
+	if snapshot == nil || snapshot.Scheduling(server.Service) == nil {
+		return time.Time{}, false
+	}
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	copied := modelCopy{server: server.ID, incarnation: server.Incarnation, model: adapter.Model}
+	return engineUsage.term.adapterUses[adapterCopy{modelCopy: copied, adapter: adapter.Name}], true
+}
+
+// ModelRequests implements [copies.Usage].
+func (engineUsage *engineUsage) ModelRequests(server *pool.Server, model names.Model) (running int, known bool) {
+	return engineUsage.coordinator.modelRequests(engineUsage.term, server, model)
+}
+
 // modelRequests returns the number of requests that all entries run for a model on a
 // server. It is unknown for a service whose requests are not scheduled, and until all
 // entries have had the time to report in this term.
@@ -70,6 +117,11 @@
 // sumModelLoads adds up the loads in the reports that count. It is called with the
 // coordinator's mutex held.
 func (term *term) sumModelLoads(now time.Time) modelLoads {
+	for adapterCopy, usedAt := range term.adapterUses {
+		if now.Sub(usedAt) > adapterUseLifetime {
+			delete(term.adapterUses, adapterCopy)
+		}
+	}
 	sums := map[modelCopy]int{}
 	for _, entryReport := range term.reports {
 		if now.Sub(entryReport.receivedAt) > reportLifetime {
@@ -88,7 +140,7 @@
 	loads := client.config.Pool.OwnModelLoads(func(service names.Service) bool { return snapshot.Scheduling(service) != nil })
 	kept := loads[:0]
 	for _, load := range loads {
-		if utf8.ValidString(string(load.Model)) {
+		if utf8.ValidString(string(load.Model)) && utf8.ValidString(string(load.Adapter)) {
 			kept = append(kept, load)
 		}
 	}
@@ -98,7 +150,7 @@
 func encodeModelLoads(loads []pool.ModelLoad) []*wire.CoordModelLoad {
 	encoded := make([]*wire.CoordModelLoad, 0, len(loads))
 	for _, load := range loads {
-		encoded = append(encoded, &wire.CoordModelLoad{Server: string(load.Server), Born: load.Incarnation, Model: string(load.Model), Running: int32(load.Running)})
+		encoded = append(encoded, &wire.CoordModelLoad{Server: string(load.Server), Born: load.Incarnation, Model: string(load.Model), Adapter: string(load.Adapter), Running: int32(load.Running)})
 	}
 	return encoded
 }
@@ -107,7 +159,8 @@
 	loads := make([]pool.ModelLoad, 0, len(encoded))
 	for _, message := range encoded {
 		loads = append(loads, pool.ModelLoad{
-			Server: names.BackendServer(message.GetServer()), Incarnation: message.GetBorn(), Model: names.Model(message.GetModel()), Running: int(message.GetRunning()),
+			Server: names.BackendServer(message.GetServer()), Incarnation: message.GetBorn(), Model: names.Model(message.GetModel()),
+			Adapter: names.Adapter(message.GetAdapter()), Running: int(message.GetRunning()),
 		})
 	}
 	return loads
--- a/coord/modelloads_test.go
+++ b/coord/modelloads_test.go
@@ -28,14 +28,22 @@
 		{age: time.Second, loads: []pool.ModelLoad{load("a", 1, 2), load("b", 1, -4), load("b", 1, math.MaxInt32), load("", 1, 1)}, invalid: 3},
 		{age: 5 * time.Second, loads: []pool.ModelLoad{load("a", 1, 100)}},
 	}
-	term := &term{reports: map[names.Instance]entryReport{}}
+	withAdapter := load("a", 1, 1)
+	withAdapter.Adapter = "a1"
+	reports[0].loads = append(reports[0].loads, withAdapter)
+	term := &term{reports: map[names.Instance]entryReport{}, adapterUses: map[adapterCopy]time.Time{}}
 	for index, each := range reports {
 		decoded := Report{ModelLoads: decodeModelLoads(encodeModelLoads(each.loads))}
 		loads, invalid := modelLoadsOf(decoded)
 		g.Expect(invalid).To(Equal(each.invalid))
+		term.recordAdapterUses(decoded, now.Add(-each.age))
 		term.reports[names.Instance(rune('a'+index))] = entryReport{receivedAt: now.Add(-each.age), modelLoads: loads}
 	}
 	g.Expect(term.sumModelLoads(now).sums).To(Equal(map[modelCopy]int{
-		{server: "e1", incarnation: 1, model: "a"}: 5, {server: "e1", incarnation: 1, model: "b"}: 1, {server: "e1", incarnation: 2, model: "a"}: 7,
+		{server: "e1", incarnation: 1, model: "a"}: 6, {server: "e1", incarnation: 1, model: "b"}: 1, {server: "e1", incarnation: 2, model: "a"}: 7,
 	}))
+	used := adapterCopy{modelCopy: modelCopy{server: "e1", incarnation: 1, model: "a"}, adapter: "a1"}
+	g.Expect(term.adapterUses).To(Equal(map[adapterCopy]time.Time{used: now}))
+	term.sumModelLoads(now.Add(2 * adapterUseLifetime))
+	g.Expect(term.adapterUses).To(BeEmpty())
 }
--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -66,10 +66,9 @@
 	// mutex guards trackers.
 	mutex    sync.Mutex
 	trackers map[names.BackendServer]*Tracker
-	// countRequests returns the number of requests that run for a model on a server. It is
-	// called without any mutex held.
-	countRequests func(server *pool.Server, model names.Model) (running int, known bool)
-	background    sync.WaitGroup
+	// usage is what entries report. It is called without any mutex held.
+	usage      Usage
+	background sync.WaitGroup
 	// inFlight is read-locked while an order is sent to an engine and its answer is
 	// awaited. It is locked after a tracker's orderLock is taken.
 	inFlight sync.RWMutex
@@ -82,15 +81,13 @@
 	}
 	return &Dispatcher{
 		config: config, trackers: map[names.BackendServer]*Tracker{},
-		countRequests: func(*pool.Server, names.Model) (int, bool) { return 0, false },
+		usage: unknownUsage{},
 	}
 }
 
-// SetRequestCounter sets the function that returns the number of requests that run for a
-// model on a server, and whether that is known. It is called before all other methods.
-func (dispatcher *Dispatcher) SetRequestCounter(count func(server *pool.Server, model names.Model) (running int, known bool)) {
-	dispatcher.countRequests = count
-}
+// SetUsage sets what is known about the use of engines. It is called before all other
+// methods.
+func (dispatcher *Dispatcher) SetUsage(usage Usage) { dispatcher.usage = usage }
 
 // SyncRegistry updates the engines from the registry and ends loads that are due.
 func (dispatcher *Dispatcher) SyncRegistry(servers []*pool.Server, now time.Time) {
@@ -340,8 +337,9 @@
 	return time.Duration(float64(state.loadTime(model, engine)) * loadTimeFactor)
 }
 
-// LoadAdapter orders an engine to load an adapter, and before that to unload the adapter
-// that was loaded first if all slots are taken. It returns once the engine has accepted
+// LoadAdapter orders an engine to load an adapter, and before that to unload another one
+// if all slots are taken: the one that was not used for longest, or where use is not
+// known the one that was loaded first. It returns once the engine has accepted
 // the order.
 func (dispatcher *Dispatcher) LoadAdapter(ctx context.Context, server names.BackendServer, adapter pool.Adapter, engine *policy.Engine) error {
 	tracker, found := dispatcher.tracker(server)
@@ -360,13 +358,14 @@
 		if !tracker.mayTakeAdapters(adapter.Model) || !tracker.isKnown() {
 			return dispatcher.busyError(server, order)
 		}
-		victim, full, present := tracker.adapterSlot(adapter, engine.AdapterSlots)
+		full, present := tracker.adapterSlot(adapter, engine.AdapterSlots)
 		if present {
 			return nil
 		}
 		if !full {
 			break
 		}
+		victim := dispatcher.leastUsedAdapter(tracker)
 		unload := Order{Unload: true, Model: victim.Model, Adapter: victim.Name}
 		if !dispatcher.sendOrder(ctx, tracker, unload, engine, adapterOrderAttempts) {
 			return &OrderError{Server: server, Order: unload}
@@ -398,20 +397,15 @@
 	return !slices.Contains(tracker.unloading, model) && tracker.consistent && !tracker.switching && !tracker.busySeen && !tracker.fenced && (tracker.loading == "" || tracker.stepRunning)
 }
 
-// adapterSlot reports in present whether the adapter is loaded. Otherwise full reports
-// whether all slots are taken, and victim is then the adapter to unload.
-func (tracker *Tracker) adapterSlot(adapter pool.Adapter, slots int) (victim pool.Adapter, full, present bool) {
+// adapterSlot reports in present whether the adapter is loaded, and otherwise in full
+// whether all slots are taken.
+func (tracker *Tracker) adapterSlot(adapter pool.Adapter, slots int) (full, present bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	for _, each := range tracker.adapters {
-		if each == adapter {
-			return pool.Adapter{}, false, true
-		}
-	}
-	if len(tracker.adapters) < slots {
-		return pool.Adapter{}, false, false
+	if slices.Contains(tracker.adapters, adapter) {
+		return false, true
 	}
-	return tracker.adapters[0], true, false
+	return len(tracker.adapters) > 0 && len(tracker.adapters) >= slots, false
 }
 
 // awaitIdle waits until the engine reports that it executes no order. It fails if the
--- a/copies/steps.go
+++ b/copies/steps.go
@@ -33,7 +33,7 @@
 	tracker.mutex.Unlock()
 	requests := make(map[names.Model]int, len(models))
 	for _, model := range models {
-		running, known := dispatcher.countRequests(server, model)
+		running, known := dispatcher.usage.ModelRequests(server, model)
 		if !known {
 			return nil
 		}
--- a/copies/steps_test.go
+++ b/copies/steps_test.go
@@ -16,6 +16,51 @@
 // scheduledStep evicts a model for which there is some demand.
 var scheduledStep = copies.Step{Server: engineID, Unload: []names.Model{"b"}, Load: "c", Scheduled: true, Demand: copies.Demand{Work: 1}}
 
+// requestCounter implements [copies.Usage] for requests.
+type requestCounter func(server *pool.Server, model names.Model) (running int, known bool)
+
+// ModelRequests implements [copies.Usage].
+func (requestCounter requestCounter) ModelRequests(server *pool.Server, model names.Model) (running int, known bool) {
+	return requestCounter(server, model)
+}
+
+// AdapterUsedAt implements [copies.Usage].
+func (requestCounter) AdapterUsedAt(*pool.Server, pool.Adapter) (time.Time, bool) {
+	return time.Time{}, false
+}
+
+// adapterUses implements [copies.Usage] for adapters.
+type adapterUses map[names.Adapter]time.Time
+
+// ModelRequests implements [copies.Usage].
+func (adapterUses) ModelRequests(*pool.Server, names.Model) (int, bool) { return 0, false }
+
+// AdapterUsedAt implements [copies.Usage].
+func (adapterUses adapterUses) AdapterUsedAt(_ *pool.Server, adapter pool.Adapter) (time.Time, bool) {
+	return adapterUses[adapter.Name], true
+}
+
+// TestAdaptersInUseStay guards against adapters that are dropped and loaded again in turn
+// although requests use them, and against new ones that are dropped before their request
+// arrives.
+func TestAdaptersInUseStay(t *testing.T) {
+	g := NewWithT(t)
+	engine := newFakeEngine("a")
+	dispatcher := newReadyDispatcher(engine, 1, "a")
+	uses := adapterUses{}
+	dispatcher.SetUsage(uses)
+	load := func(name names.Adapter) {
+		engine.clock.After(time.Second)
+		uses["a1"] = engine.clock.Now()
+		g.Expect(dispatcher.LoadAdapter(context.Background(), engineID, pool.Adapter{Model: "a", Name: name}, engineSpec())).To(Succeed())
+	}
+	for _, name := range []names.Adapter{"a1", "a2", "a3", "a4"} {
+		load(name)
+	}
+	g.Expect(engine.adapters).To(ConsistOf(pool.Adapter{Model: "a", Name: "a1"}, pool.Adapter{Model: "a", Name: "a4"}))
+	g.Expect(engine.recordedViolations()).To(BeEmpty())
+}
+
 // TestUnloadsAreSentWhenFewRequestsAreLeft guards against engines that accept no other
 // orders for the whole time that the requests for a model take, and against a fixed wait
 // where there are none.
@@ -45,12 +90,12 @@
 			dispatcher := newStreamingDispatcher(engine, "a", "b")
 			began := engine.clock.Now()
 			engine.streamsEnd = began.Add(each.end)
-			dispatcher.SetRequestCounter(func(*pool.Server, names.Model) (int, bool) {
+			dispatcher.SetUsage(requestCounter(func(*pool.Server, names.Model) (int, bool) {
 				if engine.clock.Now().Before(engine.streamsEnd) {
 					return 9, each.known
 				}
 				return 0, each.known
-			})
+			}))
 			dispatcher.StartStep(context.Background(), each.step, engineSpec())
 			dispatcher.Wait()
 			g.Expect(engine.unloadAt.Sub(began)).To(BeNumerically(">=", each.unload))
@@ -81,7 +126,7 @@
 			engine := &streamingEngine{fakeEngine: newFakeEngine("a", "b")}
 			dispatcher := newStreamingDispatcher(engine, "a", "b")
 			var asked atomic.Bool
-			dispatcher.SetRequestCounter(func(*pool.Server, names.Model) (int, bool) {
+			dispatcher.SetUsage(requestCounter(func(*pool.Server, names.Model) (int, bool) {
 				if !asked.CompareAndSwap(false, true) {
 					return 0, true
 				}
@@ -92,7 +137,7 @@
 				g.Expect(dispatcher.LoadAdapter(context.Background(), engineID, pool.Adapter{Model: "b", Name: "b1"}, engineSpec())).NotTo(Succeed(), "it would be dropped with its model")
 				dispatcher.CancelSteps("notes", map[names.Model]copies.Demand{"c": each.demand})
 				return 9, true
-			})
+			}))
 			dispatcher.StartStep(context.Background(), scheduledStep, engineSpec())
 			dispatcher.Wait()
 			engine.finish()
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -54,6 +54,8 @@
 	loadedAt        map[names.Model]time.Time
 	// unloadedAt is when the engine accepted the unload of a model.
 	unloadedAt map[names.Model]time.Time
+	// adapterLoadedAt is when the engine accepted the order for an adapter.
+	adapterLoadedAt map[pool.Adapter]time.Time
 	// loading is the model that is being loaded, if any, and readyAt the time when
 	// that is expected to end. readyAt is zero until the engine accepts the order.
 	loading names.Model
@@ -76,7 +78,7 @@
 }
 
 func newTracker(server *pool.Server) *Tracker {
-	tracker := &Tracker{orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}}
+	tracker := &Tracker{orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{}}
 	tracker.useRegistry(server)
 	return tracker
 }
@@ -143,6 +145,7 @@
 		tracker.loading, tracker.unloading, tracker.accepted = "", nil, 0
 		tracker.reportedCountAt, tracker.withheldUntil = time.Time{}, time.Time{}
 		tracker.loadedAt, tracker.unloadedAt = map[names.Model]time.Time{}, map[names.Model]time.Time{}
+		tracker.adapterLoadedAt = map[pool.Adapter]time.Time{}
 		tracker.useRegistry(server)
 		return true
 	}
@@ -329,8 +332,9 @@
 	switch {
 	case order.Adapter != "" && order.Unload:
 		tracker.adapters = slices.DeleteFunc(tracker.adapters, func(other pool.Adapter) bool { return other == adapter })
+		delete(tracker.adapterLoadedAt, adapter)
 	case order.Adapter != "":
-		tracker.adapterOrderAt = now
+		tracker.adapterOrderAt, tracker.adapterLoadedAt[adapter] = now, now
 		if !slices.Contains(tracker.adapters, adapter) {
 			tracker.adapters = append(tracker.adapters, adapter)
 		}
--- a/pool/streams_test.go
+++ b/pool/streams_test.go
@@ -19,12 +19,17 @@
 	loads := func() []pool.ModelLoad {
 		return from.OwnModelLoads(func(service names.Service) bool { return service == "notes" })
 	}
-	from.AddModelRequests(notes, "a", 1)
-	from.AddModelRequests(notes, "a", 1)
-	from.AddModelRequests(notes, "", 1)
-	from.AddModelRequests(other, "a", 1)
-	g.Expect(loads()).To(Equal([]pool.ModelLoad{{Server: "e1", Incarnation: 4, Model: "a", Running: 2}}))
-	from.AddModelRequests(notes, "a", -1)
-	from.AddModelRequests(notes, "a", -1)
+	from.AddModelRequests(notes, "a", "", 1)
+	from.AddModelRequests(notes, "a", "", 1)
+	from.AddModelRequests(notes, "", "", 1)
+	from.AddModelRequests(other, "a", "", 1)
+	from.AddModelRequests(notes, "b", "b1", 1)
+	g.Expect(loads()).To(ConsistOf(
+		pool.ModelLoad{Server: "e1", Incarnation: 4, Model: "a", Running: 2},
+		pool.ModelLoad{Server: "e1", Incarnation: 4, Model: "b", Adapter: "b1", Running: 1},
+	))
+	from.AddModelRequests(notes, "b", "b1", -1)
+	from.AddModelRequests(notes, "a", "", -1)
+	from.AddModelRequests(notes, "a", "", -1)
 	g.Expect(loads()).To(BeEmpty())
 }
