--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -181,6 +181,10 @@
 	schedulers    map[names.Service]*sched.Scheduler
 	enginesReadAt time.Time
 	placeCalls    *rate.Meter
+	// modelLoads are the sums of those in all reports that count.
+	modelLoads modelLoads
+	// adapterUses are when a report last stated a request for an adapter.
+	adapterUses map[adapterCopy]time.Time
 	// departures maps each server that leaves to the time when that was first reported.
 	departures map[pool.Departure]time.Time
 }
@@ -190,6 +194,8 @@
 	receivedAt time.Time
 	loads      map[names.BackendServer]int
 	waiting    map[Target]int
+	// modelLoads are the requests that the entry runs for copies of models.
+	modelLoads map[modelCopy]int
 	// loadsSentAt is when the entry was last sent the loads of the others.
 	loadsSentAt time.Time
 }
@@ -222,6 +228,8 @@
 		totalLoads: map[names.BackendServer]int{},
 		trends:     map[Target]*copies.Trend{},
 
+		adapterUses: map[adapterCopy]time.Time{},
+
 		requestRates: map[names.Service]*rate.Meter{},
 
 		schedulers: map[names.Service]*sched.Scheduler{},
@@ -230,6 +238,7 @@
 		holdings:   newHoldings(),
 		departures: map[pool.Departure]time.Time{},
 	}
+	term.dispatcher.SetUsage(&engineUsage{coordinator: coordinator, term: term})
 	coordinator.mutex.Lock()
 	coordinator.term = term
 	coordinator.mutex.Unlock()
@@ -365,7 +374,11 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	entryReport := entryReport{receivedAt: now, loads: report.Loads, waiting: map[Target]int{}}
+	modelLoads, invalid := modelLoadsOf(report)
+	if invalid > 0 {
+		metrics.GetOrRegisterCounter("coord.modelLoads.invalid", coordinator.config.Metrics).Inc(int64(invalid))
+	}
+	entryReport := entryReport{receivedAt: now, loads: report.Loads, waiting: map[Target]int{}, modelLoads: modelLoads}
 	for target, demand := range report.Demands {
 		trend, found := term.trends[target]
 		if !found {
@@ -376,6 +389,7 @@
 		term.addRequests(target.Service, demand.Requests, now)
 		entryReport.waiting[target] = demand.Waiting
 	}
+	term.recordAdapterUses(report, now)
 	term.storeReport(report.Instance, entryReport, now)
 	coordinator.reportToSchedulers(term, report, snapshot, now)
 	reply := Reply{Term: term.number, Revision: coordinator.revision, Entries: term.reportedEntries(now)}
@@ -477,7 +491,9 @@
 			continue
 		}
 		term.dispatcher.QueryUnknown(ctx, service.Name)
-		planInput := copies.PlanInput{Engine: service.Engine, Engines: term.dispatcher.States(service.Name), Now: now}
+		planInput := copies.PlanInput{
+			Engine: service.Engine, Engines: term.dispatcher.States(service.Name), Now: now, Scheduled: snapshot.Scheduling(service.Name) != nil,
+		}
 		coordinator.mutex.Lock()
 		planInput.Demand = term.demandOf(service, now)
 		planInput.Rates, planInput.RequestsPerSecond = term.declaredRates(servers), term.requestRate(service.Name, now)
@@ -487,6 +503,7 @@
 			term.planners[service.Name] = planner
 		}
 		coordinator.mutex.Unlock()
+		term.dispatcher.CancelSteps(service.Name, planInput.Demand)
 		for _, step := range planner.Plan(planInput) {
 			event.CopyPlanned.Log(coordinator.config.Log, logrus.Fields{
 				"server": string(step.Server), "load": string(step.Load), "unload": step.Unload, "fromStore": step.FromStore,
--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -25,6 +25,9 @@
 	// an adapter; it is lower because a caller's request waits for it.
 	modelOrderAttempts   = 10
 	adapterOrderAttempts = 5
+	// conflictPause is the pause after a conflict of an order for a model although the
+	// engine reports to be idle. Its report is some hundred milliseconds old.
+	conflictPause = 250 * time.Millisecond
 	// adapterOrderTime is how long an engine is busy with an order for an adapter.
 	adapterOrderTime = 10 * time.Millisecond
 	// unloadPollPause is the pause between two reports while an engine unloads a model,
@@ -64,8 +67,10 @@
 type Dispatcher struct {
 	config DispatcherConfig
 	// mutex guards trackers.
-	mutex      sync.Mutex
-	trackers   map[names.BackendServer]*Tracker
+	mutex    sync.Mutex
+	trackers map[names.BackendServer]*Tracker
+	// usage is what entries report. It is called without any mutex held.
+	usage      Usage
 	background sync.WaitGroup
 	// inFlight is read-locked while an order is sent to an engine and its answer is
 	// awaited. It is locked after a tracker's orderLock is taken.
@@ -77,9 +82,16 @@
 	if config.Metrics == nil {
 		config.Metrics = metrics.NewRegistry()
 	}
-	return &Dispatcher{config: config, trackers: map[names.BackendServer]*Tracker{}}
+	return &Dispatcher{
+		config: config, trackers: map[names.BackendServer]*Tracker{},
+		usage: unknownUsage{},
+	}
 }
 
+// SetUsage sets what is known about the use of engines. It is called before all other
+// methods.
+func (dispatcher *Dispatcher) SetUsage(usage Usage) { dispatcher.usage = usage }
+
 // SyncRegistry updates the engines from the registry and ends loads that are due.
 func (dispatcher *Dispatcher) SyncRegistry(servers []*pool.Server, now time.Time) {
 	dispatcher.mutex.Lock()
@@ -169,6 +181,7 @@
 	for _, tracker := range trackers {
 		state := tracker.state(now)
 		state.Draining = state.Draining || dispatcher.evacuated(tracker)
+		state.Requests = dispatcher.requests(tracker, state.Models)
 		states = append(states, state)
 	}
 	return states
@@ -225,14 +238,15 @@
 		return
 	}
 	tracker.stepRunning, tracker.loading, tracker.readyAt = true, step.Load, time.Time{}
-	tracker.unloading = step.Unload
+	tracker.unloading, tracker.step, tracker.canceled = step.Unload, step, false
+	tracker.awaiting = step.Scheduled && len(step.Unload) > 0
 	planned := tracker.server
 	tracker.mutex.Unlock()
 	dispatcher.background.Go(func() {
 		accepted := dispatcher.executeStep(ctx, tracker, planned, step, engine)
 		tracker.mutex.Lock()
 		defer tracker.mutex.Unlock()
-		tracker.stepRunning, tracker.switching, tracker.unloading = false, false, nil
+		tracker.stepRunning, tracker.switching, tracker.awaiting, tracker.unloading = false, false, false, nil
 		if !accepted && tracker.loading == step.Load {
 			tracker.loading = ""
 		}
@@ -245,7 +259,8 @@
 func (tracker *Tracker) beginSwitch(planned *pool.Server) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if !tracker.known() || !tracker.isIncarnation(planned.Incarnation, planned.Address) {
+	tracker.awaiting = false
+	if !tracker.known() || tracker.canceled || !tracker.isIncarnation(planned.Incarnation, planned.Address) {
 		return false
 	}
 	tracker.switching = true
@@ -255,14 +270,8 @@
 // executeStep unloads and loads the models of a step, and reports whether the engine
 // has accepted the load.
 func (dispatcher *Dispatcher) executeStep(ctx context.Context, tracker *Tracker, planned *pool.Server, step Step, engine *policy.Engine) bool {
-	if len(step.Unload) > 0 {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-dispatcher.config.Clock.After(unloadDelay):
-		}
-	}
-	if !tracker.beginSwitch(planned) {
+	plannedAt := dispatcher.config.Clock.Now()
+	if len(step.Unload) > 0 && !dispatcher.awaitRequests(ctx, tracker, step) || !tracker.beginSwitch(planned) {
 		return false
 	}
 	for _, model := range step.Unload {
@@ -274,6 +283,7 @@
 	if !dispatcher.sendStepOrder(ctx, tracker, planned, Order{Model: step.Load}, engine) {
 		return false
 	}
+	metrics.GetOrRegisterTimer("copies.steps.loadAcceptedAfter", dispatcher.config.Metrics).Update(dispatcher.config.Clock.Now().Sub(plannedAt))
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	if tracker.loading == step.Load && tracker.isIncarnation(planned.Incarnation, planned.Address) {
@@ -305,6 +315,10 @@
 			return false
 		case <-dispatcher.config.Clock.After(unloadPollPause):
 		}
+		if running := dispatcher.requests(tracker, []names.Model{model}); running != nil && running[model] == 0 {
+			// Reports of the engine would show this some hundred milliseconds later.
+			return true
+		}
 		if tracker.lockOrders(ctx) != nil {
 			return false
 		}
@@ -327,8 +341,9 @@
 	return time.Duration(float64(state.loadTime(model, engine)) * loadTimeFactor)
 }
 
-// LoadAdapter orders an engine to load an adapter, and before that to unload the adapter
-// that was loaded first if all slots are taken. It returns once the engine has accepted
+// LoadAdapter orders an engine to load an adapter, and before that to unload another one
+// if all slots are taken: the one that was not used for longest, or where use is not
+// known the one that was loaded first. It returns once the engine has accepted
 // the order.
 func (dispatcher *Dispatcher) LoadAdapter(ctx context.Context, server names.BackendServer, adapter pool.Adapter, engine *policy.Engine) error {
 	tracker, found := dispatcher.tracker(server)
@@ -336,7 +351,7 @@
 		return &UnknownEngineError{Server: server}
 	}
 	order := Order{Model: adapter.Model, Adapter: adapter.Name}
-	if !tracker.mayTakeAdapters() {
+	if !tracker.mayTakeAdapters(adapter.Model) {
 		return dispatcher.busyError(server, order)
 	}
 	if err := tracker.lockOrders(ctx); err != nil {
@@ -344,16 +359,17 @@
 	}
 	defer tracker.unlockOrders()
 	for {
-		if !tracker.mayTakeAdapters() || !tracker.isKnown() {
+		if !tracker.mayTakeAdapters(adapter.Model) || !tracker.isKnown() {
 			return dispatcher.busyError(server, order)
 		}
-		victim, full, present := tracker.adapterSlot(adapter, engine.AdapterSlots)
+		full, present := tracker.adapterSlot(adapter, engine.AdapterSlots)
 		if present {
 			return nil
 		}
 		if !full {
 			break
 		}
+		victim := dispatcher.leastUsedAdapter(tracker)
 		unload := Order{Unload: true, Model: victim.Model, Adapter: victim.Name}
 		if !dispatcher.sendOrder(ctx, tracker, unload, engine, adapterOrderAttempts) {
 			return &OrderError{Server: server, Order: unload}
@@ -377,28 +393,23 @@
 	metrics.GetOrRegisterCounter("copies.orders."+outcome, dispatcher.config.Metrics).Inc(1)
 }
 
-// mayTakeAdapters reports whether the engine may accept an order for an adapter, once an
-// order without an answer that is being repeated has one.
-func (tracker *Tracker) mayTakeAdapters() bool {
+// mayTakeAdapters reports whether the engine may accept an order for an adapter of a model,
+// once an order without an answer that is being repeated has one.
+func (tracker *Tracker) mayTakeAdapters(model names.Model) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.consistent && !tracker.switching && !tracker.busySeen && !tracker.fenced && (tracker.loading == "" || tracker.stepRunning)
+	return !slices.Contains(tracker.unloading, model) && tracker.consistent && !tracker.switching && !tracker.busySeen && !tracker.fenced && (tracker.loading == "" || tracker.stepRunning)
 }
 
-// adapterSlot reports in present whether the adapter is loaded. Otherwise full reports
-// whether all slots are taken, and victim is then the adapter to unload.
-func (tracker *Tracker) adapterSlot(adapter pool.Adapter, slots int) (victim pool.Adapter, full, present bool) {
+// adapterSlot reports in present whether the adapter is loaded, and otherwise in full
+// whether all slots are taken.
+func (tracker *Tracker) adapterSlot(adapter pool.Adapter, slots int) (full, present bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	for _, each := range tracker.adapters {
-		if each == adapter {
-			return pool.Adapter{}, false, true
-		}
-	}
-	if len(tracker.adapters) < slots {
-		return pool.Adapter{}, false, false
+	if slices.Contains(tracker.adapters, adapter) {
+		return false, true
 	}
-	return tracker.adapters[0], true, false
+	return len(tracker.adapters) > 0 && len(tracker.adapters) >= slots, false
 }
 
 // awaitIdle waits until the engine reports that it executes no order. It fails if the
@@ -458,7 +469,7 @@
 		orderRequest.TermValid = func() bool {
 			return dispatcher.config.Term() == orderRequest.Term && !dispatcher.evacuated(tracker)
 		}
-		outcome := dispatcher.attemptOrder(ctx, orderRequest)
+		outcome, pause := dispatcher.attemptOrder(ctx, orderRequest), orderRetryPause
 		switch outcome {
 		case OutcomeAccepted, OutcomeUnchanged:
 			return tracker.recordAccepted(request, outcome, dispatcher.config.Clock.Now())
@@ -473,6 +484,8 @@
 			case !reported:
 			case engineReport.Accepted != request.Accepted:
 				return false
+			case order.Adapter == "" && !engineReport.Busy:
+				pause = conflictPause
 			case engineReport.Busy && (order.Adapter != "" || !dispatcher.awaitIdle(ctx, tracker, request)):
 				return false
 			}
@@ -482,7 +495,7 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-dispatcher.config.Clock.After(orderRetryPause):
+		case <-dispatcher.config.Clock.After(pause):
 		}
 	}
 	return false
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -54,6 +54,8 @@
 	loadedAt        map[names.Model]time.Time
 	// unloadedAt is when the engine accepted the unload of a model.
 	unloadedAt map[names.Model]time.Time
+	// adapterLoadedAt is when the engine accepted the order for an adapter.
+	adapterLoadedAt map[pool.Adapter]time.Time
 	// loading is the model that is being loaded, if any, and readyAt the time when
 	// that is expected to end. readyAt is zero until the engine accepts the order.
 	loading names.Model
@@ -62,6 +64,12 @@
 	// requests for them.
 	unloading   []names.Model
 	stepRunning bool
+	// step is the step that runs or ran last. awaiting reports whether it waits for the
+	// requests for the models that it will unload, while the engine accepts other orders;
+	// canceled reports whether it is to end without an order.
+	step     Step
+	awaiting bool
+	canceled bool
 	// switching reports whether the running step has begun to send orders. Until it ends
 	// the engine would refuse others.
 	switching bool
@@ -70,7 +78,7 @@
 }
 
 func newTracker(server *pool.Server) *Tracker {
-	tracker := &Tracker{orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}}
+	tracker := &Tracker{orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{}}
 	tracker.useRegistry(server)
 	return tracker
 }
@@ -137,6 +145,7 @@
 		tracker.loading, tracker.unloading, tracker.accepted = "", nil, 0
 		tracker.reportedCountAt, tracker.withheldUntil = time.Time{}, time.Time{}
 		tracker.loadedAt, tracker.unloadedAt = map[names.Model]time.Time{}, map[names.Model]time.Time{}
+		tracker.adapterLoadedAt = map[pool.Adapter]time.Time{}
 		tracker.useRegistry(server)
 		return true
 	}
@@ -253,12 +262,23 @@
 		InMemory:  tracker.inMemory,
 		OnDisk:    tracker.onDisk,
 		LoadedAt:  tracker.loadedAtCopy(),
+		Adapters:  tracker.adapterCounts(),
 		Unloading: len(tracker.unloading) > 0,
 		Blocked:   tracker.stepRunning || tracker.fenced || !tracker.known() || tracker.loading != "" || tracker.busySeen || now.Before(tracker.withheldUntil),
 		Draining:  tracker.server.Draining,
 	}
 }
 
+// adapterCounts returns the number of adapters of each model. It is called with the mutex
+// held.
+func (tracker *Tracker) adapterCounts() map[names.Model]int {
+	counts := map[names.Model]int{}
+	for _, adapter := range tracker.adapters {
+		counts[adapter.Model]++
+	}
+	return counts
+}
+
 // loadedAtCopy returns a copy of loadedAt. It is called with the mutex held.
 func (tracker *Tracker) loadedAtCopy() map[names.Model]time.Time {
 	since := make(map[names.Model]time.Time, len(tracker.loadedAt))
@@ -282,7 +302,7 @@
 	defer tracker.mutex.Unlock()
 	return pool.Holding{
 		Server: tracker.server.ID, Incarnation: tracker.server.Incarnation, Models: tracker.remainingModels(), Adapters: slices.Clone(tracker.adapters),
-		Busy: !tracker.known() || tracker.stepRunning || tracker.loading != "" || tracker.busySeen || tracker.fenced,
+		Busy: !tracker.known() || tracker.busySeen || tracker.fenced || !tracker.awaiting && (tracker.stepRunning || tracker.loading != ""),
 	}
 }
 
@@ -312,8 +332,9 @@
 	switch {
 	case order.Adapter != "" && order.Unload:
 		tracker.adapters = slices.DeleteFunc(tracker.adapters, func(other pool.Adapter) bool { return other == adapter })
+		delete(tracker.adapterLoadedAt, adapter)
 	case order.Adapter != "":
-		tracker.adapterOrderAt = now
+		tracker.adapterOrderAt, tracker.adapterLoadedAt[adapter] = now, now
 		if !slices.Contains(tracker.adapters, adapter) {
 			tracker.adapters = append(tracker.adapters, adapter)
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -97,6 +97,8 @@
 	// the evacuations of others ended.
 	evacuated  map[names.FailureDomain]struct{}
 	returnedAt map[names.FailureDomain]time.Time
+	// modelRequests counts this instance's requests in flight for models.
+	modelRequests map[modelOnServer]int
 }
 
 // New returns an empty pool.
@@ -107,7 +109,7 @@
 	return &Pool{
 		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
 		holdings: map[names.BackendServer]*Holding{}, changed: make(chan struct{}),
-		uses: map[permit.Server]*EngineUse{}, returnedAt: map[names.FailureDomain]time.Time{},
+		uses: map[permit.Server]*EngineUse{}, modelRequests: map[modelOnServer]int{},
 	}
 }
 
