memory: bound what an entry holds for callers and servers

One budget per process (new package memory, without clock and network) now covers request bodies as they arrive, responses read ahead, and streams. Its size follows from the instance's memory; memoryMb 0, which was invalid, means no bound. A body that does not fit waits unread, for at most a second, and is then refused with 503 (reason memory). Bodies above 64 KiB get a promise for their whole length first, so that bodies that arrive together don't stop half-filled; a promise lapses if nothing arrives. A response whose next piece does not fit is forwarded without being read ahead. Bodies and responses are kept in pieces, without growing and copying a slice. Go's soft memory limit rises from 0.6 to 0.7 of memoryMb, above what can be held.

Ruled out: holding Content-Length unconditionally (silent callers use the budget), holding pieces without promises (a convoy of half-filled bodies), pooling of pieces (a write under way would send another caller's bytes).

TestAnswerBeforeALongBodyIsRead (trunk) only changes to the new type of a body. The relay tests of this change fail with a relay without a budget, except TestResponsesAreWholeWithoutMemory, which passes with both and guards the new path.

--- a/crash/fingerprint.go
+++ b/crash/fingerprint.go
@@ -24,14 +24,16 @@
 // String returns the fingerprint in hexadecimal digits, as logs show it.
 func (fingerprint Fingerprint) String() string { return strconv.FormatUint(uint64(fingerprint), 16) }
 
-// FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(account names.ClientAccount, method, target string, body []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a request, whose body may be in several pieces.
+func FingerprintOf(account names.ClientAccount, method, target string, body ...[]byte) Fingerprint {
 	digest := xxhash.New()
 	for _, part := range []string{string(account), method, target} {
 		// Writing to a digest never fails.
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(body)
+	for _, piece := range body {
+		_, _ = digest.Write(piece)
+	}
 	return Fingerprint(digest.Sum64())
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -25,6 +25,7 @@
 	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/ident"
+	"github.com/basilkeel/basilkeel/memory"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/platform"
 	"github.com/basilkeel/basilkeel/pool"
@@ -40,9 +41,11 @@
 	// collections: processor time is scarcer than memory on entries.
 	gcPercent = 300
 	// heapLimitRatio is the fraction of the process's memory that is set as Go's
-	// soft memory limit, beyond which garbage is collected more often. The rest is
-	// left for stacks and connection buffers.
-	heapLimitRatio = 0.6
+	// soft memory limit, beyond which garbage is collected more often. It is above what
+	// memory.LimitOf lets requests hold, so that collections don't follow each other when
+	// the budget is used up. The rest is left for the program itself and the kernel's
+	// connection buffers.
+	heapLimitRatio = 0.7
 	// peerBufferBytes is the buffer size of a connection between entries, whose
 	// messages are a few kilobytes long.
 	peerBufferBytes = 8 << 10
@@ -64,7 +67,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(heapLimitRatio * float64(host.MemoryBytes)))
+	if host.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapLimitRatio * float64(host.MemoryBytes)))
+	}
 	output := spool.NewWriter(os.Stdout, spool.DefaultBufferLines)
 	defer output.Close()
 	app := fx.New(
@@ -73,7 +78,7 @@
 		fx.StopTimeout(host.Bounds.StopGrace+stopMargin),
 		fx.Supply(host, output, hangUps, settingsPath(path)),
 		fx.Provide(
-			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newTrunk, newLimiter, crash.NewTracker,
+			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newMemoryBudget, newTrunk, newLimiter, crash.NewTracker,
 			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newMirror,
 		),
 		fx.Invoke(captureStandardLog, serveCoordination, followPlatform, runCoordination, serveReadiness, serveRelay, sweep, watchSettings, logLifecycle, resignOnStop),
@@ -141,6 +146,10 @@
 	return trunk.New(trunk.Config{Clock: clock, Metrics: registry})
 }
 
+func newMemoryBudget(host *setup.Host) *memory.Budget {
+	return memory.NewBudget(memory.LimitOf(host.MemoryBytes))
+}
+
 func newLimiter() *share.Limiter { return share.NewLimiter() }
 
 // relayParts are the dependencies of a relay.
@@ -151,6 +160,7 @@
 	Pool    *pool.Pool
 	Trunk   *trunk.Trunk
 	Limiter *share.Limiter
+	Memory  *memory.Budget
 	Tracker *crash.Tracker
 	Clock   *clock.Service
 	Log     logrus.FieldLogger
@@ -161,7 +171,7 @@
 	bounds := parts.Host.Bounds
 	return relay.New(relay.Config{
 		Codec: platform.HeaderCodec{}, Pool: parts.Pool, Trunk: parts.Trunk, Limiter: parts.Limiter, Crashes: parts.Tracker,
-		Clock: parts.Clock, Log: parts.Log, Metrics: parts.Metrics, Domain: names.FailureDomain(parts.Host.Domain),
+		Clock: parts.Clock, Log: parts.Log, Metrics: parts.Metrics, Domain: names.FailureDomain(parts.Host.Domain), Memory: parts.Memory,
 		CrashConfirmDelay: crashConfirmDelay(bounds.Contact), RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
 	})
 }
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/memory"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/trunk"
 )
@@ -24,11 +25,12 @@
 )
 
 // forwardWhole forwards a response after reading it completely, unless it is larger than
-// maxBufferedBytes. It returns false if the response broke before any of it was
+// maxBufferedBytes or than the memory that is free. It returns false if the response broke before any of it was
 // forwarded, so that the request may be sent to another server.
 func (exchange *exchange) forwardWhole(ctx context.Context, server *pool.Server, response *responseReader) bool {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
+	body, whole, err := exchange.readAhead(response)
 	if err != nil {
+		exchange.releaseResponse()
 		exchange.recordFailure(ctx, server, err)
 		return false
 	}
@@ -36,22 +38,59 @@
 		exchange.recordAnswer()
 	}
 	header := exchange.setHeader(response)
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		exchange.forwardLarge(response, body)
 		return true
 	}
 	if exchange.request.Method != http.MethodHead {
-		header.Set("Content-Length", strconv.Itoa(len(body)))
+		header.Set("Content-Length", strconv.Itoa(body.Len()))
 	}
 	exchange.recordCompletion(response)
 	exchange.writer.WriteHeader(response.Status)
-	if _, err := exchange.writer.Write(body); err != nil {
-		exchange.abortLeft()
-	}
-	exchange.recordDone(response.Status, int64(len(body)))
+	exchange.recordDone(response.Status, exchange.writePieces(body))
 	return true
 }
 
+// readAhead reads a response. It reports whether it was read to its end: it stops where the
+// response has more than maxBufferedBytes or where no memory is free.
+func (exchange *exchange) readAhead(response *responseReader) (memory.Pieces, bool, error) {
+	var body memory.Pieces
+	for read := int64(0); read <= maxBufferedBytes; {
+		size := min(memory.NextPieceBytes(read), maxBufferedBytes+1-read)
+		if !exchange.memory.TryHold(memory.Response, size) {
+			exchange.recordMemoryExhausted()
+			return body, false, nil
+		}
+		piece := make([]byte, size)
+		count, err := fill(response, piece)
+		body = append(body, piece[:count])
+		read += int64(count)
+		var brokenError *trunk.BrokenError
+		switch {
+		case errors.Is(err, io.EOF) && !errors.As(err, &brokenError):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
+// releaseResponse gives back the memory of a response that was read ahead.
+func (exchange *exchange) releaseResponse() {
+	exchange.memory.Release(memory.Response, exchange.memory.Held(memory.Response), exchange.now())
+}
+
+// writePieces writes a part of the response to the caller and returns its length.
+func (exchange *exchange) writePieces(pieces memory.Pieces) int64 {
+	for _, piece := range pieces {
+		if _, err := exchange.writer.Write(piece); err != nil {
+			exchange.abortLeft()
+		}
+	}
+	return int64(pieces.Len())
+}
+
 // setHeader sets the header of the caller's response to what is forwarded of a server's,
 // and returns it.
 func (exchange *exchange) setHeader(response *responseReader) http.Header {
@@ -63,18 +102,17 @@
 
 // forwardLarge forwards a response that is too large to buffer, beginning with what has
 // been read.
-func (exchange *exchange) forwardLarge(response *responseReader, read []byte) {
+func (exchange *exchange) forwardLarge(response *responseReader, read memory.Pieces) {
 	exchange.writer.WriteHeader(response.Status)
-	written, err := exchange.writer.Write(read)
-	if err != nil {
-		exchange.abortLeft()
-	}
+	written := exchange.writePieces(read)
+	clear(read)
+	exchange.releaseResponse()
 	copied, err := io.Copy(exchange.writer, response)
 	if err != nil {
 		exchange.abort(err)
 	}
 	exchange.recordCompletion(response)
-	exchange.recordDone(response.Status, int64(written)+copied)
+	exchange.recordDone(response.Status, written+copied)
 }
 
 // abort records why a response that has begun can't be completed, and ends it so that it
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -21,7 +21,7 @@
 	if exchange.account != nil {
 		account = exchange.account.Name
 	}
-	return crash.FingerprintOf(account, exchange.request.Method, exchange.request.RequestURI, exchange.body)
+	return crash.FingerprintOf(account, exchange.request.Method, exchange.request.RequestURI, exchange.body...)
 }
 
 // quarantined reports whether the request or a part of its prompt is quarantined, so that
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/memory"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
@@ -34,11 +34,15 @@
 
 // exchange is one caller's request with its response and all attempts to serve it.
 type exchange struct {
-	relay         *Relay
-	writer        *reply.Writer
-	request       *http.Request
-	info          RequestInfo
-	body          []byte
+	relay   *Relay
+	writer  *reply.Writer
+	request *http.Request
+	info    RequestInfo
+	// body is the request's body, memory the bytes that the request holds, and memoryWait the
+	// time that reading the body may still wait for memory.
+	body          memory.Pieces
+	memory        *memory.Account
+	memoryWait    time.Duration
 	started       time.Time
 	deadline      time.Time
 	policyVersion int64
@@ -79,35 +83,6 @@
 	longestGap time.Duration
 }
 
-// readBody reads the request's body of at most maxBytes; zero means no limit.
-func (exchange *exchange) readBody(maxBytes int64) *refusal {
-	var reader io.Reader = exchange.request.Body
-	if maxBytes > 0 {
-		if exchange.request.ContentLength > maxBytes {
-			return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooLarge}
-		}
-		reader = http.MaxBytesReader(exchange.writer.Unwrap(), exchange.request.Body, maxBytes)
-	}
-	if exchange.request.ContentLength == 0 {
-		return nil
-	}
-	if exchange.request.ContentLength > 0 {
-		exchange.body = make([]byte, exchange.request.ContentLength)
-		_, exchange.cause = io.ReadFull(reader, exchange.body)
-	} else {
-		exchange.body, exchange.cause = io.ReadAll(reader)
-	}
-	var sizeError *http.MaxBytesError
-	switch {
-	case errors.As(exchange.cause, &sizeError):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooLarge}
-	case exchange.cause != nil:
-		return &refusal{status: http.StatusBadRequest, reason: ReasonBodyNotRead}
-	default:
-		return nil
-	}
-}
-
 func (exchange *exchange) now() time.Time { return exchange.relay.config.Clock.Now() }
 
 // forward sends the request to servers until the caller has its final response.
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -23,6 +23,9 @@
 	ReasonRateLimited      Reason = "rateLimited"
 	ReasonRefusedByServer  Reason = "refusedByServer"
 	ReasonTimeUp           Reason = "timeUp"
+	// ReasonMemory means that the process holds as much for callers and servers as its memory
+	// allows.
+	ReasonMemory Reason = "memory"
 )
 
 // Reasons for failing a request, which may have run.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/crash"
+	"github.com/basilkeel/basilkeel/memory"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/permit"
 	"github.com/basilkeel/basilkeel/policy"
@@ -63,6 +64,8 @@
 	Log         logrus.FieldLogger
 	Metrics     metrics.Registry
 	Domain      names.FailureDomain
+	// Memory bounds the bytes that are held for callers and servers; nil means no bound.
+	Memory *memory.Budget
 	// CrashConfirmDelay is how long after a broken response the server must have sent
 	// nothing to count as crashed. A crashed server takes some seconds to restart; one
 	// that still runs responds to other requests within a fraction of a second.
@@ -91,6 +94,10 @@
 
 // New returns a relay that refuses all requests until [Relay.SetPolicy] is called.
 func New(config Config) *Relay {
+	if config.Memory == nil {
+		config.Memory = memory.NewBudget(0)
+	}
+	registerMemory(config.Memory, config.Metrics)
 	return &Relay{
 		config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow),
 		progress: &progress{cancels: map[*exchange]context.CancelFunc{}},
@@ -128,7 +135,9 @@
 		request: request,
 		started: relay.config.Clock.Now(),
 		info:    relay.config.Codec.ReadRequest(request),
+		memory:  relay.config.Memory.NewAccount(),
 	}
+	defer func() { exchange.memory.Close(exchange.now()) }()
 	exchange.serve()
 	exchange.writer.Finish()
 }
@@ -186,6 +195,9 @@
 	if exchange.quarantined() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonQuarantined}
 	}
+	if refusal := exchange.holdStream(); refusal != nil {
+		return refusal
+	}
 	exchange.service = exchange.route.Target(rand.Float64())
 	return exchange.charge()
 }
--- a/setup/host.go
+++ b/setup/host.go
@@ -24,7 +24,8 @@
 	// RegistryPeriod is the interval at which a backend server reports to the
 	// registry.
 	RegistryPeriod time.Duration
-	// MemoryBytes is the memory limit of the process.
+	// MemoryBytes is the memory limit of the process. Zero means unknown: the process then
+	// has no bound for what it holds for callers and servers.
 	MemoryBytes int64
 	// Cores is the processor limit of the process, in cores; LinkMbps is the
 	// bandwidth of the instance's network link. Zero means unknown.
@@ -64,7 +65,9 @@
 	if host.FirstPort <= 0 || host.LastPort <= host.FirstPort {
 		checker.report("own ports", "%d to %d is not a range of two ports or more", host.FirstPort, host.LastPort)
 	}
-	checker.positive("memory bytes", host.MemoryBytes)
+	if host.MemoryBytes < 0 {
+		checker.report("memory bytes", "%d is below zero", host.MemoryBytes)
+	}
 	checker.positive("load window", int64(host.Bounds.LoadWindow))
 	checker.positive("stop grace", int64(host.Bounds.StopGrace))
 	checker.positive("registry period", int64(host.RegistryPeriod))
--- a/trunk/request.go
+++ b/trunk/request.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"net/http"
 	"strconv"
+
+	"github.com/basilkeel/basilkeel/memory"
 )
 
 // Request is a request to a server.
@@ -13,7 +15,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   memory.Pieces
 	// Matches reports whether a response with header belongs to this request. It is nil
 	// if responses don't tell; the request then opens a connection, on which no response
 	// to an earlier request can arrive.
@@ -37,16 +39,18 @@
 	if err := request.Header.Write(writer); err != nil {
 		return err
 	}
-	if len(request.Body) > 0 || request.Method != http.MethodGet {
-		if _, err := writer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n"); err != nil {
+	if length := request.Body.Len(); length > 0 || request.Method != http.MethodGet {
+		if _, err := writer.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n"); err != nil {
 			return err
 		}
 	}
 	if _, err := writer.WriteString("\r\n"); err != nil {
 		return err
 	}
-	if _, err := writer.Write(request.Body); err != nil {
-		return err
+	for _, piece := range request.Body {
+		if _, err := writer.Write(piece); err != nil {
+			return err
+		}
 	}
 	return writer.Flush()
 }
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -78,7 +78,7 @@
 	}
 	stopCancel := context.AfterFunc(ctx, func() { connection.conn.Close() })
 	written := make(chan error, 1)
-	if len(request.Body) > inlineBodyBytes {
+	if request.Body.Len() > inlineBodyBytes {
 		go func() { written <- request.write(connection.writer) }()
 	} else {
 		written <- request.write(connection.writer)
