share: count the shares of instances that are gone across coordinators

Cause: a new coordinator counted all recorded shares of instances that do not report as in use until 15 s after the start of its own term, and the next one again. After replacements it had next to nothing to lend.

Change: the record marks the shares of an instance that has been silent for 2 s as ending, with the time that is left as a duration. Later coordinators count on from there. A process that restarts with a marked share has none, and an instance that reports again gets none until a record without the mark is stored.

An entry whose share is zero admitted one request of any size after each restart and each answer, as a bucket without capacity counts as full. This is what made plays of TestFleetNeverExceedsLimits exceed the bound, not the level of a fifth after a restart; a later refill and a charge for what a restarted process has used were tried and are not needed.

Tests: Record has a struct for each instance, so three tests name its fields; TestRecordSurvivesItsCodec covers a mark, too. The fleet ages the record between terms, which makes it stricter.

--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -82,9 +82,11 @@
 	elector      *elect.Elector
 	suspectStore *suspectStore
 	// mutex guards the fields below.
-	mutex    sync.Mutex
-	record   share.Record
-	revision store.Revision
+	mutex  sync.Mutex
+	record share.Record
+	// recordedAt is when this process first had the record, which was stored before.
+	recordedAt time.Time
+	revision   store.Revision
 }
 
 var (
@@ -102,7 +104,7 @@
 func (ownKeys *ownKeys) LastRecord() share.Record {
 	ownKeys.mutex.Lock()
 	defer ownKeys.mutex.Unlock()
-	return ownKeys.record
+	return ownKeys.record.Aged(ownKeys.clock.Now().Sub(ownKeys.recordedAt))
 }
 
 // StoreShares implements [coord.ShareStore].
@@ -121,7 +123,7 @@
 	ownKeys.mutex.Lock()
 	defer ownKeys.mutex.Unlock()
 	if revision > ownKeys.revision {
-		ownKeys.record, ownKeys.revision = record, revision
+		ownKeys.record, ownKeys.revision, ownKeys.recordedAt = record, revision, ownKeys.clock.Now()
 	}
 	return nil
 }
@@ -137,7 +139,7 @@
 	ownKeys.mutex.Lock()
 	defer ownKeys.mutex.Unlock()
 	if entry.Revision() > ownKeys.revision {
-		ownKeys.record, ownKeys.revision = record, entry.Revision()
+		ownKeys.record, ownKeys.revision, ownKeys.recordedAt = record, entry.Revision(), ownKeys.clock.Now()
 	}
 }
 
--- a/permit/fleet_test.go
+++ b/permit/fleet_test.go
@@ -161,7 +161,7 @@
 	statements, number := entry.gate.Since(entry.reported)
 	term.issuer.Register().Merge(statements)
 	term.divider.Report(entry.name, share.State{}, fleet.now)
-	fleet.record[entry.name] = share.Amounts{}
+	fleet.record[entry.name] = share.Holder{}
 	term.reported[entry.name] = true
 	entry.reported = number
 	statements, entry.version = term.issuer.Register().Since(entry.version)
--- a/share/divider.go
+++ b/share/divider.go
@@ -18,6 +18,14 @@
 	// sharesTotal is the upper bound of the sum of an account's shares. It is below 1
 	// so that rounding cannot exceed the limits.
 	sharesTotal = 0.999
+	// endAfter is how long an entry is silent before the record marks its shares as
+	// ending. Entries report four times a second and to a new coordinator within a
+	// second; a share that is marked has to be assigned anew.
+	endAfter = 2 * time.Second
+	// restartLifetime is how long after the mark was proposed a restarted process may
+	// use a share that it read just before the mark was stored. It leaves a second for
+	// the write and the read.
+	restartLifetime = StartLifetime + time.Second
 )
 
 // Assignment is the coordinator's answer to an entry's report.
@@ -59,13 +67,24 @@
 	// a lowered share counts until the entry confirms it.
 	inForceAtMost Amounts
 	usage         Amounts
+	// ending reports whether the stored record may mark the shares as ending, and
+	// marked whether it certainly does. All of them have ended at endsAt then.
+	ending bool
+	marked bool
+	endsAt time.Time
+	// withdrawn reports whether an entry that reports again was assigned no shares
+	// since they were marked.
+	withdrawn bool
 }
 
 // NewDivider returns a divider that knows the recorded shares and no reports.
 func NewDivider(config DividerConfig) *Divider {
 	divider := &Divider{config: config, record: config.Record.clone(), entries: map[names.Instance]*entryState{}}
-	for instance, amounts := range divider.record {
-		divider.entries[instance] = &entryState{assigned: maps.Clone(amounts), inForceAtMost: maps.Clone(amounts)}
+	for instance, holder := range divider.record {
+		divider.entries[instance] = &entryState{
+			assigned: maps.Clone(holder.Shares), inForceAtMost: maps.Clone(holder.Shares),
+			ending: holder.Ending, marked: holder.Ending, endsAt: config.Now.Add(holder.Left),
+		}
 	}
 	return divider
 }
@@ -79,45 +98,74 @@
 	}
 	entry.lastReport = now
 	entry.usage = state.Usage
+	if entry.ending && !entry.withdrawn {
+		// A later coordinator counts these shares until endsAt only, so that none may be
+		// in force longer before a record without the mark is stored.
+		entry.assigned, entry.withdrawn = Amounts{}, true
+		divider.version++
+		entry.version = divider.version
+	}
 	if state.Term == divider.config.Term && state.Version == entry.version {
 		entry.inForceAtMost = maps.Clone(entry.assigned)
 	}
 	return Assignment{Term: divider.config.Term, Version: entry.version, Shares: maps.Clone(entry.assigned)}
 }
 
-// Propose lowers shares that are above their target. It returns the record that
-// has to be stored before other shares are raised, and reports whether any share
-// is to be raised.
+// Propose lowers shares that are above their target, and marks those of silent entries
+// as ending. It returns the record that has to be stored before other shares are raised,
+// and reports whether it has to be stored now.
 func (divider *Divider) Propose(accounts []names.ClientAccount, now time.Time) (Record, bool) {
 	next := Record{}
-	raised := false
+	changed := false
 	for instance, entry := range divider.entries {
 		if divider.expired(entry, now) {
 			delete(divider.entries, instance)
+			continue
+		}
+		divider.markSilent(entry, now)
+		holder := Holder{Shares: Amounts{}, Ending: entry.ending}
+		if entry.ending {
+			holder.Left = max(entry.endsAt.Sub(now), 0)
 		}
-	}
-	for instance, entry := range divider.entries {
-		next[instance] = Amounts{}
 		for _, account := range accounts {
-			next[instance][account] = max(entry.inForceAtMost[account], entry.assigned[account])
+			holder.Shares[account] = max(entry.inForceAtMost[account], entry.assigned[account])
 		}
+		next[instance] = holder
+		changed = changed || entry.ending && !entry.marked
+	}
+	for instance := range divider.record {
+		_, known := divider.entries[instance]
+		changed = changed || !known
 	}
 	for _, account := range accounts {
 		divider.lower(account, now)
 		left := sharesTotal
 		for instance := range next {
-			left -= next[instance][account]
+			left -= next[instance].Shares[account]
 		}
-		raised = divider.raise(next, account, left, now) || raised
+		changed = divider.raise(next, account, left, now) || changed
+	}
+	return next, changed
+}
+
+// markSilent marks the shares of an entry that has been silent for endAfter as ending. If
+// the entry reports again after they have ended, it has none.
+func (divider *Divider) markSilent(entry *entryState, now time.Time) {
+	last := divider.lastContact(entry)
+	switch {
+	case !entry.marked && now.Sub(last) > endAfter:
+		entry.ending = true
+		entry.endsAt = now.Add(max(last.Add(Lifetime).Sub(now), restartLifetime))
+	case entry.marked && now.After(entry.endsAt):
+		entry.inForceAtMost = maps.Clone(entry.assigned)
 	}
-	return next, raised
 }
 
 // lower assigns smaller shares to entries that are above their target. This
 // needs no write: the record holds the upper bound of each share.
 func (divider *Divider) lower(account names.ClientAccount, now time.Time) {
 	for _, entry := range divider.entries {
-		if entry.lastReport.IsZero() {
+		if entry.lastReport.IsZero() || entry.ending {
 			continue
 		}
 		target := divider.target(entry, account, now)
@@ -134,7 +182,7 @@
 func (divider *Divider) raise(next Record, account names.ClientAccount, left float64, now time.Time) bool {
 	missing := 0.0
 	for _, entry := range divider.entries {
-		if !entry.lastReport.IsZero() {
+		if divider.raisable(entry, now) {
 			missing += max(divider.target(entry, account, now)-entry.assigned[account], 0)
 		}
 	}
@@ -143,26 +191,54 @@
 	}
 	raised := false
 	for instance, entry := range divider.entries {
-		if entry.lastReport.IsZero() {
+		if !divider.raisable(entry, now) {
 			continue
 		}
 		add := max(divider.target(entry, account, now)-entry.assigned[account], 0) * min(left/missing, 1)
 		if add > divider.leastChange() {
-			next[instance][account] = max(next[instance][account], entry.assigned[account]+add)
+			holder := next[instance]
+			holder.Shares[account] = max(holder.Shares[account], entry.assigned[account]+add)
+			holder.Ending, holder.Left = false, 0
+			next[instance] = holder
 			raised = true
 		}
 	}
 	return raised
 }
 
+// raisable reports whether an entry's shares may be raised: it has reported and, if its
+// shares are ending, has confirmed that it has none.
+func (divider *Divider) raisable(entry *entryState, now time.Time) bool {
+	if entry.lastReport.IsZero() {
+		return false
+	}
+	if !entry.ending {
+		return true
+	}
+	for _, part := range entry.inForceAtMost {
+		if part > 0 {
+			return false
+		}
+	}
+	return entry.withdrawn && now.Sub(entry.lastReport) <= reportTimeout
+}
+
 // Commit raises the shares to those of a proposed record that has been stored.
 func (divider *Divider) Commit(record Record) {
 	divider.record = record.clone()
 	for instance, entry := range divider.entries {
-		if entry.lastReport.IsZero() {
+		holder, listed := record[instance]
+		if !listed {
 			continue
 		}
-		for account, part := range record[instance] {
+		entry.marked = holder.Ending
+		if entry.ending && !holder.Ending {
+			entry.ending, entry.withdrawn = false, false
+		}
+		if entry.lastReport.IsZero() || holder.Ending {
+			continue
+		}
+		for account, part := range holder.Shares {
 			// A share that was lowered and is not yet confirmed stays lowered.
 			if part > entry.inForceAtMost[account] {
 				entry.assigned[account] = part
@@ -188,8 +264,8 @@
 	for instance, entry := range divider.entries {
 		if entry.lastReport.IsZero() || now.Sub(entry.lastReport) > reportTimeout {
 			part -= max(entry.inForceAtMost[account], entry.assigned[account])
-		} else {
-			granted += divider.record[instance][account]
+		} else if !entry.ending {
+			granted += divider.record[instance].Shares[account]
 		}
 	}
 	if !exclusive {
@@ -215,13 +291,23 @@
 	return reporting / max(known, 1)
 }
 
-// expired reports whether all shares of an entry have expired by its own clock.
+// expired reports whether all shares of an entry have expired by its own clock, that of
+// a process which has restarted meanwhile included.
 func (divider *Divider) expired(entry *entryState, now time.Time) bool {
-	last := entry.lastReport
-	if last.IsZero() {
-		last = divider.config.Now
+	last := divider.lastContact(entry)
+	if now.Sub(last) <= reportTimeout {
+		return false
+	}
+	return entry.marked && now.After(entry.endsAt) || now.Sub(last) > Lifetime+StartLifetime
+}
+
+// lastContact returns the time of an entry's last report, or of the start of the term if
+// there was none: another coordinator may have answered the entry until then.
+func (divider *Divider) lastContact(entry *entryState) time.Time {
+	if entry.lastReport.IsZero() {
+		return divider.config.Now
 	}
-	return now.Sub(last) > Lifetime+StartLifetime
+	return entry.lastReport
 }
 
 // target returns the share of an account that an entry should have.
--- a/share/fleet_test.go
+++ b/share/fleet_test.go
@@ -25,15 +25,17 @@
 // fleet simulates entries and successive coordinators in steps of time, and
 // records the cost that all entries admit in each step.
 type fleet struct {
-	now      time.Time
-	limits   *policy.Snapshot
-	entries  []*fleetEntry
-	record   share.Record
-	revision int
-	terms    []*fleetTerm
-	step     int
-	used     []float64
-	largest  float64
+	now     time.Time
+	limits  *policy.Snapshot
+	entries []*fleetEntry
+	record  share.Record
+	// recordedAt is when the record was stored.
+	recordedAt time.Time
+	revision   int
+	terms      []*fleetTerm
+	step       int
+	used       []float64
+	largest    float64
 }
 
 type fleetEntry struct {
@@ -69,7 +71,7 @@
 	for _, term := range fleet.terms {
 		term.exclusive = false
 	}
-	divider := share.NewDivider(share.DividerConfig{Term: int64(len(fleet.terms) + 1), Now: fleet.now, Record: fleet.record})
+	divider := share.NewDivider(share.DividerConfig{Term: int64(len(fleet.terms) + 1), Now: fleet.now, Record: fleet.record.Aged(fleet.now.Sub(fleet.recordedAt))})
 	fleet.terms = append(fleet.terms, &fleetTerm{
 		number: int64(len(fleet.terms) + 1), divider: divider, lender: share.NewLender(divider), exclusive: true, revision: fleet.revision,
 	})
@@ -102,7 +104,7 @@
 		if !raised {
 			continue
 		}
-		fleet.record, fleet.revision = record, fleet.revision+1
+		fleet.record, fleet.recordedAt, fleet.revision = record, fleet.now, fleet.revision+1
 		term.revision = fleet.revision
 		term.divider.Commit(record)
 	}
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -90,7 +90,7 @@
 // takeFromShare uses cost of this entry's share. It is called with the mutex held.
 func (limiter *Limiter) takeFromShare(account *policy.Account, cost float64, now time.Time) (time.Duration, bool) {
 	bucket, found := limiter.buckets[account.Name]
-	if !found || !now.Before(limiter.expires) {
+	if !found || bucket.share <= 0 || !now.Before(limiter.expires) {
 		return time.Second, false
 	}
 	bucket.rate, bucket.burst = account.Rate, account.Burst
@@ -162,18 +162,18 @@
 }
 
 // Restore applies the recorded shares of this instance until a coordinator
-// answers. Only the first call with limits has an effect, and only before
-// [Limiter.Apply].
-func (limiter *Limiter) Restore(recorded Amounts, limits *policy.Snapshot, now time.Time) {
+// answers, unless the record marks them as ending. Only the first call with limits and
+// such shares has an effect, and only before [Limiter.Apply].
+func (limiter *Limiter) Restore(recorded Holder, limits *policy.Snapshot, now time.Time) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	if limiter.started || limits == nil {
+	if limiter.started || limits == nil || recorded.Ending {
 		return
 	}
 	limiter.started = true
 	limiter.expires = now.Add(StartLifetime - expiryMargin)
 	for _, account := range limits.Accounts() {
-		part := recorded[account.Name]
+		part := recorded.Shares[account.Name]
 		limiter.buckets[account.Name] = &bucket{
 			share: part, rate: account.Rate, burst: account.Burst, level: startLevel * part * account.Burst, at: now,
 		}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -94,9 +94,9 @@
 	record, raised := divider.Propose([]names.ClientAccount{notes}, epoch)
 	g.Expect(raised).To(BeTrue(), "an even share of 24 entries is above the least change")
 	total := 0.0
-	for _, amounts := range record {
-		g.Expect(amounts[notes]).To(BeNumerically(">", 0.03))
-		total += amounts[notes]
+	for _, holder := range record {
+		g.Expect(holder.Shares[notes]).To(BeNumerically(">", 0.03))
+		total += holder.Shares[notes]
 	}
 	g.Expect(total).To(BeNumerically("<=", 1))
 }
@@ -104,7 +104,7 @@
 func TestRestartedEntryUsesItsRecordedShare(t *testing.T) {
 	g := NewWithT(t)
 	limiter := share.NewLimiter()
-	limiter.Restore(share.Amounts{notes: 0.25}, limits(), epoch)
+	limiter.Restore(share.Holder{Shares: share.Amounts{notes: 0.25}}, limits(), epoch)
 	_, taken := limiter.Take(account(limits()), 40, epoch)
 	g.Expect(taken).To(BeTrue())
 	_, taken = limiter.Take(account(limits()), 40, epoch.Add(share.StartLifetime))
@@ -113,7 +113,10 @@
 
 func TestRecordSurvivesItsCodec(t *testing.T) {
 	g := NewWithT(t)
-	record := share.Record{"entry-1": share.Amounts{notes: 0.5}}
+	record := share.Record{
+		"entry-1": {Shares: share.Amounts{notes: 0.5}},
+		"entry-2": {Shares: share.Amounts{notes: 0.25}, Ending: true, Left: 3 * time.Second},
+	}
 	data, err := record.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
 	decoded, err := share.DecodeRecord(data)
