Restrict requests to the homes of their route and account

A route and a client account may have allowedRegions, and settings may map zones to regions. The policy's lists were not read, so that requests reached servers of any region.

The entry derives the zones of a request's homes when it admits it, and refuses it with 503 noHome before the body is read if there is none. The pool picks only servers in these zones and names the others to the scheduler as excluded; each request is checked again right before its first byte, whoever chose the server. A request does not wait for a model if no server inside accepts requests. Faults of homes are logged once (9184, 9185). The names of the settings' zones count as known to evacuations.

Ruled out: a filter in the scheduler alone, as the rule would depend on another instance; refusing requests as one of several homes does not exist.

With Query.Permits switched off, TestConfinedQueriesGetServersOfTheirDomains and four tests of relay fail; with the check before the first byte off, a reservation outside of the homes reaches its server. Tests: go test ./policy ./pool ./platform ./node ./event ./subcmd ./coord ./relay.

--- a/event/zones.go
+++ b/event/zones.go
@@ -16,4 +16,8 @@
 	// EvacuationRetained is logged when a restored service has lost the request for an
 	// evacuation.
 	EvacuationRetained = define(9183, logrus.WarnLevel, "evacuationRetained", "The platform's key-value service was restored from a copy without the key op/evacuate/ZONE. The zone stays evacuated in this process for the seconds given; write the key again if it is still meant to be, else delete it.")
+	// RegionUnknown is logged when homes name a region that does not exist.
+	RegionUnknown = define(9184, logrus.WarnLevel, "regionUnknown", "The allowed regions of a route or a client account name a region that the settings do not know; no server is in it. Correct the policy or the settings.")
+	// HomesEmpty is logged when no region is left to the requests of a route and an account.
+	HomesEmpty = define(9185, logrus.ErrorLevel, "homesEmpty", "The allowed regions of a route and a client account have no zone in common, or none that the settings map; the requests are refused. Correct the policy or the settings.")
 )
--- a/node/evacuationhandler.go
+++ b/node/evacuationhandler.go
@@ -71,12 +71,16 @@
 }
 
 func newEvacuationHandler(parts evacuationParts) *evacuationHandler {
-	return &evacuationHandler{
+	handler := &evacuationHandler{
 		pool: parts.Pool, clock: parts.Clock, log: parts.Log, metrics: parts.Metrics,
 		domains:   map[names.FailureDomain]struct{}{names.FailureDomain(parts.Host.Domain): {}},
 		requested: map[names.FailureDomain]struct{}{}, retained: map[names.FailureDomain]time.Time{},
 		announced: map[names.FailureDomain]struct{}{}, ignored: map[names.FailureDomain]struct{}{},
 	}
+	for domain := range parts.Host.Regions {
+		handler.domains[names.FailureDomain(domain)] = struct{}{}
+	}
+	return handler
 }
 
 // Replaced implements [mirror.Handler].
--- a/node/relay.go
+++ b/node/relay.go
@@ -27,6 +27,7 @@
 	"github.com/basilkeel/basilkeel/ident"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/platform"
+	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/relay"
 	"github.com/basilkeel/basilkeel/setup"
@@ -161,11 +162,20 @@
 	bounds := parts.Host.Bounds
 	return relay.New(relay.Config{
 		Codec: platform.HeaderCodec{}, Pool: parts.Pool, Trunk: parts.Trunk, Limiter: parts.Limiter, Crashes: parts.Tracker,
-		Clock: parts.Clock, Log: parts.Log, Metrics: parts.Metrics, Domain: names.FailureDomain(parts.Host.Domain),
+		Clock: parts.Clock, Log: parts.Log, Metrics: parts.Metrics, Domain: names.FailureDomain(parts.Host.Domain), Regions: regionsOf(parts.Host),
 		CrashConfirmDelay: crashConfirmDelay(bounds.Contact), RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow,
 	})
 }
 
+// regionsOf returns the geography that the settings describe.
+func regionsOf(host *setup.Host) policy.Regions {
+	regions := policy.Regions{Own: names.Region(host.Region), Domains: map[names.FailureDomain]names.Region{}}
+	for domain, region := range host.Regions {
+		regions.Domains[names.FailureDomain(domain)] = names.Region(region)
+	}
+	return regions
+}
+
 // crashConfirmDelay returns how long a server must stay silent to count as
 // crashed. It uses at most half of contact, the time within which instances have
 // to react, and leaves the rest for the exchange of reports.
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -250,7 +251,7 @@
 			event.SettingsKept.Log(log, logrus.Fields{"reason": reason, "cause": err.Error()})
 			return
 		}
-		event.SettingsReloaded.Log(log, logrus.Fields{"reason": reason, "changed": *fresh != *host})
+		event.SettingsReloaded.Log(log, logrus.Fields{"reason": reason, "changed": !reflect.DeepEqual(fresh, host)})
 	}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/policy/account.go
+++ b/policy/account.go
@@ -17,6 +17,9 @@
 	Unit Unit
 	// DefaultTokens is the token count of a request that states none.
 	DefaultTokens int64
+	// Homes are the regions outside of which no server gets the account's requests; empty
+	// means that they are not restricted.
+	Homes []names.Region
 }
 
 // Unit is the unit of a client account's limits.
--- a/policy/route.go
+++ b/policy/route.go
@@ -36,6 +36,9 @@
 	MaxAttempts int
 	// Open reports whether requests need no key.
 	Open bool
+	// Homes are the regions outside of which no server gets the route's requests; empty
+	// means that they are not restricted.
+	Homes []names.Region
 }
 
 // Target returns the service for a request. The number draw selects it and is uniformly
--- /dev/null
+++ b/pool/homes_test.go
@@ -0,0 +1,41 @@
+package pool_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/names"
+)
+
+// TestConfinedQueriesGetServersOfTheirDomains guards against servers outside of a request's
+// homes, also when they are the only ones, and in what the coordinator is told.
+func TestConfinedQueriesGetServersOfTheirDomains(t *testing.T) {
+	far, unmapped := engine("e2", "m"), engine("e3", "m")
+	far.Domain, unmapped.Domain = "b", ""
+	cases := []struct {
+		name     string
+		domains  []names.FailureDomain
+		want     string
+		excluded []names.BackendServer
+	}{
+		{name: "a far one", domains: []names.FailureDomain{"b"}, want: "e2", excluded: []names.BackendServer{"e1", "e3"}},
+		{name: "one without servers", domains: []names.FailureDomain{"c"}, want: "no server", excluded: []names.BackendServer{"e1", "e2", "e3"}},
+		{name: "none", want: "no server", excluded: []names.BackendServer{"e1", "e2", "e3"}},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			pool := newPool(engine("e1", "m"), far, unmapped)
+			confined := query
+			confined.Confined, confined.Domains = true, each.domains
+			g.Expect(picked(pool, confined, epoch)).To(Equal(each.want))
+			excluded, _ := pool.Unusable(confined, epoch)
+			g.Expect(excluded).To(ConsistOf(each.excluded))
+			pool.RecordFailure("e2", true, epoch)
+			g.Expect(picked(pool, confined, epoch)).To(Equal(each.want), "also when its server is ejected")
+			excluded, _ = pool.Unusable(query, epoch)
+			g.Expect(excluded).To(BeEmpty(), "other requests are not restricted")
+		})
+	}
+}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -72,7 +72,7 @@
 	var reserved, ejected []*member
 	restrictions := pool.config.Gate.Restrictions(now)
 	for _, member := range pool.members {
-		if member.server.Service != query.Service || !pool.accepting(member, now) {
+		if member.server.Service != query.Service || !pool.accepting(member, now) || !query.Permits(member.server) {
 			continue
 		}
 		result.listed = true
--- a/pool/query.go
+++ b/pool/query.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
@@ -17,6 +18,14 @@
 	Domain names.FailureDomain
 	// Tried lists servers that must not be picked again.
 	Tried []names.BackendServer
+	// Confined reports whether only servers in Domains may be picked.
+	Confined bool
+	Domains  []names.FailureDomain
+}
+
+// Permits reports whether the request may be sent to the failure domain of a server.
+func (query *Query) Permits(server *Server) bool {
+	return !query.Confined || slices.Contains(query.Domains, server.Domain)
 }
 
 // Choice is the result of [Pool.Pick]: [Chosen], [NoServer], [NoCopy] or [Full].
--- a/pool/use.go
+++ b/pool/use.go
@@ -94,7 +94,7 @@
 		}
 		missingUntil, missing := member.missingModels[query.Model]
 		switch {
-		case !pool.accepting(member, now), member.paused(now), slices.Contains(query.Tried, id),
+		case !pool.accepting(member, now), !query.Permits(member.server), member.paused(now), slices.Contains(query.Tried, id),
 			restrictions[member.server.Identity()] == permit.RestrictionClosed, missing && now.Before(missingUntil):
 			excluded = append(excluded, id)
 		case member.ejected(now), member.silent(now):
--- a/relay/evacuate_test.go
+++ b/relay/evacuate_test.go
@@ -156,6 +156,7 @@
 	for _, path := range []string{"/order/1", "/draft/1"} {
 		result := fixture.call(http.MethodPost, path, "", map[string]string{"Model": "notes"})
 		g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(result.body).To(ContainSubstring("noServer"))
 		g.Expect(result.header.Get("Retry-After")).NotTo(BeEmpty())
 	}
 	g.Expect(fixture.coordinator.waitedFor).To(BeEmpty())
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -47,6 +47,10 @@
 	account       *policy.Account
 	cost          float64
 	tried         []names.BackendServer
+	// confined reports whether the route or the account has homes; domains are the failure
+	// domains in them.
+	confined bool
+	domains  []names.FailureDomain
 	// sends counts the attempts, possibleRuns those that may have run the request.
 	sends        int
 	possibleRuns int
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -183,6 +183,13 @@
 
 // newCodecFixture returns a fixture whose relay uses codec.
 func newCodecFixture(t *testing.T, codec relay.Codec, routes ...*policy.Route) *fixture {
+	t.Helper()
+	return newConfiguredFixture(t, codec, func(*relay.Config) {}, routes...)
+}
+
+// newConfiguredFixture returns a fixture whose relay uses codec and a configuration that
+// configure has edited.
+func newConfiguredFixture(t *testing.T, codec relay.Codec, configure func(*relay.Config), routes ...*policy.Route) *fixture {
 	t.Helper()
 	logger, hook := test.NewNullLogger()
 	logger.SetLevel(logrus.DebugLevel)
@@ -191,17 +198,14 @@
 	coordinator := &fakeCoordinator{pool: servers}
 	crashes := crash.NewTracker()
 	connections := trunk.New(trunk.Config{Clock: clockService})
-	handler := relay.New(relay.Config{
+	config := relay.Config{
 		Codec: codec, Pool: servers, Trunk: connections, Limiter: share.NewLimiter(), Coordinator: coordinator, Crashes: crashes,
 		Clock: clockService, Log: logger, Metrics: metrics.NewRegistry(), Domain: "a", RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
 		CrashConfirmDelay: 1500 * time.Millisecond,
-	})
-	engine := &policy.Engine{Slots: 4, Models: map[names.Model]policy.Model{"notes": {Name: "notes"}}}
-	handler.SetPolicy(policy.NewSnapshot(policy.SnapshotConfig{
-		Version: 3, Routes: routes, Limits: policy.Limits{BodyBytes: 1000},
-		Services: []*policy.Service{{Name: "desk"}, {Name: "notes", Engine: engine}},
-		Accounts: []*policy.Account{{Name: "crew", Keys: []string{"secret"}}},
-	}))
+	}
+	configure(&config)
+	handler := relay.New(config)
+	handler.SetPolicy(newSnapshot(&policy.Account{Name: "crew", Keys: []string{"secret"}}, routes...))
 	front := httptest.NewUnstartedServer(handler)
 	front.Config.ConnContext = reply.ConnContext
 	front.Start()
@@ -209,6 +213,16 @@
 	return &fixture{t: t, relay: handler, pool: servers, trunk: connections, coordinator: coordinator, front: front, logs: hook, crashes: crashes}
 }
 
+// newSnapshot returns the policy of a fixture with one account.
+func newSnapshot(account *policy.Account, routes ...*policy.Route) *policy.Snapshot {
+	engine := &policy.Engine{Slots: 4, Models: map[names.Model]policy.Model{"notes": {Name: "notes"}}}
+	return policy.NewSnapshot(policy.SnapshotConfig{
+		Version: 3, Routes: routes, Limits: policy.Limits{BodyBytes: 1000},
+		Services: []*policy.Service{{Name: "desk"}, {Name: "notes", Engine: engine}},
+		Accounts: []*policy.Account{account},
+	})
+}
+
 func route(name string, kind policy.Kind, service names.Service) *policy.Route {
 	return &policy.Route{
 		Name: name, Host: "desk.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond,
--- a/relay/place.go
+++ b/relay/place.go
@@ -51,6 +51,9 @@
 		Adapter: exchange.info.Adapter,
 		Domain:  exchange.relay.config.Domain,
 		Tried:   exchange.tried,
+
+		Confined: exchange.confined,
+		Domains:  exchange.domains,
 	}
 }
 
@@ -125,7 +128,7 @@
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
 	return len(exchange.tried) == 0 && exchange.relay.config.Coordinator.Reachable() &&
-		now.Sub(began) < maxLoadWait && exchange.deadline.Sub(now) > minTimeLeft
+		now.Sub(began) < maxLoadWait && exchange.deadline.Sub(now) > minTimeLeft && exchange.hasHomeServer()
 }
 
 // ensureAdapter has the adapter loaded if the chosen server lacks it. It returns false if
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -23,6 +23,8 @@
 	ReasonRateLimited      Reason = "rateLimited"
 	ReasonRefusedByServer  Reason = "refusedByServer"
 	ReasonTimeUp           Reason = "timeUp"
+	// ReasonNoHome means that no region is left to the request, or none that exists.
+	ReasonNoHome Reason = "noHome"
 )
 
 // Reasons for failing a request, which may have run.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,6 +63,8 @@
 	Log         logrus.FieldLogger
 	Metrics     metrics.Registry
 	Domain      names.FailureDomain
+	// Regions tells which failure domains are in the homes of routes and accounts.
+	Regions policy.Regions
 	// CrashConfirmDelay is how long after a broken response the server must have sent
 	// nothing to count as crashed. A crashed server takes some seconds to restart; one
 	// that still runs responds to other requests within a fraction of a second.
@@ -85,6 +87,7 @@
 	// draining.
 	drainUntil atomic.Pointer[time.Time]
 	progress   *progress
+	homeFaults homeFaults
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -180,6 +183,9 @@
 	if exchange.outlastsDrain() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
 	}
+	if refusal := exchange.confine(); refusal != nil {
+		return refusal
+	}
 	if refusal := exchange.readBody(snapshot.Limits().BodyBytes); refusal != nil {
 		return refusal
 	}
--- a/setup/host.go
+++ b/setup/host.go
@@ -9,6 +9,9 @@
 	Instance string
 	// Domain is the failure domain.
 	Domain string
+	// Region is the region of this instance, and Regions maps failure domains to theirs.
+	Region  string
+	Regions map[string]string
 	// IP is the address of this instance without a port.
 	IP string
 	// CallerAddress accepts callers' connections, ReadyAddress readiness probes.
