--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -11,12 +11,13 @@
 
 	"github.com/basilkeel/basilkeel/memory"
 	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/relay"
 )
 
 // newMemoryFixture returns a fixture with a budget and a policy that allows bodies of a MiB.
 func newMemoryFixture(t *testing.T, budget *memory.Budget, routes ...*policy.Route) *fixture {
 	t.Helper()
-	fixture := newBoundFixture(t, budget, plainCodec{}, routes...)
+	fixture := newConfiguredFixture(t, plainCodec{}, func(config *relay.Config) { config.Memory = budget }, routes...)
 	fixture.relay.SetPolicy(policy.NewSnapshot(policy.SnapshotConfig{
 		Version: 4, Routes: routes, Limits: policy.Limits{BodyBytes: 1 << 20},
 		Services: []*policy.Service{{Name: "desk"}},
--- a/relay/reason.go
+++ b/relay/reason.go
@@ -26,6 +26,8 @@
 	// ReasonMemory means that the process holds as much for callers and servers as its memory
 	// allows.
 	ReasonMemory Reason = "memory"
+	// ReasonNoHome means that no region is left to the request, or none that exists.
+	ReasonNoHome Reason = "noHome"
 )
 
 // Reasons for failing a request, which may have run.
