--- a/pool/pool.go
+++ b/pool/pool.go
@@ -109,7 +109,7 @@
 	return &Pool{
 		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
 		holdings: map[names.BackendServer]*Holding{}, changed: make(chan struct{}),
-		uses: map[permit.Server]*EngineUse{}, modelRequests: map[modelOnServer]int{},
+		uses: map[permit.Server]*EngineUse{}, modelRequests: map[modelOnServer]int{}, returnedAt: map[names.FailureDomain]time.Time{},
 	}
 }
 
