copies: copies of idle models make room for those of requested ones, loads at once as the store's rate implies

Cause: nearly all models have one copy, which was never evicted for further copies of a requested model, and nine loads ran at once where the store serves 46. A model whose demand rose eightfold had three engines for ten seconds.

--- a/copies/planner.go
+++ b/copies/planner.go
@@ -226,7 +226,7 @@
 		}
 		step.Unload = unload
 		cost += loss
-	} else if step.FromStore && view.storeLoads >= maxStoreLoads(view.input.Engine) {
+	} else if step.FromStore && view.storeLoads >= maxStoreLoads(view.input.Engine, view.input.Scheduled) {
 		return Step{}, 0, false
 	}
 	cost += view.unevenness(index, step.Unload, model) / (2 * max(view.mean, minMeanLoad))
@@ -252,7 +252,18 @@
 func maxUnloading(engines int) int { return max(int(maxUnloadingFraction*float64(engines)), 1) }
 
 // maxStoreLoads returns how many loads the weight store serves at once without slowing
-// down.
-func maxStoreLoads(engine *policy.Engine) int {
-	return max(int(math.Ceil(engine.LoadsPerSecond*concurrentLoadsPerRate)), 1)
+// down. For a service whose requests are scheduled it is the number that the rate of the
+// store and the time of the shortest load imply.
+func maxStoreLoads(engine *policy.Engine, scheduled bool) int {
+	perRate := concurrentLoadsPerRate
+	if scheduled {
+		shortest := math.Inf(1)
+		for _, model := range engine.Models {
+			shortest = min(shortest, model.LoadTime.Seconds())
+		}
+		if !math.IsInf(shortest, 1) {
+			perRate = max(perRate, shortest)
+		}
+	}
+	return max(int(math.Ceil(engine.LoadsPerSecond*perRate)), 1)
 }
--- a/copies/view.go
+++ b/copies/view.go
@@ -278,7 +278,7 @@
 		}
 		unload = append(unload, victim)
 		loss += view.unloadCost(victim, index)
-		if view.copies[victim] <= 1 {
+		if view.copies[victim] <= 1 && !view.idle(victim) {
 			loss += lastCopyLoss
 		}
 		missingMB -= view.input.Engine.Models[victim].WeightsMB
@@ -328,10 +328,44 @@
 // evictionLoss returns what is lost if a model is evicted from an engine: the load that each
 // other copy takes over, or much more if there is no other copy.
 func (view *view) evictionLoss(model names.Model, index int) float64 {
-	if view.copies[model] <= 1 {
+	switch {
+	case view.copies[model] <= 1 && view.idle(model):
+		return idleCopyLoss + view.input.Demand[model].Steady
+	case view.copies[model] <= 1:
 		return lastCopyLoss + view.work[model]
+	default:
+		return view.loss(model, index)
 	}
-	return view.loss(model, index)
+}
+
+const (
+	// idleCopyLoss is the loss of the last copy of a model that nobody requests, in a service
+	// whose requests are scheduled. Its weights stay on the engine's disk, so that it can
+	// be loaded again within a second or two.
+	idleCopyLoss = 0.1
+	// minIdleEvictionGain is the least gain of a copy that evicts such a last copy, as a fraction
+	// of the mean load of engines.
+	minIdleEvictionGain = 0.25
+	// maxMissingFraction is the largest fraction of the models that may have no copy for the
+	// sake of further copies of others.
+	maxMissingFraction = 0.2
+)
+
+// idle reports whether nobody has requested a model for some seconds and its last copy may
+// make room for further copies of requested ones.
+func (view *view) idle(model names.Model) bool {
+	return view.input.Scheduled && view.work[model] == 0 && view.input.Demand[model].Waiting == 0
+}
+
+// missingModels returns the number of models without a copy.
+func (view *view) missingModels() int {
+	missing := 0
+	for model := range view.input.Engine.Models {
+		if view.copies[model] == 0 {
+			missing++
+		}
+	}
+	return missing
 }
 
 // lastCopyLoss is added to the loss of a model's last copy, so that even that of a model
@@ -349,6 +383,10 @@
 	}
 	demand := view.input.Demand[need.model]
 	wanted := demand.Work > 0 || demand.Waiting > 0
+	if view.copies[victim] <= 1 && view.copies[need.model] > 0 && view.idle(victim) {
+		return need.hot && need.gain*payoff >= minIdleEvictionGain*max(view.mean, minMeanLoad) &&
+			float64(view.missingModels()) < maxMissingFraction*float64(len(view.input.Engine.Models))
+	}
 	if view.copies[victim] <= 1 {
 		// The last copy is evicted only if it has no requests now and the needed model has no
 		// copy and is requested much more often. Otherwise rarely requested models would
