--- a/copies/view.go
+++ b/copies/view.go
@@ -345,7 +345,7 @@
 	idleCopyLoss = 0.1
 	// minIdleEvictionGain is the least gain of a copy that evicts such a last copy, as a fraction
 	// of the mean load of engines.
-	minIdleEvictionGain = 0.25
+	minIdleEvictionGain = 0.12
 	// maxMissingFraction is the largest fraction of the models that may have no copy for the
 	// sake of further copies of others.
 	maxMissingFraction = 0.2
