relay: read responses ahead of slow callers, and end the slowest when memory is short

A server cuts off a response that stays unread for some seconds, and an entry read it only as fast as its caller. Callers that read nothing were never ended: a write to them had no bound, and each kept its stream's memory and its server's slot.

Writes to callers are watched. Once one has taken 100 ms, a goroutine reads the response ahead, within the budget (16 KiB pieces, an eighth of it for one caller). If the budget is used up, the caller that has read nothing for longest, at least 2 s, is ended; any after 30 s. While a body waits for memory its connection's receive buffer is small, and the kernel holds at most 128 KiB of a connection that it can't send yet. Incomplete events count, too. Responses up to 32 KiB are read ahead in any case, as forwarding them takes as much. Nothing of this happens without a bound for memory.

Ruled out: a second goroutine for every stream (a switch for each event), write deadlines for each piece (they end slow callers also where there is memory), a fixed receive buffer for all connections (limits distant callers).

Tests: TestServersDoNotWaitForSlowCallers fails without reading ahead, TestManySlowCallersDoNotKeepOthersOut (1,000 callers) without ending slow ones.

--- a/memory/account.go
+++ b/memory/account.go
@@ -33,6 +33,14 @@
 	return true
 }
 
+// Hold holds bytes in any case, also beyond the limit. It is for what a request in progress
+// can't do without.
+func (account *Account) Hold(purpose Purpose, bytes int64) {
+	account.budget.mutex.Lock()
+	defer account.budget.mutex.Unlock()
+	account.add(purpose, bytes)
+}
+
 // HoldBody holds the next piece of the body, of which rest bytes may follow with that piece.
 // It returns nil if the piece may be read, a *[Wait] after which to call it again, or an
 // *[ExhaustedError].
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(startCtx context.Context) error {
-			listenConfig := net.ListenConfig{KeepAliveConfig: trunk.KeepAlive()}
+			listenConfig := net.ListenConfig{KeepAliveConfig: trunk.KeepAlive(), Control: trunk.LimitUnsent}
 			listener, err := listenConfig.Listen(startCtx, "tcp", host.CallerAddress)
 			if err != nil {
 				return err
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -22,6 +22,9 @@
 	// maxBufferedBytes is the size of the largest response that is read completely before
 	// any of it is forwarded.
 	maxBufferedBytes = 1 << 20
+	// copyBytes of a response are read ahead even if no memory is free: forwarding it as it
+	// arrives needs a buffer of that size as well.
+	copyBytes = 32 << 10
 )
 
 // forwardWhole forwards a response after reading it completely, unless it is larger than
@@ -57,7 +60,9 @@
 	var body memory.Pieces
 	for read := int64(0); read <= maxBufferedBytes; {
 		size := min(memory.NextPieceBytes(read), maxBufferedBytes+1-read)
-		if !exchange.memory.TryHold(memory.Response, size) {
+		if read < copyBytes {
+			exchange.memory.Hold(memory.Response, size)
+		} else if !exchange.memory.TryHold(memory.Response, size) {
 			exchange.recordMemoryExhausted()
 			return body, false, nil
 		}
@@ -83,8 +88,9 @@
 
 // writePieces writes a part of the response to the caller and returns its length.
 func (exchange *exchange) writePieces(pieces memory.Pieces) int64 {
+	writer := exchange.newCallerWriter(nil)
 	for _, piece := range pieces {
-		if _, err := exchange.writer.Write(piece); err != nil {
+		if _, err := writer.Write(piece); err != nil {
 			exchange.abortLeft()
 		}
 	}
@@ -107,7 +113,7 @@
 	written := exchange.writePieces(read)
 	clear(read)
 	exchange.releaseResponse()
-	copied, err := io.Copy(exchange.writer, response)
+	copied, err := exchange.copyLarge(response)
 	if err != nil {
 		exchange.abort(err)
 	}
@@ -115,6 +121,13 @@
 	exchange.recordDone(response.Status, written+copied)
 }
 
+// copyLarge forwards the rest of a response and returns its length.
+func (exchange *exchange) copyLarge(response *responseReader) (int64, error) {
+	reader := exchange.newAheadReader(response)
+	defer reader.stop()
+	return io.Copy(exchange.newCallerWriter(reader.start), reader)
+}
+
 // abort records why a response that has begun can't be completed, and ends it so that it
 // does not look complete. It panics with [http.ErrAbortHandler].
 func (exchange *exchange) abort(cause error) {
@@ -221,13 +234,15 @@
 // response, a *[midEventError] if it ended within an event, a *[discontinuityError] if it
 // doesn't continue the stream, and another error if the caller has disconnected.
 func (exchange *exchange) copyEvents(response *responseReader, events *eventBuffer) (int64, error) {
-	controller := http.NewResponseController(exchange.writer)
+	reader := exchange.newAheadReader(response)
+	defer reader.stop()
+	writer := exchange.newCallerWriter(reader.start)
 	buffer := make([]byte, readBufferBytes)
 	total := int64(0)
 	last := exchange.now()
 	meter := exchange.newEventMeter(response)
 	for {
-		count, err := response.Read(buffer)
+		count, err := reader.Read(buffer)
 		now := exchange.now()
 		exchange.longestGap = max(exchange.longestGap, now.Sub(last))
 		last = now
@@ -238,6 +253,7 @@
 		if events.begun && !exchange.answered {
 			exchange.recordAnswer()
 		}
+		exchange.holdPending(cap(events.pending))
 		meter.record(events.count, now)
 		ended := errors.Is(err, io.EOF)
 		var endErr error
@@ -248,10 +264,10 @@
 		}
 		if len(ready) > 0 {
 			total += int64(len(ready))
-			if _, writeErr := exchange.writer.Write(ready); writeErr != nil {
+			if _, writeErr := writer.Write(ready); writeErr != nil {
 				return total, writeErr
 			}
-			if flushErr := controller.Flush(); flushErr != nil {
+			if flushErr := writer.flush(); flushErr != nil {
 				return total, flushErr
 			}
 		}
@@ -264,6 +280,14 @@
 	}
 }
 
+// holdPending holds the memory of an incomplete event that a stream's buffers don't hold.
+func (exchange *exchange) holdPending(bytes int) {
+	if more := int64(bytes) - readBufferBytes - exchange.pendingHeld; more > 0 {
+		exchange.memory.Hold(memory.Stream, more)
+		exchange.pendingHeld += more
+	}
+}
+
 // reserveResume reports whether a broken stream may be resumed at another server. If so,
 // it takes the retry from the budget.
 func (exchange *exchange) reserveResume(ctx context.Context) bool {
--- a/relay/body.go
+++ b/relay/body.go
@@ -12,6 +12,7 @@
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/memory"
 	"github.com/basilkeel/basilkeel/policy"
+	"github.com/basilkeel/basilkeel/reply"
 )
 
 const (
@@ -26,6 +27,12 @@
 	memoryPollPeriod = 200 * time.Millisecond
 	// memoryWaitRatio bounds the wait for memory as a fraction of the time that is left.
 	memoryWaitRatio = 0.25
+	// waitingReceiveBytes is what the kernel receives ahead of a body that waits for memory.
+	// By itself it would receive up to some MB on a connection that has carried much.
+	waitingReceiveBytes = 32 << 10
+	// receiveBytes is what it receives ahead when the wait has ended: it lets a connection
+	// with a round trip of 10 ms carry 160 Mbit/s.
+	receiveBytes = 200 << 10
 )
 
 // readBody reads the request's body of at most maxBytes; zero means no limit.
@@ -118,6 +125,7 @@
 // used up.
 func (exchange *exchange) awaitMemory(wait *memory.Wait) bool {
 	exchange.recordMemoryExhausted()
+	reply.SetReadBuffer(exchange.request, waitingReceiveBytes)
 	began := exchange.now()
 	for {
 		now := exchange.now()
@@ -129,11 +137,13 @@
 		select {
 		case <-wait.Granted():
 			exchange.memoryWait -= exchange.now().Sub(began)
+			reply.SetReadBuffer(exchange.request, receiveBytes)
 			return true
 		case <-exchange.request.Context().Done():
 			wait.Cancel(exchange.now())
 			return false
 		case <-exchange.relay.config.Clock.After(min(left, memoryPollPeriod)):
+			exchange.relay.endSlowCaller()
 			wait.Poll(exchange.now())
 		}
 	}
@@ -145,6 +155,7 @@
 		return nil
 	}
 	exchange.recordMemoryExhausted()
+	exchange.relay.endSlowCaller()
 	return exchange.memoryRefusal()
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,9 +40,11 @@
 	info    RequestInfo
 	// body is the request's body, memory the bytes that the request holds, and memoryWait the
 	// time that reading the body may still wait for memory.
-	body          memory.Pieces
-	memory        *memory.Account
-	memoryWait    time.Duration
+	body       memory.Pieces
+	memory     *memory.Account
+	memoryWait time.Duration
+	// pendingHeld is what is held for an incomplete event beyond the buffers of a stream.
+	pendingHeld   int64
 	started       time.Time
 	deadline      time.Time
 	policyVersion int64
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -30,11 +30,24 @@
 
 // Read implements [io.Reader].
 func (responseReader *responseReader) Read(buffer []byte) (int, error) {
+	count, err := responseReader.readBytes(buffer)
+	responseReader.recordEnd(err)
+	return count, err
+}
+
+// readBytes reads without judging the end of the response, so that another goroutine than the
+// request's may call it.
+func (responseReader *responseReader) readBytes(buffer []byte) (int, error) {
 	count, err := responseReader.Response.Read(buffer)
 	if count > 0 {
 		responseReader.lastReadAt = responseReader.exchange.now()
 		responseReader.exchange.relay.config.Pool.RecordBytes(responseReader.server.ID, responseReader.sentAt, responseReader.lastReadAt)
 	}
+	return count, err
+}
+
+// recordEnd records the error with which reading ended, if it says something about the server.
+func (responseReader *responseReader) recordEnd(err error) {
 	var brokenError *trunk.BrokenError
 	ended := errors.Is(err, io.EOF) && responseReader.EndsWithConnection
 	switch {
@@ -44,5 +57,4 @@
 	default:
 		responseReader.exchange.suspectSilent(responseReader.server, responseReader.lastReadAt)
 	}
-	return count, err
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,6 +88,7 @@
 	// draining.
 	drainUntil atomic.Pointer[time.Time]
 	progress   *progress
+	stalls     *stalls
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -101,6 +102,7 @@
 	return &Relay{
 		config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow),
 		progress: &progress{cancels: map[*exchange]context.CancelFunc{}},
+		stalls:   newStalls(),
 	}
 }
 
--- a/trunk/dialer.go
+++ b/trunk/dialer.go
@@ -19,12 +19,20 @@
 	keepAliveCount    = 2
 	// sendTimeout is how long sent bytes may stay unacknowledged.
 	sendTimeout = 2 * time.Second
+	// unsentBytes bounds what the kernel holds of a connection that it can't send yet. By
+	// itself it would hold up to some MB for a receiver that does not read.
+	unsentBytes = 128 << 10
 )
 
 // NewDialer returns a dialer whose connections detect within seconds that the peer
 // no longer responds.
 func NewDialer() *net.Dialer {
-	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: setSendTimeout}
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: func(network, address string, raw syscall.RawConn) error {
+		if err := setSendTimeout(network, address, raw); err != nil {
+			return err
+		}
+		return LimitUnsent(network, address, raw)
+	}}
 }
 
 // KeepAlive returns the configuration of TCP keep-alive probes for all connections.
@@ -43,3 +51,17 @@
 	}
 	return optionErr
 }
+
+// LimitUnsent bounds what the kernel holds of a connection that it can't send yet. A listener
+// passes it on to its connections. It is a value of [net.Dialer.Control] and
+// [net.ListenConfig.Control].
+func LimitUnsent(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -78,6 +78,9 @@
 	})
 }
 
+// Interrupt ends a Read that is under way in another goroutine, by closing the connection.
+func (response *Response) Interrupt() { response.connection.conn.Close() }
+
 // requestSent reports whether the request has been written completely.
 func (response *Response) requestSent() bool {
 	select {
