ready: an underpowered instance that cannot keep up pauses for 3 s

Instances have 0.109 to 0.8 of a core; a weak one that got more requests than it can forward stayed in rotation.

New package ready judges by the delays of a 100 ms timer whether the process gets to run. If they are half of 5 s, an instance with less than 0.25 of a core, in a fleet of at least 12 entries and with requests in progress, reports for 3 s that it is not ready. Each instance does so only in its own one of 16 slots of the wall clock, so that it is not ready for about a sixteenth of the time (an eighth is not allowed) and a zone that is overloaded as a whole does not leave rotation at once; 42 s between pauses hold if the wall clock jumps.

Ruled out: not ready while the overload lasts (beyond an eighth), a pause at once (a zone pauses together), a decision by the coordinator (needs a message from a process that does not get to run).

Tests in virtual time: strong, healthy, idle, frozen instances and small fleets never pause; fleets of 22, 68 and 400 overloaded entries never lose half of one of three zones. Not played against a balancer: that a pause helps is not shown.

--- a/node/relay.go
+++ b/node/relay.go
@@ -79,7 +79,7 @@
 		fx.Supply(host, output, hangUps, settingsPath(path)),
 		fx.Provide(
 			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newMemoryBudget, newTrunk, newLimiter, crash.NewTracker,
-			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newMirror,
+			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newMirror, newReadyJudge,
 		),
 		fx.Invoke(captureStandardLog, serveCoordination, followPlatform, runCoordination, serveReadiness, serveRelay, sweep, watchSettings, logLifecycle, resignOnStop),
 	)
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -21,6 +21,7 @@
 	"github.com/basilkeel/basilkeel/permit"
 	"github.com/basilkeel/basilkeel/platform"
 	"github.com/basilkeel/basilkeel/pool"
+	"github.com/basilkeel/basilkeel/ready"
 	"github.com/basilkeel/basilkeel/relay"
 	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/setup"
@@ -55,9 +56,10 @@
 )
 
 // serveReadiness serves readiness probes, and metrics as text.
-func serveReadiness(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, servers *pool.Pool, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
+func serveReadiness(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, servers *pool.Pool, judge *ready.Judge, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
 	router := newReadinessRouter(func() bool {
-		return relay.Policy() != nil && !relay.Draining() && len(servers.Servers(clock.Now())) > 0
+		now := clock.Now()
+		return relay.Policy() != nil && !relay.Draining() && len(servers.Servers(now)) > 0 && judge.Ready(now)
 	}, registry)
 	server := &http.Server{Handler: guardHandler(router, log), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(log)}
 	lifecycle.Append(fx.Hook{
