--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,6 +91,7 @@
 	drainUntil atomic.Pointer[time.Time]
 	progress   *progress
 	homeFaults homeFaults
+	stalls     *stalls
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -104,6 +105,7 @@
 	return &Relay{
 		config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow),
 		progress: &progress{cancels: map[*exchange]context.CancelFunc{}},
+		stalls:   newStalls(),
 	}
 }
 
