crash: keep crashes that only an entry has seen that is killed

Cause: an entry kept its record of a crash in memory until CrashConfirmDelay (1.5 s) had passed and reported it only then. If it was killed in that time, the fleet lost the record.

A broken response is now reported at once, as an unconfirmed suspicion, and confirmed or withdrawn after 1.5 s as before. Without either it counts 0.5 s later, at each entry that has it, also without a coordinator. An entry that has heard from the server withdraws it. Two more rules cover the loss of the coordinator: an unconfirmed suspicion counts at once for a request that has crashed two servers already, and while an entry does not reach the coordinator, it refuses such a request.

Ruled out: to count all unconfirmed suspicions at once (a frequent request on three of twenty servers that end together is refused before an answer clears it, and nothing clears it for 10 min); to ask the coordinator before each send; a write to the platform's service per crash.

The model of TestFleetQuarantinesDeadlyParts reports unconfirmed suspicions, too, and has entries settle suspicions while there is no coordinator, as coord.Client does; its bounds are as they were.

--- a/coord/client.go
+++ b/coord/client.go
@@ -303,9 +303,8 @@
 // coordinator.
 func (client *Client) updateQuarantines() {
 	now := client.config.Clock.Now()
-	for _, subject := range client.config.Crashes.Settle(now) {
-		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
-	}
+	client.refuteSuspicions(now)
+	client.logQuarantines(client.config.Crashes.Settle(now))
 	for _, subject := range client.config.Crashes.Expire(now) {
 		event.QuarantineEnded.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
--- a/coord/codec.go
+++ b/coord/codec.go
@@ -25,7 +25,8 @@
 			Loan: report.ShareState.Loans[account],
 		})
 	}
-	message.Sightings, message.SuspectsVersion = encodeSuspicions(report.Suspicions, now), report.SuspicionsVersion
+	message.Sightings, message.Unconfirmed = encodeSuspicions(report.Suspicions, now)
+	message.SuspectsVersion = report.SuspicionsVersion
 	message.HoldingsTerm, message.HoldingsVersion = report.Holdings.Term, report.Holdings.Number
 	message.Departures = encodeDepartures(report.Departures)
 	message.Rates, message.RatesVersion = encodeRates(report.Rates, now), report.RatesVersion
@@ -54,7 +55,7 @@
 		report.ShareState.Usage[account] = each.GetUsagePerSecond()
 		report.ShareState.Loans[account] = each.GetLoan()
 	}
-	report.Suspicions, report.SuspicionsVersion = decodeSuspicions(message.GetSightings(), now), message.GetSuspectsVersion()
+	report.Suspicions, report.SuspicionsVersion = decodeSuspicions(message.GetSightings(), message.GetUnconfirmed(), now), message.GetSuspectsVersion()
 	report.Holdings = Version{Term: message.GetHoldingsTerm(), Number: message.GetHoldingsVersion()}
 	report.Departures = decodeDepartures(message.GetDepartures())
 	report.Rates, report.RatesVersion = decodeRates(message.GetRates(), now), message.GetRatesVersion()
@@ -70,7 +71,8 @@
 	message := &wire.CoordExchangeReply{Term: reply.Term, ShareVersion: reply.Assigned.Version, Loads: encodeLoads(reply.Loads), Revision: int64(reply.Revision)}
 	message.LoadsTold, message.Entries = reply.Loads != nil, int32(reply.Entries)
 	message.ChangesTo, message.Whole, message.Fresh = int64(reply.ChangesTo), reply.Whole, reply.Fresh
-	message.Suspects, message.SuspectsVersion = encodeSuspicions(reply.Suspicions, now), reply.SuspicionsVersion
+	message.Suspects, message.Unconfirmed = encodeSuspicions(reply.Suspicions, now)
+	message.SuspectsVersion = reply.SuspicionsVersion
 	message.Rates, message.RatesVersion, message.Rank = encodeRates(reply.Rates, now), reply.RatesVersion, int32(reply.Rank)
 	for _, entry := range reply.Changes {
 		message.Changes = append(message.Changes, &wire.CoordChange{
@@ -107,7 +109,7 @@
 	if message.GetLoadsTold() {
 		reply.Loads = decodeLoads(message.GetLoads())
 	}
-	reply.Suspicions, reply.SuspicionsVersion = decodeSuspicions(message.GetSuspects(), now), message.GetSuspectsVersion()
+	reply.Suspicions, reply.SuspicionsVersion = decodeSuspicions(message.GetSuspects(), message.GetUnconfirmed(), now), message.GetSuspectsVersion()
 	reply.Rates, reply.RatesVersion, reply.Rank = decodeRates(message.GetRates(), now), message.GetRatesVersion(), int(message.GetRank())
 	for _, each := range message.GetChanges() {
 		reply.Changes = append(reply.Changes, store.NewEntry(store.EntryConfig{
@@ -133,30 +135,54 @@
 	return reply
 }
 
-// encodeSuspicions encodes times as ages, as the clocks of instances differ.
-func encodeSuspicions(suspicions []crash.Suspicion, now time.Time) []*wire.CoordSighting {
-	encoded := make([]*wire.CoordSighting, 0, len(suspicions))
+// encodeSuspicions encodes times as ages, as the clocks of instances differ. It returns the
+// unconfirmed suspicions and withdrawals apart from the others.
+func encodeSuspicions(suspicions []crash.Suspicion, now time.Time) ([]*wire.CoordSighting, []*wire.CoordUnconfirmed) {
+	confirmed := make([]*wire.CoordSighting, 0, len(suspicions))
+	var unconfirmed []*wire.CoordUnconfirmed
 	for _, suspicion := range suspicions {
-		encoded = append(encoded, &wire.CoordSighting{
+		sighting := &wire.CoordSighting{
 			Fingerprint: uint64(suspicion.Fingerprint), Server: suspicion.Server, AgeMilliseconds: now.Sub(suspicion.At).Milliseconds(),
 			Part: suspicion.Part, Cleared: suspicion.Cleared,
+		}
+		if suspicion.CountsAt.IsZero() {
+			confirmed = append(confirmed, sighting)
+			continue
+		}
+		unconfirmed = append(unconfirmed, &wire.CoordUnconfirmed{
+			Sighting: sighting, CountsAfterMilliseconds: suspicion.CountsAt.Sub(now).Milliseconds(), Withdrawn: suspicion.Withdrawn,
 		})
 	}
-	return encoded
+	return confirmed, unconfirmed
 }
 
-func decodeSuspicions(encoded []*wire.CoordSighting, now time.Time) []crash.Suspicion {
-	suspicions := make([]crash.Suspicion, 0, len(encoded))
-	for _, each := range encoded {
-		age := time.Duration(max(each.GetAgeMilliseconds(), 0)) * time.Millisecond
-		suspicions = append(suspicions, crash.Suspicion{
-			Fingerprint: crash.Fingerprint(each.GetFingerprint()), Server: each.GetServer(), At: now.Add(-age),
-			Part: each.GetPart(), Cleared: each.GetCleared(),
-		})
+// decodeSuspicions returns the unconfirmed suspicions first, so that a confirmation in the
+// same message follows them.
+func decodeSuspicions(confirmed []*wire.CoordSighting, unconfirmed []*wire.CoordUnconfirmed, now time.Time) []crash.Suspicion {
+	suspicions := make([]crash.Suspicion, 0, len(confirmed)+len(unconfirmed))
+	for _, each := range unconfirmed {
+		suspicion := decodeSighting(each.GetSighting(), now)
+		if suspicion.Server == "" || suspicion.Cleared {
+			continue
+		}
+		wait := min(max(each.GetCountsAfterMilliseconds(), -crash.MaxUnconfirmed.Milliseconds()), crash.MaxUnconfirmed.Milliseconds())
+		suspicion.CountsAt, suspicion.Withdrawn = now.Add(time.Duration(wait)*time.Millisecond), each.GetWithdrawn()
+		suspicions = append(suspicions, suspicion)
+	}
+	for _, each := range confirmed {
+		suspicions = append(suspicions, decodeSighting(each, now))
 	}
 	return suspicions
 }
 
+func decodeSighting(sighting *wire.CoordSighting, now time.Time) crash.Suspicion {
+	age := time.Duration(max(sighting.GetAgeMilliseconds(), 0)) * time.Millisecond
+	return crash.Suspicion{
+		Fingerprint: crash.Fingerprint(sighting.GetFingerprint()), Server: sighting.GetServer(), At: now.Add(-age),
+		Part: sighting.GetPart(), Cleared: sighting.GetCleared(),
+	}
+}
+
 func encodeDepartures(departures []pool.Departure) []*wire.CoordDeparture {
 	encoded := make([]*wire.CoordDeparture, 0, len(departures))
 	for _, departure := range departures {
--- a/coord/suspicions.go
+++ b/coord/suspicions.go
@@ -4,10 +4,12 @@
 	"context"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/pool"
 )
 
 // CrashStore stores the record of suspicions in the platform's service.
@@ -61,3 +63,40 @@
 	}
 	return term.aggregator.Record(), number, true
 }
+
+// refuteSuspicions withdraws the unconfirmed suspicions that are about to count although this
+// entry has heard from the server since, such as if the entry that reported them has lost its
+// connections to servers and to the coordinator.
+func (client *Client) refuteSuspicions(now time.Time) {
+	crashes, registry := client.config.Crashes, client.config.Metrics
+	for _, suspicion := range crashes.TakeCounted() {
+		metrics.GetOrRegisterCounter("crash.unconfirmed.counted", registry).Inc(1)
+		event.SuspicionCounted.Log(client.config.Log, suspicionFields(suspicion))
+	}
+	due, count := crashes.Unconfirmed(now)
+	metrics.GetOrRegisterGauge("crash.unconfirmed", registry).Update(int64(count))
+	for _, suspicion := range due {
+		id, incarnation, valid := crash.ParseServerName(suspicion.Server)
+		if !valid {
+			continue
+		}
+		if _, alive := client.config.Pool.AliveAfter(&pool.Server{ID: id, Incarnation: incarnation}, suspicion.At); alive {
+			metrics.GetOrRegisterCounter("crash.unconfirmed.refuted", registry).Inc(1)
+			event.SuspicionRefuted.Log(client.config.Log, suspicionFields(suspicion))
+			suspicion.Withdrawn = true
+			client.logQuarantines(crashes.AddOwn(now, suspicion))
+		}
+	}
+}
+
+// logQuarantines logs the quarantines that have begun.
+func (client *Client) logQuarantines(begun []crash.Subject) {
+	for _, subject := range begun {
+		event.QuarantineBegun.Log(client.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
+	}
+}
+
+// suspicionFields returns the fields of log events about a suspicion.
+func suspicionFields(suspicion crash.Suspicion) logrus.Fields {
+	return logrus.Fields{"fingerprint": suspicion.Fingerprint.String(), "part": suspicion.Part, "server": suspicion.Server}
+}
--- a/crash/aggregator.go
+++ b/crash/aggregator.go
@@ -37,15 +37,18 @@
 func (aggregator *Aggregator) Add(suspicions []Suspicion) {
 	for _, suspicion := range suspicions {
 		added := aggregator.suspects.add(suspicion)
-		known := aggregator.suspects.bySubject[suspicion.Subject()]
+		known, found := aggregator.suspects.bySubject[suspicion.Subject()]
+		if !found {
+			continue
+		}
 		if added && suspicion.Cleared {
 			known.clearanceShared = false
 		}
 		// An entry that reports an outdated suspicion needs to know when it was cleared.
-		outdated := !suspicion.Cleared && !suspicion.At.After(known.clearedAt) && !known.clearanceShared
+		outdated := !suspicion.Cleared && !suspicion.Withdrawn && !suspicion.effectiveAt().After(known.clearedAt) && !known.clearanceShared
 		switch {
 		case !added && !outdated:
-		case outdated, !known.shared && len(known.servers) >= sharedThreshold:
+		case outdated, !known.shared && known.total() >= sharedThreshold:
 			known.shared, known.clearanceShared = true, true
 			aggregator.journal.add(aggregator.suspects.suspicions(suspicion.Subject())...)
 		case known.shared:
@@ -55,8 +58,18 @@
 	}
 }
 
-// Expire drops suspicions older than [SuspicionLifetime].
-func (aggregator *Aggregator) Expire(now time.Time) { aggregator.suspects.expire(now) }
+// Expire drops suspicions older than [SuspicionLifetime], and has unconfirmed ones count whose
+// time has come.
+func (aggregator *Aggregator) Expire(now time.Time) {
+	aggregator.suspects.settle(now)
+	for _, suspicion := range aggregator.suspects.takeCounted() {
+		// The record changes by this, so that it needs another number.
+		if known, found := aggregator.suspects.bySubject[suspicion.Subject()]; found && known.shared {
+			aggregator.journal.add(suspicion)
+		}
+	}
+	aggregator.suspects.expire(now)
+}
 
 // Since returns the suspicions that all entries need and that were added after the one
 // with the given number, and the number to pass next time. Zero asks for all.
@@ -74,7 +87,12 @@
 // Record returns the record of the suspicions that all entries need. If there are too
 // many, it omits subjects with few crashes and old suspicions first.
 func (aggregator *Aggregator) Record() Record {
-	suspicions := slices.DeleteFunc(aggregator.suspects.all(sharedThreshold), func(suspicion Suspicion) bool { return suspicion.Cleared })
+	suspicions := slices.DeleteFunc(aggregator.suspects.all(sharedThreshold), func(suspicion Suspicion) bool {
+		return suspicion.Cleared || suspicion.Withdrawn || !aggregator.suspects.counts(suspicion)
+	})
+	for index := range suspicions {
+		suspicions[index].At, suspicions[index].CountsAt = suspicions[index].effectiveAt(), time.Time{}
+	}
 	slices.SortStableFunc(suspicions, func(a, b Suspicion) int {
 		return cmp.Or(cmp.Compare(aggregator.suspects.count(b.Subject()), aggregator.suspects.count(a.Subject())), b.At.Compare(a.At))
 	})
--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -23,6 +23,8 @@
 	// news.
 	reportEvery = 250 * time.Millisecond
 	reportLeast = 50 * time.Millisecond
+	// reportTimeout is the time after which a report without an answer has failed.
+	reportTimeout = 600 * time.Millisecond
 	// deadlyTime is how long a server runs before it ends under a deadly part, and
 	// restartTime how long it is away.
 	deadlyTime  = 100 * time.Millisecond
@@ -50,6 +52,8 @@
 type fleetEntry struct {
 	tracker  *crash.Tracker
 	reportAt time.Time
+	// answeredAt is when the coordinator last answered a report.
+	answeredAt time.Time
 	// term, reported and received say what this term's coordinator has acknowledged and sent.
 	term               int
 	reported, received int64
@@ -151,13 +155,23 @@
 		for _, part := range request.parts {
 			pending.found = append(pending.found, crash.Suspicion{Fingerprint: part, Part: true, Server: name, At: run.now})
 		}
-		run.pending = append(run.pending, pending)
+		run.suspect(pending)
 	}
 	server.waiting = nil
 	server.incarnation++
 	server.upAt = run.now.Add(restartTime)
 }
 
+// suspect has an entry report unconfirmed suspicions, which it confirms later.
+func (run *fleetRun) suspect(pending pendingSuspicion) {
+	run.pending = append(run.pending, pending)
+	unconfirmed := slices.Clone(pending.found)
+	for index := range unconfirmed {
+		unconfirmed[index].CountsAt = pending.at.Add(crash.UnconfirmedGrace)
+	}
+	run.entries[pending.entry].tracker.AddOwn(run.now, unconfirmed...)
+}
+
 // step lets servers answer and end, suspicions be confirmed and entries report.
 func (run *fleetRun) step() {
 	run.now = run.now.Add(fleetStep)
@@ -187,6 +201,12 @@
 		return true
 	})
 	if run.now.Before(run.awayUntil) {
+		for _, entry := range run.entries {
+			if !run.now.Before(entry.reportAt) {
+				entry.reportAt = run.now.Add(reportEvery + reportTimeout)
+				entry.tracker.Settle(run.now)
+			}
+		}
 		return
 	}
 	run.aggregator.Expire(run.now)
@@ -199,7 +219,7 @@
 		if run.now.Before(entry.reportAt) {
 			continue
 		}
-		entry.reportAt = run.now.Add(reportEvery)
+		entry.reportAt, entry.answeredAt = run.now.Add(reportEvery), run.now
 		entry.tracker.Settle(run.now)
 		if entry.term != run.term {
 			entry.term, entry.reported, entry.received = run.term, 0, 0
@@ -220,6 +240,9 @@
 	carried := slices.Clone(suspicions)
 	for index := range carried {
 		carried[index].At = carried[index].At.Add(delay)
+		if !carried[index].CountsAt.IsZero() {
+			carried[index].CountsAt = carried[index].CountsAt.Add(delay)
+		}
 	}
 	return carried
 }
--- a/crash/suspicion.go
+++ b/crash/suspicion.go
@@ -1,6 +1,12 @@
 package crash
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/basilkeel/basilkeel/names"
+)
 
 const (
 	// QuarantineThreshold is how many servers a subject must crash to be quarantined.
@@ -21,6 +27,16 @@
 	// entries that have seen the part answered since report that at once, and this entry
 	// gets it with its next report.
 	settleTime = 350 * time.Millisecond
+	// UnconfirmedGrace is how long after it should have been confirmed an unconfirmed
+	// suspicion counts. It has to cover the report of a withdrawal, and to leave enough of
+	// contactMs (3 to 4 s) after the 1.5 s until the confirmation.
+	UnconfirmedGrace = 500 * time.Millisecond
+	// MaxUnconfirmed bounds how long a suspicion stays unconfirmed, whatever another
+	// instance reports.
+	MaxUnconfirmed = 10 * time.Second
+	// withdrawnLifetime is how long a withdrawal is stored after the suspicion would have
+	// counted. Until then an entry that has not received it may report the suspicion again.
+	withdrawnLifetime = 10 * time.Second
 )
 
 // Suspicion is evidence about a subject. It is a server that ended while it ran the
@@ -38,9 +54,42 @@
 	// clock.
 	At      time.Time
 	Cleared bool
+	// CountsAt is when an unconfirmed suspicion counts unless it is confirmed or withdrawn
+	// earlier, or zero if the suspicion is confirmed. An entry reports a suspicion before it
+	// knows whether the server has ended, so that the suspicion outlives the entry.
+	CountsAt time.Time
+	// Withdrawn reports whether the server proved to be alive, so that the unconfirmed
+	// suspicion does not count.
+	Withdrawn bool
 }
 
 // Subject returns what the suspicion is about.
 func (suspicion Suspicion) Subject() Subject {
 	return Subject{Fingerprint: suspicion.Fingerprint, Part: suspicion.Part}
 }
+
+// effectiveAt returns the time after which an answer clears the suspicion. A request that
+// is answered elsewhere before its suspicion counts stays suspected, as it does when the
+// entry that found the server broken confirms it.
+func (suspicion Suspicion) effectiveAt() time.Time {
+	if suspicion.Part || suspicion.CountsAt.IsZero() {
+		return suspicion.At
+	}
+	return suspicion.CountsAt
+}
+
+// ServerName returns how suspicions identify an incarnation of a server.
+func ServerName(server names.BackendServer, incarnation int64) string {
+	return string(server) + "/" + strconv.FormatInt(incarnation, 10)
+}
+
+// ParseServerName returns what [ServerName] was given, or false if that is not what name is
+// from.
+func ParseServerName(name string) (names.BackendServer, int64, bool) {
+	index := strings.LastIndexByte(name, '/')
+	if index < 0 {
+		return "", 0, false
+	}
+	incarnation, err := strconv.ParseInt(name[index+1:], 10, 64)
+	return names.BackendServer(name[:index]), incarnation, err == nil
+}
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -44,9 +44,13 @@
 		case suspicion.Cleared:
 			// It is not reported to the coordinator again: its time would grow on the way.
 			tracker.suspects.add(suspicion)
-		case tracker.suspects.add(suspicion):
+		default:
+			former := tracker.suspects.quarantined(subject, time.Time{})
+			if !tracker.suspects.add(suspicion) {
+				continue
+			}
 			tracker.journal.add(suspicion)
-			if !subject.Part && tracker.suspects.count(subject) == QuarantineThreshold {
+			if !subject.Part && !former && tracker.suspects.quarantined(subject, time.Time{}) {
 				quarantined = append(quarantined, subject)
 			}
 		}
@@ -85,20 +89,47 @@
 
 // clearSuspect is clear for a subject that is suspected; it has no effect on others.
 func (tracker *Tracker) clearSuspect(subject Subject, at time.Time) {
-	if tracker.suspects.count(subject) > 0 {
+	if tracker.suspects.count(subject) > 0 || (subject.Part && tracker.suspects.total(subject) > 0) {
 		tracker.clear(subject, at)
 	}
 }
 
-// Settle has new suspicions of parts count after a while without an answer to a prompt with
-// the part, and returns the parts whose quarantine has begun since the last call. It has to
-// be called regularly.
+// Settle has unconfirmed suspicions count whose time has come, and new suspicions of parts
+// after a while without an answer to a prompt with the part. It returns the requests whose
+// quarantine has begun thereby, and the parts whose quarantine has begun since the last call.
+// It has to be called regularly.
 func (tracker *Tracker) Settle(now time.Time) []Subject {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	return tracker.suspects.settle(now)
 }
 
+// TakeCounted returns the unconfirmed suspicions that have begun to count since the last
+// call.
+func (tracker *Tracker) TakeCounted() []Suspicion {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.suspects.takeCounted()
+}
+
+// Unconfirmed returns the unconfirmed suspicions that count after [UnconfirmedGrace] or
+// earlier, and how many there are in all.
+func (tracker *Tracker) Unconfirmed(now time.Time) ([]Suspicion, int) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	var due []Suspicion
+	count := 0
+	for subject, known := range tracker.suspects.bySubject {
+		count += len(known.unconfirmed)
+		for server, ending := range known.unconfirmed {
+			if ending.countsAt.Sub(now) <= UnconfirmedGrace {
+				due = append(due, ending.suspicion(subject, server))
+			}
+		}
+	}
+	return due, count
+}
+
 // RecordAnswer records that a server began to answer a prompt with the given parts, so
 // that none of them crashes servers.
 func (tracker *Tracker) RecordAnswer(parts []Fingerprint, at time.Time) {
@@ -138,12 +169,12 @@
 	return suspicions, tracker.journal.lastNumber()
 }
 
-// Suspicions returns the suspicions that have not expired.
+// Suspicions returns the suspicions that count and have not expired.
 func (tracker *Tracker) Suspicions(now time.Time) []Suspicion {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	return slices.DeleteFunc(tracker.suspects.all(1), func(suspicion Suspicion) bool {
-		return suspicion.Cleared || now.Sub(suspicion.At) > SuspicionLifetime
+		return suspicion.Cleared || suspicion.Withdrawn || !tracker.suspects.counts(suspicion) || now.Sub(suspicion.At) > SuspicionLifetime
 	})
 }
 
@@ -174,6 +205,14 @@
 	return tracker.suspects.quarantined(Subject{Fingerprint: fingerprint}, time.Time{})
 }
 
+// NearQuarantine reports whether one more server is enough for a request to be quarantined.
+// Without a coordinator, other entries may know of that server and this one doesn't.
+func (tracker *Tracker) NearQuarantine(fingerprint Fingerprint) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.suspects.count(Subject{Fingerprint: fingerprint}) >= QuarantineThreshold-1
+}
+
 // QuarantinedParts returns those of a prompt's parts with which it must not be sent to any
 // server.
 func (tracker *Tracker) QuarantinedParts(parts []Fingerprint, now time.Time) []Fingerprint {
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -31,9 +30,12 @@
 	if crashes.Empty() {
 		return false
 	}
+	fingerprint := exchange.fingerprint()
 	parts := crashes.QuarantinedParts(exchange.sharedParts(), exchange.now())
 	switch {
-	case crashes.Quarantined(exchange.fingerprint()) || len(parts) > 1:
+	case crashes.Quarantined(fingerprint) || len(parts) > 1:
+		return true
+	case crashes.NearQuarantine(fingerprint) && !exchange.relay.config.Coordinator.Reachable():
 		return true
 	case len(parts) == 0:
 		return false
@@ -91,18 +93,34 @@
 
 // suspectBroken handles an attempt that got no complete response although the request had
 // neither passed its deadline nor lost its caller. The server is reported as crashed unless
-// it has sent anything new when CrashConfirmDelay has passed; ended reports whether the
-// response was a success and may be complete.
+// it has sent anything new when CrashConfirmDelay has passed. The suspicion is reported as
+// unconfirmed before that, as this entry may end meanwhile. ended reports whether the response
+// was a success and may be complete. Servers may end every response in that way, so that
+// reports of such suspicions would be too many.
 func (exchange *exchange) suspectBroken(server *pool.Server, ended bool) {
 	relay, suspect, brokenAt := exchange.relay, exchange.newSuspect(server), exchange.now()
 	if !exchange.answered {
 		suspect.parts = exchange.sharedParts()
 	}
 	elapsed := relay.config.Clock.After(relay.config.CrashConfirmDelay)
+	var unconfirmed []crash.Suspicion
+	if !ended {
+		unconfirmed = suspect.suspicions(brokenAt, brokenAt)
+		for index := range unconfirmed {
+			unconfirmed[index].CountsAt = brokenAt.Add(relay.config.CrashConfirmDelay + crash.UnconfirmedGrace)
+		}
+		relay.addSuspicions(unconfirmed)
+	}
 	go func() {
 		<-elapsed
 		if lastBytesAt, alive := relay.config.Pool.AliveAfter(server, brokenAt); alive {
 			relay.clearSuspect(suspect, lastBytesAt.Sub(brokenAt))
+			if !ended {
+				for index := range unconfirmed {
+					unconfirmed[index].Withdrawn = true
+				}
+				relay.addSuspicions(unconfirmed)
+			}
 			if ended {
 				relay.config.Crashes.RecordAnswer(suspect.parts, brokenAt)
 			}
@@ -177,14 +195,24 @@
 func (relay *Relay) confirmSuspect(suspect suspect, crashedAt time.Time) {
 	metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
 	event.RequestSuspected.Log(relay.config.Log, suspect.fields())
-	incarnation := string(suspect.server.ID) + "/" + strconv.FormatInt(suspect.server.Incarnation, 10)
+	relay.addSuspicions(suspect.suspicions(relay.config.Clock.Now(), crashedAt))
+}
+
+// suspicions returns the suspicions of the request, found at a moment, and of the parts of its
+// prompt, whose server crashed at another.
+func (suspect suspect) suspicions(foundAt, crashedAt time.Time) []crash.Suspicion {
+	incarnation := crash.ServerName(suspect.server.ID, suspect.server.Incarnation)
 	suspicions := make([]crash.Suspicion, 0, 1+len(suspect.parts))
-	now := relay.config.Clock.Now()
-	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: now})
+	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: foundAt})
 	for _, part := range suspect.parts {
 		suspicions = append(suspicions, crash.Suspicion{Fingerprint: part, Part: true, Server: incarnation, At: crashedAt})
 	}
-	for _, subject := range relay.config.Crashes.AddOwn(now, suspicions...) {
+	return suspicions
+}
+
+// addSuspicions adds what this entry has found, which is reported at once.
+func (relay *Relay) addSuspicions(suspicions []crash.Suspicion) {
+	for _, subject := range relay.config.Crashes.AddOwn(relay.config.Clock.Now(), suspicions...) {
 		event.QuarantineBegun.Log(relay.config.Log, logrus.Fields{"fingerprint": subject.Fingerprint.String(), "part": subject.Part})
 	}
 }
--- /dev/null
+++ b/relay/unconfirmed_test.go
@@ -0,0 +1,71 @@
+package relay_test
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/crash"
+	"github.com/basilkeel/basilkeel/policy"
+)
+
+// Guards against a crash that only the entry knows of until CrashConfirmDelay has passed, and
+// against a suspicion of a live server that is not withdrawn.
+func TestBrokenResponseIsSuspectedAtOnce(t *testing.T) {
+	for _, lives := range []bool{false, true} {
+		t.Run(map[bool]string{false: "the server has ended", true: "the server answers others"}[lives], func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			fixture := newFixture(t, route("order", policy.KindUnsafe, "desk"))
+			fixture.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+				if strings.HasSuffix(request.URL.Path, "/1") {
+					hijack(writer).Close()
+				}
+			})
+			fixture.call(http.MethodPost, "/order/1", "deadly", nil)
+			reported := func(expected func(crash.Suspicion) bool) func() bool {
+				return func() bool {
+					suspicions, _ := fixture.crashes.Since(0)
+					return slices.ContainsFunc(suspicions, expected)
+				}
+			}
+			unconfirmed := func(suspicion crash.Suspicion) bool { return !suspicion.CountsAt.IsZero() && !suspicion.Withdrawn }
+			g.Expect(reported(unconfirmed)()).To(BeTrue(), "before the caller has its answer")
+			if lives {
+				g.Expect(fixture.call(http.MethodPost, "/order/2", "other", nil).status).To(Equal(http.StatusOK))
+				g.Eventually(reported(func(suspicion crash.Suspicion) bool { return suspicion.Withdrawn }), 5*time.Second).Should(BeTrue())
+				fixture.crashes.Settle(time.Now().Add(time.Minute))
+				g.Expect(fixture.crashes.Suspicions(time.Now())).To(BeEmpty())
+				return
+			}
+			g.Eventually(reported(func(suspicion crash.Suspicion) bool { return suspicion.CountsAt.IsZero() }), 5*time.Second).Should(BeTrue())
+		})
+	}
+}
+
+// Guards against entries that each send a request once more that has crashed two servers,
+// while no coordinator tells them of the third.
+func TestWithoutCoordinatorTwoCrashesAreEnough(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newFixture(t, route("order", policy.KindUnsafe, "desk"))
+	fixture.server("desk-1", "desk", func(http.ResponseWriter, *http.Request) {})
+	fingerprint := crash.FingerprintOf("crew", http.MethodPost, "/order/1", []byte("deadly"))
+	for _, server := range []string{"desk-8/1", "desk-9/1"} {
+		g.Expect(fixture.call(http.MethodPost, "/order/1", "deadly", nil).status).To(Equal(http.StatusOK))
+		fixture.crashes.Add(crash.Suspicion{Fingerprint: fingerprint, Server: server, At: time.Now().Add(time.Minute)})
+	}
+	setReachable := func(reachable bool) {
+		fixture.coordinator.mutex.Lock()
+		defer fixture.coordinator.mutex.Unlock()
+		fixture.coordinator.unreachable = !reachable
+	}
+	setReachable(false)
+	g.Expect(fixture.call(http.MethodPost, "/order/1", "deadly", nil).status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(fixture.call(http.MethodPost, "/order/2", "other", nil).status).To(Equal(http.StatusOK))
+	setReachable(true)
+	g.Expect(fixture.call(http.MethodPost, "/order/1", "deadly", nil).status).To(Equal(http.StatusOK))
+}
