permit, pool: keep the requests to cold servers within coldPerS

Cause: nothing read how long a server stays cold, so entries together sent it as much as any other.

Change: the pool knows from the registry which servers are cold, and assumes it of those that have started, were out of the registry, were not observed or failed. The gate treats them as servers that declare a rate: requests need permits, or a standalone share. The issuer counts the permits of the last 1.25 s, so that no second has more arrivals than coldPerS although permits are used late and the network delays some. The planner gets the rates, too. Figures that cannot be are logged, counted and replaced by safe ones. Without coldStartS and coldPerS in the policy nothing changes.

--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -77,6 +77,9 @@
 	Policy func() *policy.Snapshot
 	// Servers returns the servers in the registry.
 	Servers func(now time.Time) []*pool.Server
+	// ColdRate returns the rate that a server accepts while it is cold, or false. Nil
+	// means that no server is.
+	ColdRate func(server *pool.Server, now time.Time) (float64, bool)
 	// Term returns this entry's term while it certainly is the coordinator, else zero.
 	Term func() int64
 	// UnconfirmedTerm returns this entry's term if its lease has expired only because
@@ -226,6 +229,7 @@
 		holdings:   newHoldings(),
 		departures: map[pool.Departure]time.Time{},
 	}
+	term.issuer.Begin(now)
 	coordinator.mutex.Lock()
 	coordinator.term = term
 	coordinator.mutex.Unlock()
@@ -467,7 +471,7 @@
 		planInput := copies.PlanInput{Engine: service.Engine, Engines: term.dispatcher.States(service.Name), Now: now}
 		coordinator.mutex.Lock()
 		planInput.Demand = term.demandOf(service, now)
-		planInput.Rates, planInput.RequestsPerSecond = term.declaredRates(servers), term.requestRate(service.Name, now)
+		planInput.Rates, planInput.RequestsPerSecond = coordinator.limitedRates(term, servers, now), term.requestRate(service.Name, now)
 		planner, found := term.planners[service.Name]
 		if !found {
 			planner = copies.NewPlanner(copies.PlannerConfig{Window: coordinator.config.LoadWindow, Now: now, PriorLoads: term.predecessorLoads(service)})
--- a/coord/rates.go
+++ b/coord/rates.go
@@ -34,6 +34,26 @@
 	term.issuer.Expire(func(server permit.Server) bool { return listed[server] }, now)
 }
 
+// limitedRates returns the rates of the servers that declare one or are cold. It is called
+// with the coordinator's mutex held.
+func (coordinator *Coordinator) limitedRates(term *term, servers []*pool.Server, now time.Time) map[names.BackendServer]float64 {
+	rates := term.declaredRates(servers)
+	if coordinator.config.ColdRate == nil {
+		return rates
+	}
+	for _, server := range servers {
+		perSecond, cold := coordinator.config.ColdRate(server, now)
+		if declared, found := rates[server.ID]; !cold || found && declared < perSecond {
+			continue
+		}
+		if rates == nil {
+			rates = map[names.BackendServer]float64{}
+		}
+		rates[server.ID] = perSecond
+	}
+	return rates
+}
+
 // declaredRates returns the rates of the servers that declare one. It is called with the
 // coordinator's mutex held.
 func (term *term) declaredRates(servers []*pool.Server) map[names.BackendServer]float64 {
--- a/coord/server.go
+++ b/coord/server.go
@@ -10,7 +10,6 @@
 
 	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
-	"github.com/basilkeel/basilkeel/permit"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/wire"
 )
@@ -58,8 +57,7 @@
 
 // Permit implements [wire.CoordinationServer].
 func (server *Server) Permit(_ context.Context, message *wire.CoordPermitRequest) (*wire.CoordPermitReply, error) {
-	application := permit.Application{Statement: decodeRate(message.GetRate(), server.coordinator.config.Clock.Now()), Yields: message.GetYields()}
-	wait, issued, err := server.coordinator.Permit(application)
+	wait, issued, err := server.coordinator.Permit(decodeApplication(message, server.coordinator.config.Clock.Now()))
 	if err != nil {
 		return nil, encodeError(err)
 	}
--- a/node/registryhandler.go
+++ b/node/registryhandler.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/basilkeel/basilkeel/clock"
@@ -23,6 +24,8 @@
 	pool  *pool.Pool
 	clock *clock.Service
 	log   logrus.FieldLogger
+	// metrics is nil for the default registry.
+	metrics metrics.Registry
 	// known maps each server with an entry to its incarnation.
 	known map[names.BackendServer]int64
 	// removed holds the servers whose entries were removed lately.
@@ -72,6 +75,7 @@
 	if restored {
 		registryHandler.pool.RegistryRecovered(now)
 	}
+	registryHandler.pool.RegistryRead()
 }
 
 // enterEra records the era of entries and reports whether the service was restored since
@@ -115,6 +119,11 @@
 		return
 	}
 	registryHandler.known[id] = server.Incarnation
+	server.ListedAt = registryHandler.clock.Now()
+	if server.ColdFault != "" {
+		metrics.GetOrRegisterCounter(coldIgnoredMetric, registryHandler.metrics).Inc(1)
+		event.ColdLeftInvalid.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": server.ColdFault})
+	}
 	registryHandler.pool.Put(server)
 	event.ServerListed.Log(registryHandler.log, logrus.Fields{
 		"server": string(id), "service": string(server.Service), "address": server.Address, "draining": server.Draining,
--- a/node/relaycoord.go
+++ b/node/relaycoord.go
@@ -64,7 +64,7 @@
 func newCoordinator(parts coordinatorParts) *coord.Coordinator {
 	return coord.NewCoordinator(coord.CoordinatorConfig{
 		Engine: platform.NewEngines(parts.Trunk), Clock: parts.Clock, Log: parts.Log, Instance: parts.Self.instance,
-		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, ShareStore: parts.OwnKeys, CrashStore: parts.SuspectStore, Fenced: parts.Host.Bounds.Fenced,
+		Policy: parts.Relay.Policy, Servers: parts.Pool.Servers, ColdRate: parts.Pool.ColdRate, ShareStore: parts.OwnKeys, CrashStore: parts.SuspectStore, Fenced: parts.Host.Bounds.Fenced,
 		Term:            func() int64 { return int64(parts.OwnKeys.elector.Term()) },
 		UnconfirmedTerm: func() int64 { return int64(parts.OwnKeys.elector.UnconfirmedTerm()) },
 		Mirror:          parts.Mirror,
--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
@@ -38,6 +39,8 @@
 // policyHandler applies new versions of the policy to the relay.
 type policyHandler struct {
 	relay *relay.Relay
+	pool  *pool.Pool
+	clock *clock.Service
 	log   logrus.FieldLogger
 }
 
@@ -61,10 +64,25 @@
 			continue
 		}
 		policyHandler.relay.SetPolicy(snapshot)
+		policyHandler.setColdStarts(snapshot)
 		event.PolicyInForce.Log(policyHandler.log, logrus.Fields{"policy": snapshot.Version(), "revision": entry.Revision().String()})
 	}
 }
 
+// setColdStarts applies what the policy declares of cold servers.
+func (policyHandler *policyHandler) setColdStarts(snapshot *policy.Snapshot) {
+	coldStarts := map[names.Service]pool.ColdStart{}
+	for _, service := range snapshot.Services() {
+		if service.ColdFault != "" {
+			event.ColdStartInvalid.Log(policyHandler.log, logrus.Fields{"service": string(service.Name), "cause": service.ColdFault})
+		}
+		if service.ColdPerSecond > 0 {
+			coldStarts[service.Name] = pool.ColdStart{Span: service.ColdStart, PerSecond: service.ColdPerSecond}
+		}
+	}
+	policyHandler.pool.SetColdStarts(coldStarts, policyHandler.clock.Now())
+}
+
 // Lost implements [mirror.Handler].
 func (*policyHandler) Lost(time.Time) {}
 
@@ -216,15 +234,18 @@
 	Pool    *pool.Pool
 	OwnKeys *ownKeys
 	Clock   *clock.Service
+	Metrics metrics.Registry
 	Log     logrus.FieldLogger
 }
 
 // newMirror follows all keys with a single watch: their revisions then have no
 // gaps, so that a stalled watch can be distinguished from a time without changes.
 func newMirror(parts mirrorParts) *mirror.Mirror {
+	registryHandler := newRegistryHandler(parts.Pool, parts.Clock, parts.Log)
+	registryHandler.metrics = parts.Metrics
 	return mirror.New(mirror.Config{Source: parts.Store, Clock: parts.Clock, Log: parts.Log, Handler: mirror.PrefixHandlers{
-		{Prefix: platform.PolicyKey, Handler: &policyHandler{relay: parts.Relay, log: parts.Log}},
-		{Prefix: platform.RegistryPrefix, Handler: newRegistryHandler(parts.Pool, parts.Clock, parts.Log)},
+		{Prefix: platform.PolicyKey, Handler: &policyHandler{relay: parts.Relay, pool: parts.Pool, clock: parts.Clock, log: parts.Log}},
+		{Prefix: platform.RegistryPrefix, Handler: registryHandler},
 		{Prefix: ownPrefix, Handler: parts.OwnKeys},
 	}})
 }
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -203,12 +203,14 @@
 func sweep(lifecycle fx.Lifecycle, servers *pool.Pool, trunk *trunk.Trunk, output *spool.Writer, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	observer := permit.Observer{Log: log, Metrics: registry}
+	coldLog := newColdLog(registry, log)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			clock.Subscribe(ctx, sweepPeriod, func(_ context.Context, now time.Time) {
 				for _, server := range servers.Sweep(now) {
 					observer.Expired(server)
 				}
+				coldLog.update(servers.ColdServers(now))
 				used := map[string]bool{}
 				for _, server := range servers.Servers(now) {
 					used[server.Address] = true
--- a/permit/gate.go
+++ b/permit/gate.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	mutex    sync.Mutex
 	register *Register
 	servers  map[Server]*serverState
+	// cold holds the servers that are or lately were cold.
+	cold map[Server]*coldState
 	// place is the entry's place among all entries. The coordinator reported it in the
 	// answer to a report that was sent at answeredAt.
 	place      Place
@@ -46,7 +49,7 @@
 	Entries int
 }
 
-// serverState is the state of a server that declares a rate.
+// serverState is the state of a server that declares a rate or is cold.
 type serverState struct {
 	// closedUntil is until when the server gets no request, closedFor for how long from
 	// the start.
@@ -62,7 +65,7 @@
 
 // NewGate returns a gate that knows no declarations and no coordinator.
 func NewGate() *Gate {
-	return &Gate{observed: make(chan struct{}, 1), register: NewRegister(), servers: map[Server]*serverState{}}
+	return &Gate{observed: make(chan struct{}, 1), register: NewRegister(), servers: map[Server]*serverState{}, cold: map[Server]*coldState{}}
 }
 
 // Observed returns a channel that receives a value after [Gate.Observe] has changed a
@@ -98,7 +101,7 @@
 
 // open ends what was decided by a server's former declaration.
 func (gate *Gate) open(server Server, now time.Time) {
-	if _, limited := gate.register.Rate(server); !limited {
+	if !gate.limited(server, now) {
 		delete(gate.servers, server)
 		return
 	}
@@ -130,11 +133,14 @@
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	expired := gate.register.Expire(listed, now)
-	for server := range gate.servers {
-		if _, limited := gate.register.Rate(server); !limited {
-			delete(gate.servers, server)
+	for server, cold := range gate.cold {
+		if !cold.active(now) {
+			delete(gate.cold, server)
 		}
 	}
+	for server := range gate.servers {
+		gate.drop(server, now)
+	}
 	return expired
 }
 
@@ -149,13 +155,15 @@
 // Admission is the result of [Gate.Admit]: [Free], [NeedsPermit], [Admitted] or [Closed].
 type Admission interface{ admission() }
 
-// Free admits a request to a server that declares no rate.
+// Free admits a request to a server that declares no rate and is not cold.
 type Free struct{}
 
 // NeedsPermit requires a permit from the coordinator.
 type NeedsPermit struct {
 	// Statement is what the server declared.
 	Statement Statement
+	// Cold is until when the server is cold, or the zero value.
+	Cold Cold
 }
 
 // Admitted admits one request from this entry's standalone share.
@@ -173,23 +181,29 @@
 func (gate *Gate) Admit(server Server, now time.Time) Admission {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	known, limited := gate.servers[server]
-	if !limited {
+	known, found := gate.servers[server]
+	if !found || !gate.limited(server, now) {
 		return Free{}
 	}
+	cold := gate.activeCold(server, now)
+	if now.Before(cold.closedUntil) {
+		known.close(cold.closedUntil.Sub(now), now)
+	}
 	if now.Before(known.closedUntil) {
 		return Closed{}
 	}
 	sinceAnswer := now.Sub(gate.answeredAt)
 	if sinceAnswer < standaloneAfter {
-		return NeedsPermit{Statement: gate.register.statement(server)}
+		statement := gate.register.statement(server)
+		statement.Server = server
+		return NeedsPermit{Statement: statement, Cold: cold.Cold}
 	}
-	rate, _ := gate.register.Rate(server)
-	perSecond := gate.standaloneRate(server, rate)
+	perSecond := gate.standaloneRate(server, cold.Cold)
 	if perSecond <= 0 || sinceAnswer >= standaloneLifetime {
 		known.close(noCoordinatorWait, now)
 		return Closed{}
 	}
+	known.share.strict = cold.active(now)
 	known.share.refill(perSecond, now)
 	if !known.share.take(0) {
 		known.close(known.share.timeFor(1-known.share.level), now)
@@ -198,19 +212,31 @@
 	return Admitted{}
 }
 
-// standaloneRate returns this entry's standalone share of a rate. So that the entries
-// do not exceed a low rate together with their first requests, only as many have a share
-// as the server accepts requests a second, and at least one.
-func (gate *Gate) standaloneRate(server Server, limited Limited) float64 {
+// standaloneRate returns this entry's standalone share of a server's rate. So that the
+// entries do not exceed a low rate together with their first requests, only as many have a
+// share as the server accepts requests a second, and at least one; fewer if it is cold.
+func (gate *Gate) standaloneRate(server Server, cold Cold) float64 {
 	entries := gate.place.Entries
 	if entries <= 0 {
 		return 0
 	}
-	sharers := min(entries, max(int(limited.PerSecond), 1))
-	if (gate.place.Rank+int(xxhash.Sum64String(string(server.ID))%uint64(entries)))%entries >= sharers {
-		return 0
+	turn := (gate.place.Rank + int(xxhash.Sum64String(string(server.ID))%uint64(entries))) % entries
+	rate := math.Inf(1)
+	if limited, declared := gate.register.Rate(server); declared {
+		sharers := min(entries, max(int(limited.PerSecond), 1))
+		if turn >= sharers {
+			return 0
+		}
+		rate = standaloneFraction * limited.PerSecond / float64(sharers)
+	}
+	if cold.PerSecond > 0 {
+		sharers, perSecond := cold.standalone(entries)
+		if turn >= sharers {
+			return 0
+		}
+		rate = min(rate, perSecond)
 	}
-	return standaloneFraction * limited.PerSecond / float64(sharers)
+	return rate
 }
 
 // Close records that there is no permit for a server for some time.
@@ -254,6 +280,9 @@
 	defer gate.mutex.Unlock()
 	var restrictions map[Server]Restriction
 	for server, state := range gate.servers {
+		if !gate.limited(server, now) {
+			continue
+		}
 		var restriction Restriction
 		switch {
 		case now.Before(state.closedUntil):
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -1,6 +1,10 @@
 package permit
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	// probePerSecond is the least rate at which permits are issued, so that a server
@@ -27,10 +31,25 @@
 type Issuer struct {
 	register *Register
 	buckets  map[Server]*bucket
+	// cold is what entries have said of cold servers.
+	cold map[Server]Cold
+	// begunAt is when the term began. For coldWindow from then, cold servers get no
+	// permits, as those of a former term may still be in use.
+	begunAt time.Time
 }
 
 // NewIssuer returns an issuer that knows no declarations.
-func NewIssuer() *Issuer { return &Issuer{register: NewRegister(), buckets: map[Server]*bucket{}} }
+func NewIssuer() *Issuer {
+	return &Issuer{register: NewRegister(), buckets: map[Server]*bucket{}, cold: map[Server]Cold{}}
+}
+
+// Begin records when the term began. If it is not called, that is when the first permit
+// is asked for.
+func (issuer *Issuer) Begin(now time.Time) {
+	if issuer.begunAt.IsZero() {
+		issuer.begunAt = now
+	}
+}
 
 // Register returns what servers have declared.
 func (issuer *Issuer) Register() *Register { return issuer.register }
@@ -42,6 +61,8 @@
 	// Yields reports whether the request can go to another server. It leaves the reserve
 	// to requests that cannot.
 	Yields bool
+	// Cold is what the entry knows of the server's cold time, or the zero value.
+	Cold Cold
 }
 
 // Issue issues a permit for one request to a server. Part is the part of the rate that
@@ -51,34 +72,75 @@
 func (issuer *Issuer) Issue(application Application, part float64, now time.Time) (time.Duration, bool) {
 	server := application.Statement.Server
 	issuer.register.Merge([]Statement{application.Statement})
-	limited, found := issuer.register.Rate(server)
-	if !found {
+	issuer.Begin(now)
+	cold := issuer.mergeCold(server, application.Cold, now)
+	limited, declared := issuer.register.Rate(server)
+	if !declared && !cold.active(now) {
 		return 0, true
 	}
-	perSecond := max(limited.PerSecond, probePerSecond) * part
+	perSecond, most := math.Inf(1), math.MaxInt
+	if declared {
+		perSecond = max(limited.PerSecond, probePerSecond) * part
+	}
+	if cold.active(now) {
+		var coldRate float64
+		coldRate, most = cold.issueRate(part)
+		perSecond = min(perSecond, coldRate)
+	}
 	current, found := issuer.buckets[server]
 	if !found {
 		current = &bucket{refilledAt: now, perSecond: perSecond}
 		issuer.buckets[server] = current
 	}
+	if opensAt := issuer.begunAt.Add(coldWindow); cold.active(now) && now.Before(opensAt) {
+		current.level, current.refilledAt, current.perSecond = 0, opensAt, perSecond
+		return current.book(0, &current.nextTurn, opensAt) + opensAt.Sub(now), false
+	}
 	current.refill(perSecond, now)
 	kept := 0.0
 	turn := &current.nextTurn
-	if application.Yields {
+	if application.Yields && !cold.active(now) {
 		kept, turn = min(perSecond, maxReserve), &current.nextYieldingTurn
 	}
+	if wait := current.windowWait(most, now); wait > 0 {
+		return max(wait, current.book(kept, turn, now)), false
+	}
 	if current.take(kept) {
+		if cold.active(now) {
+			current.issued = append(current.issued, now)
+		}
 		return 0, true
 	}
 	return current.book(kept, turn, now), false
 }
 
+// mergeCold returns what is known of a server's cold time after an entry has said what it
+// knows. The last entry's end counts, as the cold time may end early.
+func (issuer *Issuer) mergeCold(server Server, cold Cold, now time.Time) Cold {
+	known := issuer.cold[server]
+	switch {
+	case !cold.active(now):
+		return known
+	case !known.active(now):
+		known = cold
+	default:
+		known = Cold{PerSecond: min(known.PerSecond, cold.PerSecond), Until: cold.Until}
+	}
+	issuer.cold[server] = known
+	return known
+}
+
 // Expire drops declarations that ended long ago, and those of servers that are not
 // listed any more.
 func (issuer *Issuer) Expire(listed func(Server) bool, now time.Time) {
 	issuer.register.Expire(listed, now)
+	for server, cold := range issuer.cold {
+		if !cold.active(now) {
+			delete(issuer.cold, server)
+		}
+	}
 	for server := range issuer.buckets {
-		if _, limited := issuer.register.Rate(server); !limited {
+		if _, declared := issuer.register.Rate(server); !declared && !issuer.cold[server].active(now) {
 			delete(issuer.buckets, server)
 		}
 	}
@@ -89,6 +151,10 @@
 	level      float64
 	refilledAt time.Time
 	perSecond  float64
+	// strict lets no permits accumulate beside a first one.
+	strict bool
+	// issued are the times of the permits of the last coldWindow while the server is cold.
+	issued []time.Time
 	// nextTurn is when the permit is due that the next entry that applies in vain is told
 	// to wait for; nextYieldingTurn is the same for requests that can go elsewhere.
 	nextTurn         time.Time
@@ -104,6 +170,9 @@
 	}
 	bucket.perSecond = perSecond
 	bucket.level = min(bucket.level, 1+min(bucket.perSecond, maxReserve)+burstSpan.Seconds()*bucket.perSecond)
+	if bucket.strict {
+		bucket.level = min(bucket.level, 1)
+	}
 }
 
 // take takes a permit if kept ones are left, and reports whether it did. Entries return
@@ -117,6 +186,16 @@
 	return true
 }
 
+// windowWait returns how long until fewer than most permits have been issued in the last
+// coldWindow, or zero.
+func (bucket *bucket) windowWait(most int, now time.Time) time.Duration {
+	bucket.issued = slices.DeleteFunc(bucket.issued, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
+	if len(bucket.issued) < most {
+		return 0
+	}
+	return bucket.issued[len(bucket.issued)-most].Add(coldWindow).Sub(now)
+}
+
 // book returns the time until the next permit, beside kept ones, that no other entry has
 // been told to wait for, or maxWait if that is shorter.
 func (bucket *bucket) book(kept float64, turn *time.Time, now time.Time) time.Duration {
--- a/policy/service.go
+++ b/policy/service.go
@@ -11,6 +11,12 @@
 	Name names.Service
 	// Engine is nil if the service runs no models.
 	Engine *Engine
+	// ColdStart is how long a backend server is cold after its start, and ColdPerSecond
+	// how many requests a second it accepts then. Both are zero if servers are never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
+	// ColdFault says why one of them is not as declared, or is empty.
+	ColdFault string
 }
 
 // Engine describes the model engines of a service.
--- a/pool/member.go
+++ b/pool/member.go
@@ -46,6 +46,7 @@
 	// listed; outagePossible reports whether a registry outage may be the reason.
 	delistedAt     time.Time
 	outagePossible bool
+	cold           coldTimes
 }
 
 func (member *member) slots() float64 { return float64(max(member.server.Slots, 1)) }
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -91,6 +91,11 @@
 	duration := min(minEjection<<min(member.ejections, 3), maxEjection)
 	member.ejections++
 	member.ejectedUntil = now.Add(duration)
+	if _, coldStarts := pool.coldStarts[member.server.Service]; coldStarts {
+		// The server may have ended, and restart before the registry tells.
+		member.cold.assumedAt = member.ejectedUntil
+		pool.updateCold(member, true, now)
+	}
 	return member.ejectedUntil
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -91,6 +91,10 @@
 	holdingsUntil time.Time
 	// changed is closed and replaced whenever a server may have become usable.
 	changed chan struct{}
+	// coldStarts is what the policy declares of cold servers. registryRead reports whether
+	// the registry has been read.
+	coldStarts   map[names.Service]ColdStart
+	registryRead bool
 	// uses is what has been measured since the last report.
 	uses map[permit.Server]*EngineUse
 }
@@ -128,6 +132,8 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	known, found := pool.members[server.ID]
+	appeared := !found || known.server.Incarnation != server.Incarnation || known.server.Address != server.Address || !known.delistedAt.IsZero()
+	used := !pool.registryRead || found && known.server.Incarnation == server.Incarnation && !pool.gone(known, server.ListedAt)
 	if !found || known.server.Incarnation != server.Incarnation || known.server.Address != server.Address {
 		fresh := &member{server: server, missingModels: map[names.Model]time.Time{}}
 		if found {
@@ -144,6 +150,7 @@
 		known.server = server
 		known.delistedAt, known.outagePossible = time.Time{}, false
 	}
+	pool.observeCold(pool.members[server.ID], appeared, used)
 	pool.notifyChanged()
 }
 
@@ -227,6 +234,7 @@
 		}
 	}
 	pool.expireDepartures(now)
+	pool.assumeUnseen(now)
 	return pool.config.Gate.Expire(pool.listed, now)
 }
 
--- a/pool/server.go
+++ b/pool/server.go
@@ -29,6 +29,13 @@
 	// and on its disk.
 	InMemory []names.Model
 	OnDisk   []names.Model
+	// ColdLeft is how long the server remained cold when it wrote the entry. It is valid
+	// only if ColdStated is set. ListedAt is when this process read the entry.
+	ColdLeft   time.Duration
+	ColdStated bool
+	ListedAt   time.Time
+	// ColdFault says why the entry's cold time is ignored, or is empty.
+	ColdFault string
 }
 
 // Adapter identifies an adapter and the model that it belongs to.
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -37,10 +37,10 @@
 	return &permit.Observer{Log: relay.config.Log, Metrics: relay.config.Metrics}
 }
 
-// obtainPermit obtains a permit if the chosen server declares a request rate. If it
+// obtainPermit obtains a permit if the chosen server declares a request rate or is cold. If it
 // returns false, the pool does not choose the server for some time.
 func (exchange *exchange) obtainPermit(ctx context.Context, choice pool.Chosen) bool {
-	server := choice.Server
+	server, lifetime := choice.Server, permit.Lifetime
 	gate, now := exchange.relay.config.Pool.Gate(), exchange.now()
 	exchange.permit = sendPermit{}
 	switch admission := gate.Admit(server.Identity(), now).(type) {
@@ -48,7 +48,7 @@
 		return true
 	case permit.Admitted:
 	case permit.NeedsPermit:
-		wait, issued, err := exchange.relay.config.Coordinator.Permit(ctx, permit.Application{Statement: admission.Statement, Yields: choice.Yields})
+		wait, issued, err := exchange.relay.config.Coordinator.Permit(ctx, permit.Application{Statement: admission.Statement, Yields: choice.Yields, Cold: admission.Cold})
 		switch {
 		case err != nil:
 			exchange.cause = err
@@ -64,14 +64,17 @@
 	case permit.Closed:
 		return false
 	}
-	exchange.permit = sendPermit{server: server.Identity(), expires: now.Add(permit.Lifetime)}
+	if _, cold := gate.Cold(server.Identity(), now); cold {
+		lifetime = permit.ColdLifetime
+	}
+	exchange.permit = sendPermit{server: server.Identity(), expires: now.Add(lifetime)}
 	return true
 }
 
 // usePermit reports whether the request may be sent to a server right now. The server
-// may have declared a rate only after it was chosen.
+// may have declared a rate, or have become cold, only after it was chosen.
 func (exchange *exchange) usePermit(server *pool.Server) bool {
-	if _, limited := exchange.relay.config.Pool.Gate().Rate(server.Identity()); !limited {
+	if !exchange.relay.config.Pool.Gate().Limited(server.Identity(), exchange.now()) {
 		return true
 	}
 	if exchange.permit.server != server.Identity() || !exchange.now().Before(exchange.permit.expires) {
