permit, pool: random faults around cold servers; no assumption after an outage

A server whose entry is older than those of others counts as cold. After an outage of the registry this took the servers whose entries were not renewed yet for cold, and closed them for 1.25 s; TestColdTimes has the case, which fails without the change. Requests to cold servers have a counter of their own: the counters for each server are removed only with its declared rate.

go test ./permit -run Cold: TestFleetKeepsColdRateWithFaults never exceeds the rate.

--- a/permit/cold_test.go
+++ b/permit/cold_test.go
@@ -282,3 +282,74 @@
 	g.Expect(gate.Admit(engine, at(5))).To(Equal(permit.Free{}), "the server says that it is warm")
 	g.Expect(gate.Limited(engine, at(5))).To(BeFalse())
 }
+
+// TestFleetKeepsColdRateWithFaults guards against more requests than a cold server accepts
+// while entries restart, lose their coordinator or follow a former one.
+func TestFleetKeepsColdRateWithFaults(t *testing.T) {
+	sizes := []struct {
+		entries   int
+		perSecond float64
+		plays     uint64
+	}{{22, 19, 4}, {26, 5, 4}, {400, 3, 1}}
+	for _, size := range sizes {
+		t.Run(fmt.Sprintf("%d entries, %v a second", size.entries, size.perSecond), func(t *testing.T) {
+			g := NewWithT(t)
+			for seed := range size.plays {
+				fleet := newColdFleet(size.entries, size.perSecond, seed)
+				fleet.begin(false)
+				fleet.elect(1)
+				electAt := time.Time{}
+				for range 40 {
+					fleet.play(time.Duration(100+fleet.random.IntN(800)) * time.Millisecond)
+					electAt = fleet.injectFault(electAt)
+				}
+				most, total := fleet.most(epoch)
+				g.Expect(most).To(BeNumerically("<=", size.perSecond), "seed %d", seed)
+				g.Expect(total).To(BeNumerically(">", 0), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// injectFault injects a random fault, and elects a coordinator if that is due. It returns
+// when the next election is due, or the zero time.
+func (fleet *coldFleet) injectFault(electAt time.Time) time.Time {
+	const leaseTime = 2 * time.Second
+	latest := len(fleet.terms) - 1
+	if !electAt.IsZero() && fleet.now.After(electAt) {
+		fleet.elect([]float64{1, 1, 0.7, 0.4}[fleet.random.IntN(4)])
+		return time.Time{}
+	}
+	switch fleet.random.IntN(5) {
+	case 0:
+		fleet.terms[latest].dead = true
+		return fleet.now.Add(leaseTime)
+	case 1:
+		return fleet.now.Add(leaseTime)
+	case 2:
+		for _, entry := range fleet.some(2) {
+			entry.gate, entry.follows = permit.NewGate(), latest
+			entry.gate.SetCold(engine, fleet.cold, true, fleet.now)
+		}
+	case 3:
+		for _, entry := range fleet.some(3) {
+			entry.follows = -1
+		}
+	case 4:
+		for _, entry := range fleet.entries {
+			entry.follows = latest
+		}
+	}
+	return electAt
+}
+
+// some returns about one of so many entries.
+func (fleet *coldFleet) some(of int) []*coldEntry {
+	var chosen []*coldEntry
+	for _, entry := range fleet.entries {
+		if fleet.random.IntN(of) == 0 {
+			chosen = append(chosen, entry)
+		}
+	}
+	return chosen
+}
--- a/permit/log.go
+++ b/permit/log.go
@@ -14,6 +14,8 @@
 const (
 	rateMetric  = "permit.declaredRate."
 	sendsMetric = "permit.sends."
+	// coldSendsMetric is the counter of requests that were sent to cold servers.
+	coldSendsMetric = "permit.coldSends"
 )
 
 // Observer logs what servers declare. It keeps a gauge of each declared rate and a
@@ -28,6 +30,11 @@
 	metrics.GetOrRegisterCounter(sendsMetric+string(server.ID), observer.Metrics).Inc(1)
 }
 
+// SentCold counts a request that is sent to a cold server.
+func (observer *Observer) SentCold() {
+	metrics.GetOrRegisterCounter(coldSendsMetric, observer.Metrics).Inc(1)
+}
+
 // Expired removes the metrics of a server.
 func (observer *Observer) Expired(server Server) {
 	observer.Metrics.Unregister(rateMetric + string(server.ID))
--- a/pool/cold.go
+++ b/pool/cold.go
@@ -92,6 +92,11 @@
 	if !pool.registryLostAt.IsZero() || !pool.registryRead || len(pool.coldStarts) == 0 {
 		return
 	}
+	span := time.Duration(unseenPeriods * float64(pool.config.RegistryPeriod))
+	if !pool.registryRecoveredAt.IsZero() && now.Sub(pool.registryRecoveredAt) <= span {
+		// Not all entries have been renewed since.
+		return
+	}
 	var newest time.Time
 	for _, member := range pool.members {
 		if member.server.ListedAt.After(newest) {
@@ -102,7 +107,6 @@
 		// No entry arrives: it is the registry that is not observed.
 		return
 	}
-	span := time.Duration(unseenPeriods * float64(pool.config.RegistryPeriod))
 	for _, member := range pool.members {
 		_, coldStarts := pool.coldStarts[member.server.Service]
 		if coldStarts && member.delistedAt.IsZero() && newest.Sub(member.server.ListedAt) > span {
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -22,7 +22,8 @@
 	left        time.Duration
 	// read ends the first read of the registry, failed is a failure of the server, sweep
 	// is the periodic sweep, and assume assumes that the domain is cold.
-	read, failed, sweep, assume bool
+	// outage is the end of an outage of the registry that began at the start.
+	read, failed, sweep, assume, outage bool
 }
 
 // TestColdTimes guards against servers that count as warm although they may be cold, and
@@ -58,6 +59,12 @@
 			{at: 3.5, server: "other", put: true, incarnation: 1, stated: true},
 			{at: 4, sweep: true},
 		}, warmFrom: 7},
+		{name: "an outage has ended", events: []coldEvent{
+			stated(0, 0), read,
+			{at: 8, outage: true},
+			{at: 8.5, server: "other", put: true, incarnation: 1, stated: true},
+			{at: 8.6, sweep: true},
+		}},
 		{name: "no entry is renewed", events: []coldEvent{stated(0, 0), read, {at: 9, sweep: true}}},
 	}
 	for _, each := range cases {
@@ -80,6 +87,9 @@
 					servers.RegistryRead()
 				case event.failed:
 					servers.RecordFailure(event.server, true, at(event.at))
+				case event.outage:
+					servers.RegistryLost(start)
+					servers.RegistryRecovered(at(event.at))
 				case event.sweep:
 					servers.Sweep(at(event.at))
 				case event.assume:
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -74,14 +74,20 @@
 // usePermit reports whether the request may be sent to a server right now. The server
 // may have declared a rate, or have become cold, only after it was chosen.
 func (exchange *exchange) usePermit(server *pool.Server) bool {
-	if !exchange.relay.config.Pool.Gate().Limited(server.Identity(), exchange.now()) {
+	gate := exchange.relay.config.Pool.Gate()
+	if !gate.Limited(server.Identity(), exchange.now()) {
 		return true
 	}
 	if exchange.permit.server != server.Identity() || !exchange.now().Before(exchange.permit.expires) {
 		return false
 	}
 	exchange.permit = sendPermit{}
-	exchange.relay.observer().Sent(server.Identity())
+	if _, declared := gate.Rate(server.Identity()); declared {
+		exchange.relay.observer().Sent(server.Identity())
+	}
+	if _, cold := gate.Cold(server.Identity(), exchange.now()); cold {
+		exchange.relay.observer().SentCold()
+	}
 	return true
 }
 
