--- a/permit/doc.go
+++ b/permit/doc.go
@@ -5,6 +5,7 @@
 // entries tell each other through the coordinator. The coordinator's [Issuer] issues
 // a permit for each request to a server that declares a rate, to whichever entry asks,
 // so that the rate goes to where the requests are. The [Gate] of an entry decides which
-// requests need a permit, and what the entry may send without a coordinator. All of the
-// code takes the time as an argument.
+// requests need a permit, and what the entry may send without a coordinator. A server that is [Cold] accepts the rate
+// that its service declares for that, in any second. All of the code takes the time as
+// an argument.
 package permit
--- a/share/doc.go
+++ b/share/doc.go
@@ -6,6 +6,7 @@
 // The [Divider] of the coordinator adjusts shares to demand: it lowers one
 // entry's share and waits for the confirmation before it raises another's, so
 // that the shares in use never add up to more than one. A share expires by the
-// entry's own clock before the coordinator grants it to others. All of the code
-// takes the time as an argument.
+// entry's own clock before the coordinator grants it to others. The [Record] marks
+// the shares of silent instances with the time that is left, so that coordinators
+// count on from one another. All of the code takes the time as an argument.
 package share
