--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -80,6 +80,9 @@
 	// Evacuated reports whether nothing may be sent to the servers of a failure domain;
 	// nil means that it never does.
 	Evacuated func(domain names.FailureDomain) bool
+	// ColdRate returns the rate that a server accepts while it is cold, or false. Nil
+	// means that no server is.
+	ColdRate func(server *pool.Server, now time.Time) (float64, bool)
 	// Term returns this entry's term while it certainly is the coordinator, else zero.
 	Term func() int64
 	// UnconfirmedTerm returns this entry's term if its lease has expired only because
@@ -239,6 +242,7 @@
 		departures: map[pool.Departure]time.Time{},
 	}
 	term.dispatcher.SetUsage(&engineUsage{coordinator: coordinator, term: term})
+	term.issuer.Begin(now)
 	coordinator.mutex.Lock()
 	coordinator.term = term
 	coordinator.mutex.Unlock()
@@ -496,7 +500,7 @@
 		}
 		coordinator.mutex.Lock()
 		planInput.Demand = term.demandOf(service, now)
-		planInput.Rates, planInput.RequestsPerSecond = term.declaredRates(servers), term.requestRate(service.Name, now)
+		planInput.Rates, planInput.RequestsPerSecond = coordinator.limitedRates(term, servers, now), term.requestRate(service.Name, now)
 		planner, found := term.planners[service.Name]
 		if !found {
 			planner = copies.NewPlanner(copies.PlannerConfig{Window: coordinator.config.LoadWindow, Now: now, PriorLoads: term.predecessorLoads(service)})
--- a/node/relayfollow.go
+++ b/node/relayfollow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
@@ -38,6 +39,8 @@
 // policyHandler applies new versions of the policy to the relay.
 type policyHandler struct {
 	relay *relay.Relay
+	pool  *pool.Pool
+	clock *clock.Service
 	log   logrus.FieldLogger
 }
 
@@ -61,10 +64,25 @@
 			continue
 		}
 		policyHandler.relay.SetPolicy(snapshot)
+		policyHandler.setColdStarts(snapshot)
 		event.PolicyInForce.Log(policyHandler.log, logrus.Fields{"policy": snapshot.Version(), "revision": entry.Revision().String()})
 	}
 }
 
+// setColdStarts applies what the policy declares of cold servers.
+func (policyHandler *policyHandler) setColdStarts(snapshot *policy.Snapshot) {
+	coldStarts := map[names.Service]pool.ColdStart{}
+	for _, service := range snapshot.Services() {
+		if service.ColdFault != "" {
+			event.ColdStartInvalid.Log(policyHandler.log, logrus.Fields{"service": string(service.Name), "cause": service.ColdFault})
+		}
+		if service.ColdPerSecond > 0 {
+			coldStarts[service.Name] = pool.ColdStart{Span: service.ColdStart, PerSecond: service.ColdPerSecond}
+		}
+	}
+	policyHandler.pool.SetColdStarts(coldStarts, policyHandler.clock.Now())
+}
+
 // Lost implements [mirror.Handler].
 func (*policyHandler) Lost(time.Time) {}
 
@@ -219,16 +237,19 @@
 	Evacuations *evacuationHandler
 	Clock       *clock.Service
 	Log         logrus.FieldLogger
+	Metrics     metrics.Registry
 }
 
 // newMirror follows all keys with a single watch: their revisions then have no
 // gaps, so that a stalled watch can be distinguished from a time without changes.
 func newMirror(parts mirrorParts) *mirror.Mirror {
+	registryHandler := newRegistryHandler(parts.Pool, parts.Clock, parts.Log)
+	registryHandler.metrics = parts.Metrics
 	handlers := mirror.PrefixHandlers{
-		{Prefix: platform.PolicyKey, Handler: &policyHandler{relay: parts.Relay, log: parts.Log}},
+		{Prefix: platform.PolicyKey, Handler: &policyHandler{relay: parts.Relay, pool: parts.Pool, clock: parts.Clock, log: parts.Log}},
 		{Prefix: ownPrefix, Handler: parts.OwnKeys},
 	}
-	handlers = append(evacuationPrefixes(parts.Evacuations, newRegistryHandler(parts.Pool, parts.Clock, parts.Log)), handlers...)
+	handlers = append(evacuationPrefixes(parts.Evacuations, registryHandler), handlers...)
 	return mirror.New(mirror.Config{Source: parts.Store, Clock: parts.Clock, Log: parts.Log, Handler: handlers})
 }
 
--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -23,6 +23,7 @@
 		domain := member.server.Domain
 		if _, was := former[domain]; was && !pool.isEvacuated(domain) {
 			pool.returnedAt[domain] = now
+			pool.assumeCold(member, now)
 		}
 	}
 	pool.notifyChanged()
