Choose plain servers by the loads that they state

The entries know of each other's requests up to half a second late, plain servers work on a request for 60 ms, and all entries get the same sums, so that they choose the same server, whose queue then refuses requests although another server has room.

Servers may state their load in each response (X-Instance-Load: running, waiting, slots and a pace). The last one counts for a second instead of the entries' sums, with the entry's own requests since, the wait in the server's queue and the pace, which loses its weight within 0.6 s. It does so only for services without engines in deployments that have some requests scheduled. Figures that cannot be read are ignored and counted (relay.loads.unread).

Ruled out by trials, see docs/design/loads.md: figures that are only used if younger than the coordinator's reply, loads passed on through the coordinator, and no limit on their age. Tests: go test ./pool ./platform ./policy ./node ./coord ./relay.

--- a/policy/scheduling.go
+++ b/policy/scheduling.go
@@ -30,6 +30,9 @@
 	return snapshot.scheduling[service]
 }
 
+// Schedules reports whether the requests of any service are scheduled.
+func (snapshot *Snapshot) Schedules() bool { return len(snapshot.scheduling) > 0 }
+
 // schedulings returns the scheduling of each service whose requests are scheduled.
 func schedulings(config *SnapshotConfig) map[names.Service]*Scheduling {
 	found := map[names.Service]*Scheduling{}
--- a/pool/member.go
+++ b/pool/member.go
@@ -46,6 +46,8 @@
 	// listed; outagePossible reports whether a registry outage may be the reason.
 	delistedAt     time.Time
 	outagePossible bool
+	// reported is the load that the server stated last, or nil.
+	reported *reportedLoad
 }
 
 func (member *member) slots() float64 { return float64(max(member.server.Slots, 1)) }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -132,7 +132,7 @@
 func (pool *Pool) score(member *member, query Query, ratio float64, now time.Time) float64 {
 	unread := float64(member.unreadTokens) * ratio
 	unseen := unseenSpread * (1 - 1/ratio)
-	score := member.load() +
+	score := member.queryLoad(&query, now) +
 		float64(member.slowRequests)*slowPenalty +
 		max(member.errorRate-toleratedErrorRate, 0)*errorPenalty +
 		unread/promptChunkTokens*promptPenalty +
--- a/pool/query.go
+++ b/pool/query.go
@@ -21,6 +21,8 @@
 	// Confined reports whether only servers in Domains may be picked.
 	Confined bool
 	Domains  []names.FailureDomain
+	// Reported reports whether the loads that servers state in their responses count.
+	Reported bool
 }
 
 // Permits reports whether the request may be sent to the failure domain of a server.
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/permit"
+	"github.com/basilkeel/basilkeel/pool"
 )
 
 // Codec converts between the HTTP headers of a deployment and the relay's types.
@@ -91,4 +92,8 @@
 	// Rate is what the response says about the rate of requests that the server accepts
 	// from all entries together; nil is the same as [permit.Unreadable].
 	Rate permit.Declaration
+	// Load is the load that the server states, or nil if it states none that can be read.
+	// LoadUnread reports whether it states one that cannot.
+	Load       *pool.InstanceLoad
+	LoadUnread bool
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -384,6 +384,7 @@
 		return
 	}
 	exchange.applyRate(server, responseInfo.Rate, sentAt)
+	exchange.applyLoad(server, responseInfo)
 	if responseInfo.Leaving && exchange.relay.config.Pool.RecordDeparture(server, exchange.now()) {
 		event.ServerLeaving.Log(exchange.relay.config.Log, logrus.Fields{"server": string(server.ID), "request": exchange.info.ID})
 	}
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -73,6 +73,10 @@
 	if rest, err := time.ParseDuration(header.Get("Rest")); err == nil {
 		responseInfo.Backoff = rest
 	}
+	if waiting, err := strconv.Atoi(header.Get("Load")); err == nil {
+		responseInfo.Load = &pool.InstanceLoad{Waiting: waiting, Pace: 1}
+	}
+	responseInfo.LoadUnread = header.Get("Load") == "odd"
 	responseInfo.Rate = permit.Unlimited{}
 	if perSecond, err := strconv.ParseFloat(header.Get("Rate"), 64); err == nil {
 		responseInfo.Rate = permit.Limited{PerSecond: perSecond}
--- a/relay/place.go
+++ b/relay/place.go
@@ -54,6 +54,7 @@
 
 		Confined: exchange.confined,
 		Domains:  exchange.domains,
+		Reported: exchange.usesReportedLoads(),
 	}
 }
 
