--- a/pool/member.go
+++ b/pool/member.go
@@ -47,6 +47,8 @@
 	delistedAt     time.Time
 	outagePossible bool
 	cold           coldTimes
+	// reported is the load that the server stated last, or nil.
+	reported *reportedLoad
 }
 
 func (member *member) slots() float64 { return float64(max(member.server.Slots, 1)) }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -366,9 +366,10 @@
 		return
 	}
 	exchange.applyRate(server, responseInfo.Rate, sentAt)
-	if exchange.scheduled != nil && responseInfo.Slowdown > 0 {
-		exchange.relay.config.Pool.RecordSlowdown(server, responseInfo.Slowdown, exchange.now())
+	if exchange.scheduled != nil && responseInfo.Load != nil && responseInfo.Load.PaceStated {
+		exchange.relay.config.Pool.RecordSlowdown(server, responseInfo.Load.Pace, exchange.now())
 	}
+	exchange.applyLoad(server, responseInfo)
 	if responseInfo.Leaving && exchange.relay.config.Pool.RecordDeparture(server, exchange.now()) {
 		event.ServerLeaving.Log(exchange.relay.config.Log, logrus.Fields{"server": string(server.ID), "request": exchange.info.ID})
 	}
