Refuse requests with homes whose model is not going to be loaded there

Copies of models are placed by the demand of all requests. A request whose model was held only outside of its homes waited up to 5 s for a load that nobody planned, as a model that some engine holds needs no first copy. It is now refused at once with Retry-After. It still waits if no server at all holds the model, since a first copy is loaded then.

Ruled out for now: demand by homes in reports and plans, which needs a change of the message, of the planner's needs and of what it evicts.

Without the change TestConfinedRequestsWaitWhereALoadMayHelp takes 5 s for the first case and fails. Test: go test ./relay.

--- a/relay/homes.go
+++ b/relay/homes.go
@@ -104,13 +104,19 @@
 	metrics.GetOrRegisterCounter("relay.withheld."+reason, exchange.relay.config.Metrics).Inc(1)
 }
 
-// hasHomeServer reports whether a server that the request is not kept from accepts
-// requests. The coordinator, which knows no homes, does not tell this from a model that is
-// not loaded.
-func (exchange *exchange) hasHomeServer() bool {
+// loadMayHelp reports whether the request may wait for its model to be loaded. Copies are
+// placed without regard to homes: if a server elsewhere holds the model, none is loaded for
+// the requests that wait, and if no server in the request's homes accepts requests, none can
+// help.
+func (exchange *exchange) loadMayHelp() bool {
 	if !exchange.confined {
 		return true
 	}
-	_, none := exchange.pick().(pool.NoServer)
-	return !none
+	if _, none := exchange.pick().(pool.NoServer); none {
+		return false
+	}
+	query := exchange.query()
+	query.Confined = false
+	_, nowhere := exchange.relay.config.Pool.Pick(query, exchange.now()).(pool.NoCopy)
+	return nowhere
 }
--- a/relay/homes_test.go
+++ b/relay/homes_test.go
@@ -131,6 +131,49 @@
 	g.Expect(reached(seen)).To(Equal([]names.FailureDomain{"b"}))
 }
 
+// TestConfinedRequestsWaitWhereALoadMayHelp guards against requests that wait in vain as
+// their model is held outside of their homes, where copies suffice for all others, and
+// against those that do not wait for the first copy.
+func TestConfinedRequestsWaitWhereALoadMayHelp(t *testing.T) {
+	cases := []struct {
+		name   string
+		holder names.BackendServer
+		loaded names.BackendServer
+		waited []names.Model
+		status int
+	}{
+		{name: "held outside", holder: "notes-a", status: http.StatusServiceUnavailable},
+		{name: "held nowhere, then loaded inside", loaded: "notes-b", waited: []names.Model{"other"}, status: http.StatusOK},
+		{name: "held nowhere, then loaded outside", loaded: "notes-a", waited: []names.Model{"other"}, status: http.StatusServiceUnavailable},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			home := route("draft", policy.KindStream, "notes")
+			home.Homes, home.Timeout = []names.Region{"south"}, time.Minute
+			fixture, _ := newHomesFixture(t, ok, home)
+			load := func(id names.BackendServer) {
+				for _, server := range fixture.pool.Servers(time.Now()) {
+					if server.ID == id {
+						holder := *server
+						holder.Models = []names.Model{"other"}
+						fixture.pool.Put(&holder)
+					}
+				}
+			}
+			load(each.holder)
+			fixture.coordinator.onWait = func(names.Model) { load(each.loaded) }
+			result := fixture.call(http.MethodPost, "/draft/1", "", map[string]string{"Model": "other"})
+			g.Expect(result.status).To(Equal(each.status))
+			g.Expect(fixture.coordinator.waitedFor).To(Equal(each.waited))
+			if each.status != http.StatusOK {
+				g.Expect(result.body).To(ContainSubstring("modelNotLoaded"))
+				g.Expect(result.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		})
+	}
+}
+
 // placingCoordinator schedules requests on one engine, or finds no copy.
 type placingCoordinator struct {
 	*fakeCoordinator
@@ -156,11 +199,12 @@
 	cases := []struct {
 		name   string
 		placed names.BackendServer
+		model  string
 		gone   bool
 		reason string
 	}{
-		{name: "a reservation outside", placed: "notes-a", reason: "refusedByServer"},
-		{name: "no server inside", gone: true, reason: "modelNotLoaded"},
+		{name: "a reservation outside", placed: "notes-a", model: "notes", reason: "refusedByServer"},
+		{name: "no server inside", model: "other", gone: true, reason: "modelNotLoaded"},
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
@@ -174,7 +218,7 @@
 			if each.gone {
 				fixture.pool.Reject("notes-b", time.Now())
 			}
-			result := fixture.call(http.MethodPost, "/draft/1", "", map[string]string{"Model": "notes"})
+			result := fixture.call(http.MethodPost, "/draft/1", "", map[string]string{"Model": each.model})
 			g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
 			g.Expect(result.body).To(ContainSubstring(each.reason))
 			g.Expect(fixture.coordinator.waitedFor).To(BeEmpty())
--- a/relay/place.go
+++ b/relay/place.go
@@ -129,7 +129,7 @@
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
 	return len(exchange.tried) == 0 && exchange.relay.config.Coordinator.Reachable() &&
-		now.Sub(began) < maxLoadWait && exchange.deadline.Sub(now) > minTimeLeft && exchange.hasHomeServer()
+		now.Sub(began) < maxLoadWait && exchange.deadline.Sub(now) > minTimeLeft && exchange.loadMayHelp()
 }
 
 // ensureAdapter has the adapter loaded if the chosen server lacks it. It returns false if
