coord: add up the reported requests for copies as reports arrive

Summing all reports every 50 ms while a step waits would take a coordinator of a large fleet a few per cent of a core (estimated, not measured).

TestModelLoadsOfReports fails without either subtraction.

--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -179,7 +179,7 @@
 	enginesReadAt time.Time
 	placeCalls    *rate.Meter
 	// modelLoads are the sums of those in all reports that count.
-	modelLoads modelLoads
+	modelLoads map[modelCopy]int
 	// adapterUses are when a report last stated a request for an adapter.
 	adapterUses map[adapterCopy]time.Time
 	// departures maps each server that leaves to the time when that was first reported.
@@ -224,6 +224,7 @@
 		totalLoads: map[names.BackendServer]int{},
 		trends:     map[Target]*copies.Trend{},
 
+		modelLoads:  map[modelCopy]int{},
 		adapterUses: map[adapterCopy]time.Time{},
 
 		requestRates: map[names.Service]*rate.Meter{},
--- a/coord/loads.go
+++ b/coord/loads.go
@@ -13,19 +13,23 @@
 	previous, found := term.reports[instance]
 	if found {
 		term.addLoads(previous.loads, -1)
+		term.addModelLoads(previous.modelLoads, -1)
 		entryReport.loadsSentAt = previous.loadsSentAt
 	}
 	term.addLoads(entryReport.loads, 1)
+	term.addModelLoads(entryReport.modelLoads, 1)
 	term.reports[instance] = entryReport
 	if now.Sub(term.sweptAt) < reportLifetime/4 {
 		return
 	}
 	term.sweptAt = now
 	term.rankEntries(now)
+	term.expireAdapterUses(now)
 	for other, report := range term.reports {
-		if now.Sub(report.receivedAt) > reportLifetime && report.loads != nil {
+		if now.Sub(report.receivedAt) > reportLifetime && (report.loads != nil || report.modelLoads != nil) {
 			term.addLoads(report.loads, -1)
-			report.loads = nil
+			term.addModelLoads(report.modelLoads, -1)
+			report.loads, report.modelLoads = nil, nil
 			term.reports[other] = report
 		}
 	}
--- a/coord/modelloads.go
+++ b/coord/modelloads.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// modelLoadsPeriod is the least time between two sums of the reported loads of models.
-	modelLoadsPeriod = 50 * time.Millisecond
 	// adapterUseLifetime is how long the use of an adapter is remembered.
 	adapterUseLifetime = time.Minute
 	// maxModelRequests is more than an entry runs for a model on one engine.
@@ -32,13 +30,6 @@
 	adapter names.Adapter
 }
 
-// modelLoads are the numbers of requests that run for copies of models, by the last reports
-// of all entries.
-type modelLoads struct {
-	sums    map[modelCopy]int
-	addedAt time.Time
-}
-
 // modelLoadsOf returns the loads in a report by copy, and the number of those that are
 // malformed, which are ignored.
 func modelLoadsOf(report Report) (loads map[modelCopy]int, invalid int) {
@@ -108,30 +99,28 @@
 	if now.Sub(term.startedAt) < reportLifetime {
 		return 0, false
 	}
-	if now.Sub(term.modelLoads.addedAt) >= modelLoadsPeriod {
-		term.modelLoads = term.sumModelLoads(now)
+	return term.modelLoads[modelCopy{server: server.ID, incarnation: server.Incarnation, model: model}], true
+}
+
+// addModelLoads adds the requests for copies to the totals, or subtracts them if sign is
+// negative. It is called with the coordinator's mutex held.
+func (term *term) addModelLoads(loads map[modelCopy]int, sign int) {
+	for modelCopy, running := range loads {
+		term.modelLoads[modelCopy] += sign * running
+		if term.modelLoads[modelCopy] == 0 {
+			delete(term.modelLoads, modelCopy)
+		}
 	}
-	return term.modelLoads.sums[modelCopy{server: server.ID, incarnation: server.Incarnation, model: model}], true
 }
 
-// sumModelLoads adds up the loads in the reports that count. It is called with the
+// expireAdapterUses forgets uses of adapters that are long ago. It is called with the
 // coordinator's mutex held.
-func (term *term) sumModelLoads(now time.Time) modelLoads {
+func (term *term) expireAdapterUses(now time.Time) {
 	for adapterCopy, usedAt := range term.adapterUses {
 		if now.Sub(usedAt) > adapterUseLifetime {
 			delete(term.adapterUses, adapterCopy)
 		}
 	}
-	sums := map[modelCopy]int{}
-	for _, entryReport := range term.reports {
-		if now.Sub(entryReport.receivedAt) > reportLifetime {
-			continue
-		}
-		for modelCopy, running := range entryReport.modelLoads {
-			sums[modelCopy] += running
-		}
-	}
-	return modelLoads{sums: sums, addedAt: now}
 }
 
 // ownModelLoads returns this entry's requests for copies of the services whose requests are
