relay: end callers that send a part of a large body and then nothing

A body was read without any bound in time. Some 30 callers that send most of bodies of 4 MiB and then nothing used up the budget of memory for as long as they liked, and all other large bodies were refused.

Reads of bodies of more than 4 KiB are now watched as writes of responses are (callerWatch is the part of callerWriter that both share): when memory is exhausted, the caller that has sent nothing for longest, at least 2 s, is refused with 408, as it is after 30 s in any case, and a body must arrive before its request's deadline. The time that counts begins when the stall is noticed, so that a process that was frozen does not end its callers. A response that was read to its end gives back its connection and the request's body before it is written to the caller. Without a bound for memory nothing of this happens.

--- a/event/memory.go
+++ b/event/memory.go
@@ -6,8 +6,8 @@
 var (
 	// MemoryExhausted is logged at most once a second.
 	MemoryExhausted = define(9150, logrus.WarnLevel, "memoryExhausted", "The process holds as much for callers and servers as its memory allows: no further bodies are read, and requests that have run nowhere are refused with status 503. The fields give the bytes by purpose. Add instances, or memory to each, if it recurs.")
-	// SlowCallerEnded is logged for each response that is ended as its caller does not read.
-	SlowCallerEnded = define(9151, logrus.InfoLevel, "slowCallerEnded", "A response was ended as its caller had read nothing for 30 s, or for 2 s while the memory for callers and servers was exhausted.")
+	// SlowCallerEnded is logged for each request that is ended as its caller does not read or send.
+	SlowCallerEnded = define(9151, logrus.InfoLevel, "slowCallerEnded", "A request was ended as its caller had read nothing of the response, or sent nothing of the body, for 30 s, or for 2 s while the memory for callers and servers was exhausted.")
 	// InstancePaused is logged when the instance reports for some seconds that it is not ready.
 	InstancePaused = define(9152, logrus.WarnLevel, "instancePaused", "An underpowered instance cannot keep up with its requests and reports for 3 s that it is not ready, so that the load balancer sends it no further ones. If it recurs, give the instance more processor time or add instances.")
 )
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -49,6 +49,10 @@
 		header.Set("Content-Length", strconv.Itoa(body.Len()))
 	}
 	exchange.recordCompletion(response)
+	// Neither the connection nor the request's body waits for a slow caller.
+	response.Close()
+	exchange.body = nil
+	exchange.memory.Release(memory.Body, exchange.memory.Held(memory.Body), exchange.now())
 	exchange.writer.WriteHeader(response.Status)
 	exchange.recordDone(response.Status, exchange.writePieces(body))
 	return true
--- a/relay/body.go
+++ b/relay/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -46,8 +47,15 @@
 		reader = http.MaxBytesReader(exchange.writer.Unwrap(), exchange.request.Body, maxBytes)
 	}
 	exchange.memoryWait = min(memory.MaxWait, time.Duration(memoryWaitRatio*float64(exchange.deadline.Sub(exchange.started))))
+	bounded := exchange.relay.config.Memory.Limit() > 0
+	if bounded && (length < 0 || length > memory.NextPieceBytes(0)) {
+		reader = exchange.newBodyReader(reader)
+	}
 	read := int64(0)
 	for length < 0 || read < length {
+		if bounded && read > 0 && exchange.now().After(exchange.deadline) {
+			return exchange.bodyNotRead(os.ErrDeadlineExceeded)
+		}
 		piece := memory.NextPieceBytes(read)
 		rest := piece
 		if length >= 0 {
@@ -83,10 +91,14 @@
 		exchange.cause = io.ErrUnexpectedEOF
 	}
 	var sizeError *http.MaxBytesError
-	if errors.As(err, &sizeError) {
+	switch {
+	case errors.As(err, &sizeError):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooLarge}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{status: http.StatusRequestTimeout, reason: ReasonBodyNotRead, retryAfter: memoryRetryAfter}
+	default:
+		return &refusal{status: http.StatusBadRequest, reason: ReasonBodyNotRead}
 	}
-	return &refusal{status: http.StatusBadRequest, reason: ReasonBodyNotRead}
 }
 
 // fill reads until buffer is full or reading fails. The error is not nil if buffer is not
--- /dev/null
+++ b/relay/callerwatch.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/event"
+)
+
+// callerWatch notices when reading from a caller or writing to it takes long. One goroutine
+// reads or writes.
+type callerWatch struct {
+	exchange *exchange
+	// interrupt makes the read or write that is under way fail. stalled, if it is not nil, is
+	// called when one has taken stallDelay.
+	interrupt func()
+	stalled   func()
+	// mutex guards the fields below. The mutex of stalls may be taken while it is held.
+	mutex sync.Mutex
+	// active reports whether a read or write is under way, began when it began, waiting
+	// whether it has taken stallDelay.
+	active  bool
+	began   time.Time
+	waiting bool
+	// stallTimer and silenceTimer fire stallDelay and silentCallerTime after began.
+	stallTimer   *time.Timer
+	silenceTimer *time.Timer
+}
+
+// watch calls transfer, which may wait for the caller. Without a bound for memory nothing is
+// watched.
+func (callerWatch *callerWatch) watch(transfer func()) {
+	if callerWatch.exchange.relay.config.Memory.Limit() == 0 {
+		transfer()
+		return
+	}
+	callerWatch.mutex.Lock()
+	callerWatch.active, callerWatch.began = true, callerWatch.exchange.now()
+	if callerWatch.stallTimer == nil {
+		callerWatch.stallTimer = time.AfterFunc(stallDelay, callerWatch.stall)
+	} else {
+		callerWatch.stallTimer.Reset(stallDelay)
+	}
+	callerWatch.mutex.Unlock()
+	defer callerWatch.finish()
+	transfer()
+}
+
+// finish ends the watch of a read or write.
+func (callerWatch *callerWatch) finish() {
+	callerWatch.mutex.Lock()
+	defer callerWatch.mutex.Unlock()
+	callerWatch.active = false
+	callerWatch.stallTimer.Stop()
+	if callerWatch.waiting {
+		callerWatch.waiting = false
+		callerWatch.silenceTimer.Stop()
+		callerWatch.exchange.relay.stalls.remove(callerWatch)
+	}
+}
+
+// stall handles a read or write that has taken stallDelay. A timer that fires late may belong
+// to an earlier one.
+func (callerWatch *callerWatch) stall() {
+	callerWatch.mutex.Lock()
+	defer callerWatch.mutex.Unlock()
+	now := callerWatch.exchange.now()
+	if !callerWatch.active || callerWatch.waiting || now.Sub(callerWatch.began) < stallDelay/2 {
+		return
+	}
+	callerWatch.waiting = true
+	callerWatch.exchange.relay.stalls.add(callerWatch, now)
+	callerWatch.silenceTimer = time.AfterFunc(silentCallerTime-stallDelay, callerWatch.endSilent)
+	if callerWatch.stalled != nil {
+		callerWatch.stalled()
+	}
+}
+
+// endSilent ends the request if its caller has read or sent nothing for silentCallerTime.
+func (callerWatch *callerWatch) endSilent() {
+	callerWatch.mutex.Lock()
+	silent := callerWatch.waiting && callerWatch.exchange.now().Sub(callerWatch.began) >= silentCallerTime/2
+	callerWatch.mutex.Unlock()
+	if silent {
+		callerWatch.end()
+	}
+}
+
+// end makes the read or write that is under way fail.
+func (callerWatch *callerWatch) end() {
+	callerWatch.mutex.Lock()
+	defer callerWatch.mutex.Unlock()
+	if !callerWatch.active {
+		return
+	}
+	relay := callerWatch.exchange.relay
+	metrics.GetOrRegisterCounter("memory.slowCallersEnded", relay.config.Metrics).Inc(1)
+	event.SlowCallerEnded.Log(relay.config.Log, logrus.Fields{
+		"request": callerWatch.exchange.info.ID, "seconds": callerWatch.exchange.now().Sub(callerWatch.began).Seconds(),
+	})
+	callerWatch.interrupt()
+}
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -148,3 +149,24 @@
 	streams.Wait()
 	g.Eventually(func() int64 { return budget.Held(memory.Stream) }).Should(BeZero())
 }
+
+// TestSilentSendersDoNotKeepOthersOut guards against callers that send most of large bodies, and
+// then nothing, until no other large body can be read.
+func TestSilentSendersDoNotKeepOthersOut(t *testing.T) {
+	g := NewWithT(t)
+	budget := memory.NewBudget(2 << 20)
+	order := route("order", policy.KindUnsafe, "desk")
+	order.Timeout = 20 * time.Second
+	fixture := newMemoryFixture(t, budget, order)
+	seen := fixture.server("desk-1", "desk", func(http.ResponseWriter, *http.Request) {})
+	for range 2 {
+		conn := fixture.dialFront()
+		_, err := fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: desk.example\r\nId: call-1\r\nKey: secret\r\nContent-Length: %d\r\n\r\n%s", 900<<10, strings.Repeat("x", 880<<10))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(func() int64 { return budget.Held(memory.Body) }).Should(BeNumerically(">", 1700<<10))
+	g.Eventually(func() int {
+		return fixture.call(http.MethodPost, "/order/1", strings.Repeat("x", 900<<10), nil).status
+	}).WithTimeout(15 * time.Second).Should(Equal(http.StatusOK))
+	g.Expect(seen.count()).To(Equal(1))
+}
