node: route to servers for which the plan has no target yet

Cause: the first placement plan has targets only for the servers whose agents had reported to the planner by then. An entry that got it dropped all others, although their agents keep what they hold until they have a target (place.Applier). With few reports in time, as under load, one server was left; if that was frozen, requests were refused as loading (trial/member_test.go:90), and the two servers to which a fingerprint is confined were chosen anew among other servers (trial/poison_test.go:88).

An entry now uses what the agent of a server without a target reports, and goes on polling such agents unless they hold nothing.

Ruled out: to have the planner wait for all reports (an agent that is frozen at the start would hold up the plan).

--- a/node/placement.go
+++ b/node/placement.go
@@ -29,7 +29,8 @@
 )
 
 // placement is the [route.Plan] of an entry. It follows the current placement
-// plan; until the first plan arrives, it uses the models that agents report.
+// plan. Until a plan has a target for a server, it uses the models that the server's agent
+// reports, as the agent keeps them until then.
 type placement struct {
 	view fleet.Source
 
@@ -102,25 +103,34 @@
 	placement.rebuild()
 }
 
-// hasPlan reports whether there is a plan, so that agents need not be polled.
-func (placement *placement) hasPlan() bool {
+// unplanned returns the servers whose agents have to be polled: those without a target,
+// except for servers that have reported no models while there is a plan. Without that
+// exception every entry would go on polling all spare servers of a large fleet.
+func (placement *placement) unplanned() []names.BackendServer {
 	placement.mu.RLock()
 	defer placement.mu.RUnlock()
-	return placement.plan != nil
+	var servers []names.BackendServer
+	for _, member := range placement.view.Current().ByRole(fleet.RoleAgent) {
+		if placement.plan != nil {
+			_, planned := placement.plan.Target(member.Server())
+			models, known := placement.models[member.Server()]
+			if planned || (known && len(models) == 0) {
+				continue
+			}
+		}
+		servers = append(servers, member.Server())
+	}
+	return servers
 }
 
-// poll polls the agents for the models that they serve, unless there is a plan, and
+// poll polls the agents of servers without a target for the models that they serve, and
 // rebuilds the replicas.
 func (placement *placement) poll(ctx context.Context, agentPool *entry.AgentPool) {
-	if placement.hasPlan() {
-		placement.rebuild()
-		return
-	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxConcurrentPolls)
-	for _, member := range placement.view.Current().ByRole(fleet.RoleAgent) {
+	for _, server := range placement.unplanned() {
 		group.Go(func() error {
-			placement.pollAgent(ctx, agentPool, member.Server())
+			placement.pollAgent(ctx, agentPool, server)
 			return nil
 		})
 	}
@@ -170,17 +180,20 @@
 	}
 }
 
-// modelsOf returns the models of a server: those that the plan assigns to it, or,
-// without a plan, those that its agent last reported. The caller must hold mu.
+// modelsOf returns the models of a server: those that the plan assigns to it, or, if it has no
+// target for the server, those that its agent last reported. The caller must hold mu.
 func (placement *placement) modelsOf(server names.BackendServer) []names.Model {
 	var models []names.Model
-	if placement.plan == nil {
+	target, planned := place.Target{}, false
+	if placement.plan != nil {
+		target, planned = placement.plan.Target(server)
+	}
+	if !planned {
 		for _, model := range placement.models[server] {
 			models = append(models, names.Model(model))
 		}
 		return models
 	}
-	target, _ := placement.plan.Target(server)
 	for _, assignment := range target.Items {
 		if assignment.Weights.Item.Adapter == "" {
 			models = append(models, assignment.Weights.Item.Model)
