copies: remember late orders across restarts that the registry does not list yet

A count of accepted orders below the known one shows that an engine has restarted. Orders without an answer from before counted as those of the same incarnation, which the precondition of the order covers, until the registry listed the next one. Such an order could arrive when the count matched again, beside another one that the tracker had room for.

The wait between orders for adapters ends with its context.

go test ./copies -run TestLateOrdersMeet: with the registry unchanged, "an adapter beyond the slots" and a model accepted that leaves no room without the change, none with it.

--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -458,7 +458,11 @@
 		return false
 	}
 	if wait := tracker.idleAt().Sub(dispatcher.config.Clock.Now()); wait > 0 {
-		<-dispatcher.config.Clock.After(wait)
+		select {
+		case <-ctx.Done():
+			return false
+		case <-dispatcher.config.Clock.After(wait):
+		}
 	}
 	for range attempts {
 		orderRequest := request
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -143,7 +143,7 @@
 	if !tracker.isIncarnation(server.Incarnation, server.Address) {
 		tracker.consistent, tracker.pending, tracker.reported, tracker.busySeen = false, false, false, false
 		tracker.loading, tracker.unloading, tracker.accepted = "", nil, 0
-		tracker.reportedCountAt, tracker.withheldUntil = time.Time{}, time.Time{}
+		tracker.reportedCount, tracker.reportedCountAt, tracker.withheldUntil = 0, time.Time{}, time.Time{}
 		tracker.loadedAt, tracker.unloadedAt = map[names.Model]time.Time{}, map[names.Model]time.Time{}
 		tracker.adapterLoadedAt = map[pool.Adapter]time.Time{}
 		tracker.useRegistry(server)
@@ -204,6 +204,9 @@
 	if !tracker.isIncarnation(reporter.Incarnation, reporter.Address) {
 		return
 	}
+	if engineReport.Accepted < tracker.accepted || engineReport.Accepted < tracker.reportedCount {
+		tracker.recordRestart()
+	}
 	if tracker.reportedCountAt.IsZero() || engineReport.Accepted != tracker.reportedCount || engineReport.Busy {
 		tracker.reportedCount, tracker.reportedCountAt = engineReport.Accepted, now
 	}
--- a/copies/unanswered.go
+++ b/copies/unanswered.go
@@ -21,13 +21,24 @@
 	incarnation int64
 	address     string
 	until       time.Time
+	// former is set if the engine has restarted since, although the registry does not list
+	// another incarnation yet.
+	former bool
+}
+
+// recordRestart records that a report has a lower count than was known before, so that the
+// engine has restarted. The mutex is held.
+func (tracker *Tracker) recordRestart() {
+	for index := range tracker.unanswered {
+		tracker.unanswered[index].former = true
+	}
 }
 
 // recordUnanswered records an attempt without an answer. The mutex is held.
 func (tracker *Tracker) recordUnanswered(request OrderRequest, now time.Time) {
 	tracker.unanswered = slices.DeleteFunc(tracker.unanswered, func(other unansweredOrder) bool {
-		return !now.Before(other.until) ||
-			other.order == request.Order && other.accepted == request.Accepted && other.incarnation == request.Incarnation && other.address == request.Address
+		return !now.Before(other.until) || !other.former && other.order == request.Order && other.accepted == request.Accepted &&
+			other.incarnation == request.Incarnation && other.address == request.Address
 	})
 	if request.Unload {
 		return
@@ -51,7 +62,7 @@
 	for ; ; count++ {
 		most, found := load{}, false
 		for _, late := range tracker.unanswered {
-			if late.accepted != count || !now.Before(late.until) || tracker.isIncarnation(late.incarnation, late.address) {
+			if late.accepted != count || !now.Before(late.until) || !late.former && tracker.isIncarnation(late.incarnation, late.address) {
 				continue
 			}
 			found = true
--- a/copies/unanswered_test.go
+++ b/copies/unanswered_test.go
@@ -166,7 +166,8 @@
 }
 
 // TestLateOrdersMeetTheNextIncarnation guards against an order that got no answer, arrives
-// after the engine's restart and finds the count that it expects, but no room.
+// after the engine's restart and finds the count that it expects, but no room, also if the
+// registry does not list the restart yet.
 func TestLateOrdersMeetTheNextIncarnation(t *testing.T) {
 	cases := []struct {
 		name string
@@ -181,7 +182,7 @@
 			fill: func(orderings *orderings) {
 				orderings.loadModel("c")
 				orderings.engine.finish()
-				orderings.dispatcher.SyncRegistry(orderings.servers(2), orderings.engine.clock.Now().Add(5*time.Second))
+				orderings.dispatcher.SyncRegistry(orderings.servers(orderings.incarnation), orderings.engine.clock.Now().Add(5*time.Second))
 				orderings.load()
 			},
 			next: func(orderings *orderings) { orderings.load() },
@@ -192,18 +193,20 @@
 			fill: func(orderings *orderings) {
 				orderings.loadModel("c")
 				orderings.engine.finish()
-				orderings.dispatcher.SyncRegistry(orderings.servers(2), orderings.engine.clock.Now().Add(5*time.Second))
+				orderings.dispatcher.SyncRegistry(orderings.servers(orderings.incarnation), orderings.engine.clock.Now().Add(5*time.Second))
 				orderings.load()
 			},
 			next: func(orderings *orderings) { orderings.loadModel("d") },
 		},
 	}
-	for _, each := range cases {
-		t.Run(each.name, func(t *testing.T) {
+	for index := range 2 * len(cases) {
+		// The registry may list the former incarnation all the time.
+		each, unseen := cases[index/2], index%2 == 1
+		t.Run(fmt.Sprint(each.name, ", unseen ", unseen), func(t *testing.T) {
 			g := NewWithT(t)
 			engine := newFakeEngine("a")
 			engine.accepted = 2
-			orderings := &orderings{engine: engine, dispatcher: newDispatcher(engine, 1)}
+			orderings := &orderings{engine: engine, dispatcher: newDispatcher(engine, 1), incarnation: 1}
 			settle := func() {
 				for range 3 {
 					orderings.query()
@@ -218,7 +221,14 @@
 			g.Expect(engine.delayed).NotTo(BeEmpty())
 			engine.fate = func() fate { return fateReplied }
 			engine.restart()
-			orderings.list(2)
+			if !unseen {
+				orderings.incarnation = 2
+			}
+			orderings.list(orderings.incarnation)
+			if unseen {
+				// The conflict with this order shows the count of the next incarnation.
+				orderings.load()
+			}
 			settle()
 			each.fill(orderings)
 			g.Expect(engine.accepted).To(Equal(int64(2)))
