copies: idle and busy models do not evict each other in turn

The forecast for a model is zero a second or two after a request. Its last copy could then make room for a further copy of a busy model, and the next request loaded it again, every few seconds. An idle model's last copy now makes room only 15 s (demandHorizon) after it was loaded.

A step that evicts several idle models counts each of them as missing, so that it leaves no more without a copy than maxMissingFraction.

A copy that is being loaded no longer makes the only loaded one of a requested model one of several: until the load is done, and for good if it fails, nothing would serve the model.

Using the steady demand in idle was ruled out: half-life 15 s keeps every copy that was requested in the last half minute.

go test ./copies -run TestScheduledEvictions: the three new cases fail without the change.

--- a/copies/steps_test.go
+++ b/copies/steps_test.go
@@ -148,14 +148,25 @@
 }
 
 // TestScheduledEvictions guards against evictions of copies that are busy although others
-// end sooner, of copies with many adapters, and of copies of requested models for models
-// that nobody requests.
+// end sooner, of copies with many adapters, of copies of requested models for models that
+// nobody requests, of the only copy that serves requests, and against idle and busy models
+// that evict each other in turn.
 func TestScheduledEvictions(t *testing.T) {
 	threeCopies := func(edit func(engines []copies.EngineState)) []copies.EngineState {
 		engines := enginesWith([]names.Model{"a", "b"}, []names.Model{"a", "b"}, []names.Model{"a", "b"})
 		edit(engines)
 		return engines
 	}
+	allModels := func(loadedAt time.Time) []copies.EngineState {
+		engines := enginesWith([]names.Model{"a", "b"}, []names.Model{"c", "d"}, []names.Model{"e", "x", "y", "z"})
+		for index := range engines {
+			engines[index].LoadedAt = map[names.Model]time.Time{}
+			for _, model := range engines[index].Models {
+				engines[index].LoadedAt[model] = loadedAt
+			}
+		}
+		return engines
+	}
 	wanted := map[names.Model]copies.Demand{"a": {Work: 1, Steady: 1}, "b": {Work: 1, Steady: 1}, "c": {Work: 0.5, Waiting: 1, Steady: 0.1}}
 	cases := []struct {
 		name    string
@@ -191,6 +202,39 @@
 			demand:  map[names.Model]copies.Demand{"a": {Work: 1, Steady: 1}, "b": {Steady: 0.1}},
 			engines: threeCopies(func([]copies.EngineState) {}),
 		},
+		{
+			name:    "an idle model makes room for a busy one",
+			demand:  map[names.Model]copies.Demand{"a": {Work: 5, Steady: 5}},
+			engines: allModels(epoch.Add(-30 * time.Second)),
+			steps:   []copies.Step{{Server: "engine-1", Unload: []names.Model{"c"}, Load: "a", FromStore: true, Scheduled: true, Demand: copies.Demand{Work: 5, Steady: 5}}},
+		},
+		{
+			name:    "an idle model that was loaded lately does not make room again",
+			demand:  map[names.Model]copies.Demand{"a": {Work: 5, Steady: 5}},
+			engines: allModels(epoch.Add(-10 * time.Second)),
+		},
+		{
+			name:   "a step does not leave more models without a copy than allowed",
+			demand: map[names.Model]copies.Demand{"a": {Work: 5, Steady: 5}},
+			engines: func() []copies.EngineState {
+				engines := allModels(epoch.Add(-10 * time.Second))
+				for _, model := range []names.Model{"x", "y", "z"} {
+					engines[2].LoadedAt[model] = epoch.Add(-30 * time.Second)
+				}
+				return engines
+			}(),
+		},
+		{
+			name:   "the only copy that is loaded stays while another one is being loaded",
+			demand: wanted,
+			engines: func() []copies.EngineState {
+				engines := enginesWith([]names.Model{"a", "b"}, []names.Model{"b"})
+				engines[0].Requests = map[names.Model]int{"a": 0, "b": 20}
+				engines[1].Loading, engines[1].Blocked = "a", true
+				return engines
+			}(),
+			steps: []copies.Step{{Server: "engine-0", Unload: []names.Model{"b"}, Load: "c", FromStore: true, Scheduled: true, Demand: wanted["c"]}},
+		},
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
--- a/copies/view.go
+++ b/copies/view.go
@@ -17,6 +17,8 @@
 	// copies counts the engines that hold or load a model; work is the load of all
 	// its requests, in units of the capacity of an engine.
 	copies map[names.Model]int
+	// loaded counts the engines that hold a model and have loaded it.
+	loaded map[names.Model]int
 	work   map[names.Model]float64
 	// capacities is the capacity of each engine in units of that of an engine that
 	// declares no rate; modelCapacity is the sum of those of a model's copies.
@@ -60,7 +62,7 @@
 }
 
 func newView(planInput PlanInput) *view {
-	view := &view{input: planInput, engines: slices.Clone(planInput.Engines), copies: map[names.Model]int{}, work: map[names.Model]float64{}}
+	view := &view{input: planInput, engines: slices.Clone(planInput.Engines), copies: map[names.Model]int{}, loaded: map[names.Model]int{}, work: map[names.Model]float64{}}
 	for _, model := range planInput.Engine.Models {
 		view.largestMB = max(view.largestMB, model.WeightsMB)
 	}
@@ -76,6 +78,9 @@
 		}
 		for _, model := range heldModels(engine) {
 			view.copies[model]++
+			if model != engine.Loading {
+				view.loaded[model]++
+			}
 		}
 	}
 	for name, demand := range planInput.Demand {
@@ -268,18 +273,21 @@
 		return view.victimCost(victims[i], index) < view.victimCost(victims[j], index)
 	})
 	var unload []names.Model
-	loss := 0.0
+	loss, missing := 0.0, view.missingModels()
 	for _, victim := range victims {
 		if missingMB <= 0 {
 			break
 		}
-		if !view.mayEvict(index, victim, need, payoff) {
+		if !view.mayEvict(index, victim, need, payoff, missing) {
 			continue
 		}
 		unload = append(unload, victim)
 		loss += view.unloadCost(victim, index)
-		if view.copies[victim] <= 1 && !view.idle(victim) {
-			loss += lastCopyLoss
+		if view.copies[victim] <= 1 {
+			missing++
+			if !view.idle(victim) {
+				loss += lastCopyLoss
+			}
 		}
 		missingMB -= view.input.Engine.Models[victim].WeightsMB
 	}
@@ -376,16 +384,28 @@
 // another one whose last copy it evicts.
 const lastCopyDemandFactor = 3
 
-// mayEvict reports whether a copy on an engine may be evicted for a needed model.
-func (view *view) mayEvict(index int, victim names.Model, need need, payoff float64) bool {
-	if since, known := view.engines[index].LoadedAt[victim]; known && view.input.Now.Sub(since) < minCopyAge {
+// minIdleCopyAge is the age before which the last copy of an idle model does not make room for
+// a further copy of another one. A model that is requested every few seconds is idle
+// in between; without this bound each of its requests would wait for a load.
+const minIdleCopyAge = demandHorizon
+
+// mayEvict reports whether a copy on an engine may be evicted for a needed model, if a number
+// of models are without a copy then.
+func (view *view) mayEvict(index int, victim names.Model, need need, payoff float64, missing int) bool {
+	since, known := view.engines[index].LoadedAt[victim]
+	age := view.input.Now.Sub(since)
+	if known && age < minCopyAge {
+		return false
+	}
+	if view.input.Scheduled && view.copies[victim] > 1 && view.loaded[victim] <= 1 && !view.idle(victim) {
+		// The other copies serve no requests until their loads, which may fail, are done.
 		return false
 	}
 	demand := view.input.Demand[need.model]
 	wanted := demand.Work > 0 || demand.Waiting > 0
 	if view.copies[victim] <= 1 && view.copies[need.model] > 0 && view.idle(victim) {
-		return need.hot && need.gain*payoff >= minIdleEvictionGain*max(view.mean, minMeanLoad) &&
-			float64(view.missingModels()) < maxMissingFraction*float64(len(view.input.Engine.Models))
+		return need.hot && (!known || age >= minIdleCopyAge) && need.gain*payoff >= minIdleEvictionGain*max(view.mean, minMeanLoad) &&
+			float64(missing) < maxMissingFraction*float64(len(view.input.Engine.Models))
 	}
 	if view.copies[victim] <= 1 {
 		// The last copy is evicted only if it has no requests now and the needed model has no
@@ -441,6 +461,7 @@
 		remaining := slices.Clone(engine.Models)
 		for _, model := range step.Unload {
 			view.copies[model]--
+			view.loaded[model]--
 			remaining = slices.DeleteFunc(remaining, func(other names.Model) bool { return other == model })
 		}
 		engine.Models, engine.Loading, engine.Blocked = remaining, step.Load, true
