coord, sched: place no requests on cold engines without a permit left

The scheduler knew nothing of the rates of cold engines. It placed requests there, the entry got no permit, closed the engine and asked again; each such round reserved an engine's time for nothing. With all engines of a model closed it answered that no engine holds the model, so that requests waited for a load and counted as demand for one.

The coordinator asks its issuer for the permits left at each cold engine, less those for placed requests that have not asked for theirs, and leaves out engines without. Closed engines make a request wait as full ones do. Issuing the permit with the placement was ruled out: a permit for a cold server lasts 150 ms, and the wait before sending may take most of that.

--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -164,6 +164,7 @@
 	lender     *share.Lender
 	aggregator *crash.Aggregator
 	issuer     *permit.Issuer
+	coldRates  *coldRates
 	// storedSuspicions is the number of the newest suspicion in the stored record.
 	storedSuspicions int64
 	reports          map[names.Instance]entryReport
@@ -243,6 +244,7 @@
 	}
 	term.dispatcher.SetUsage(&engineUsage{coordinator: coordinator, term: term})
 	term.issuer.Begin(now)
+	term.coldRates = newColdRates(term.issuer)
 	coordinator.mutex.Lock()
 	coordinator.term = term
 	coordinator.mutex.Unlock()
--- a/coord/permits.go
+++ b/coord/permits.go
@@ -13,7 +13,11 @@
 // *[NotCoordinatingError].
 func (coordinator *Coordinator) Permit(application permit.Application) (time.Duration, bool, error) {
 	return coordinator.grant(func(term *term, now time.Time) (time.Duration, bool) {
-		return term.issuer.Issue(application, term.divider.ReportingPart(now), now)
+		wait, issued := term.issuer.Issue(application, term.divider.ReportingPart(now), now)
+		if issued {
+			term.coldRates.recordIssued(application.Statement.Server)
+		}
+		return wait, issued
 	})
 }
 
--- a/coord/place.go
+++ b/coord/place.go
@@ -41,7 +41,11 @@
 		metrics.GetOrRegisterCounter("coord.place.unscheduled", coordinator.config.Metrics).Inc(1)
 		return sched.Unscheduled{}, nil
 	}
+	request.Closed = append(request.Closed, term.coldRates.closed(service, request.Excluded, now)...)
 	decision := scheduler.Place(request, now)
+	if placed, isPlaced := decision.(sched.Placed); isPlaced {
+		term.coldRates.recordPlaced(placed, now)
+	}
 	metrics.GetOrRegisterCounter("coord.place."+outcomeOf(decision), coordinator.config.Metrics).Inc(1)
 	return decision, nil
 }
@@ -61,6 +65,7 @@
 	if scheduler == nil {
 		return nil, nil
 	}
+	request.Closed = append(request.Closed, term.coldRates.closed(service, request.Excluded, now)...)
 	return scheduler.Explain(request, now), nil
 }
 
@@ -78,6 +83,7 @@
 		return
 	}
 	term.enginesReadAt = now
+	term.coldRates.reset(term.divider.ReportingPart(now))
 	var servers []*pool.Server
 	for _, service := range snapshot.Services() {
 		scheduling := snapshot.Scheduling(service.Name)
@@ -97,6 +103,7 @@
 			term.schedulers[service.Name] = scheduler
 		}
 		scheduler.SetEngines(term.engines(service.Name, servers))
+		term.coldRates.add(service.Name, servers, coordinator.config.ColdRate, now)
 	}
 }
 
@@ -272,6 +279,7 @@
 		LeftMilliseconds: request.Left.Milliseconds(), Priority: int32(request.Priority), Account: string(request.Account),
 		OutputTokens: int32(min(request.OutputTokens, maxPromptTokens)), Slowdowns: encodeUses(request.Slowdowns, now),
 		Domain: string(request.Domain), Excluded: encodeServers(request.Excluded), Failing: encodeServers(request.Failing),
+		Closed: encodeServers(request.Closed),
 	}
 	for _, part := range request.Parts {
 		message.Parts = append(message.Parts, &wire.CoordPromptPart{Id: part.ID, Tokens: int32(min(part.Tokens, maxPromptTokens))})
@@ -292,6 +300,7 @@
 		Left:      time.Duration(message.GetLeftMilliseconds()) * time.Millisecond,
 		Priority:  int(message.GetPriority()), Account: names.ClientAccount(message.GetAccount()), Domain: names.FailureDomain(message.GetDomain()),
 		Excluded: decodeServers(message.GetExcluded()), Failing: decodeServers(message.GetFailing()),
+		Closed: decodeServers(message.GetClosed()),
 	}
 	for _, part := range message.GetParts() {
 		request.Parts = append(request.Parts, sched.Part{ID: part.GetId(), Tokens: int64(max(part.GetTokens(), 0))})
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -74,24 +74,10 @@
 	issuer.register.Merge([]Statement{application.Statement})
 	issuer.Begin(now)
 	cold := issuer.mergeCold(server, application.Cold, now)
-	limited, declared := issuer.register.Rate(server)
-	if !declared && !cold.active(now) {
+	if _, declared := issuer.register.Rate(server); !declared && !cold.active(now) {
 		return 0, true
 	}
-	perSecond, most := math.Inf(1), math.MaxInt
-	if declared {
-		perSecond = max(limited.PerSecond, probePerSecond) * part
-	}
-	if cold.active(now) {
-		var coldRate float64
-		coldRate, most = cold.issueRate(part)
-		perSecond = min(perSecond, coldRate)
-	}
-	current, found := issuer.buckets[server]
-	if !found {
-		current = &bucket{refilledAt: now, perSecond: perSecond}
-		issuer.buckets[server] = current
-	}
+	current, perSecond, most := issuer.bucket(server, cold, part, now)
 	if opensAt := issuer.begunAt.Add(coldWindow); cold.active(now) && now.Before(opensAt) {
 		current.level, current.refilledAt, current.perSecond = 0, opensAt, perSecond
 		return current.book(0, &current.nextTurn, opensAt) + opensAt.Sub(now), false
@@ -114,6 +100,42 @@
 	return current.book(kept, turn, now), false
 }
 
+// Available returns how many permits for a cold server are left now.
+func (issuer *Issuer) Available(server Server, cold Cold, part float64, now time.Time) int {
+	issuer.Begin(now)
+	cold = issuer.mergeCold(server, cold, now)
+	current, perSecond, most := issuer.bucket(server, cold, part, now)
+	if opensAt := issuer.begunAt.Add(coldWindow); now.Before(opensAt) {
+		current.level, current.refilledAt, current.perSecond = 0, opensAt, perSecond
+		return 0
+	}
+	current.refill(perSecond, now)
+	if current.windowWait(most, now) > 0 {
+		return 0
+	}
+	return min(int(current.level+levelRounding), most-len(current.issued))
+}
+
+// bucket returns the bucket of a server that declares a rate or is cold, the rate at which
+// permits are issued and the largest number of them in any coldWindow.
+func (issuer *Issuer) bucket(server Server, cold Cold, part float64, now time.Time) (current *bucket, perSecond float64, most int) {
+	perSecond, most = math.Inf(1), math.MaxInt
+	if limited, declared := issuer.register.Rate(server); declared {
+		perSecond = max(limited.PerSecond, probePerSecond) * part
+	}
+	if cold.active(now) {
+		var coldRate float64
+		coldRate, most = cold.issueRate(part)
+		perSecond = min(perSecond, coldRate)
+	}
+	current, found := issuer.buckets[server]
+	if !found {
+		current = &bucket{refilledAt: now, perSecond: perSecond}
+		issuer.buckets[server] = current
+	}
+	return current, perSecond, most
+}
+
 // mergeCold returns what is known of a server's cold time after an entry has said what it
 // knows. The last entry's end counts, as the cold time may end early.
 func (issuer *Issuer) mergeCold(server Server, cold Cold, now time.Time) Cold {
@@ -175,11 +197,13 @@
 	}
 }
 
+// levelRounding covers the rounding errors of levels.
+const levelRounding = 1e-6
+
 // take takes a permit if kept ones are left, and reports whether it did. Entries return
 // when the next one is due, so a level that is too low only by rounding suffices.
 func (bucket *bucket) take(kept float64) bool {
-	const rounding = 1e-6
-	if bucket.level < kept+1-rounding {
+	if bucket.level < kept+1-levelRounding {
 		return false
 	}
 	bucket.level--
--- a/pool/use.go
+++ b/pool/use.go
@@ -128,10 +128,8 @@
 		if member.server.Service != query.Service {
 			continue
 		}
-		missingUntil, missing := member.missingModels[query.Model]
 		switch {
-		case !pool.accepting(member, now), !query.Permits(member.server), member.paused(now), slices.Contains(query.Tried, id),
-			restrictions[member.server.Identity()] == permit.RestrictionClosed, missing && now.Before(missingUntil):
+		case pool.barred(member, &query, now), restrictions[member.server.Identity()] == permit.RestrictionClosed:
 			excluded = append(excluded, id)
 		case member.ejected(now), member.silent(now):
 			failing = append(failing, id)
@@ -139,3 +137,27 @@
 	}
 	return excluded, failing
 }
+
+// Closed returns the servers that [Pool.Unusable] excludes only because their rates are used
+// up, or because they have just become cold.
+func (pool *Pool) Closed(query Query, now time.Time) []names.BackendServer {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	var closed []names.BackendServer
+	for server, restriction := range pool.config.Gate.Restrictions(now) {
+		member, found := pool.members[server.ID]
+		if restriction == permit.RestrictionClosed && found && member.server.Identity() == server &&
+			member.server.Service == query.Service && !pool.barred(member, &query, now) {
+			closed = append(closed, server.ID)
+		}
+	}
+	return closed
+}
+
+// barred reports whether a server of the query's service must not get it, whatever its rate.
+// The caller holds the mutex.
+func (pool *Pool) barred(member *member, query *Query, now time.Time) bool {
+	missingUntil, missing := member.missingModels[query.Model]
+	return !pool.accepting(member, now) || !query.Permits(member.server) || member.paused(now) ||
+		slices.Contains(query.Tried, member.server.ID) || missing && now.Before(missingUntil)
+}
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -121,6 +121,7 @@
 		request.Account = exchange.account.Name
 	}
 	request.Excluded, request.Failing = config.Pool.Unusable(exchange.query(), now)
+	request.Closed = config.Pool.Closed(exchange.query(), now)
 	request.Excluded = append(request.Excluded, unusable...)
 	digest := xxhash.New()
 	for index, id := range exchange.info.SharedParts {
--- a/sched/request.go
+++ b/sched/request.go
@@ -39,6 +39,8 @@
 	// failed at the entry lately and are chosen only if there is no other.
 	Excluded []names.BackendServer
 	Failing  []names.BackendServer
+	// Closed are servers that could run the request, but whose rate is used up for now.
+	Closed []names.BackendServer
 	// Parts are the parts that the prompt shares with others, in order.
 	Parts []Part
 	// Slowdowns are those that engines have stated to the entry lately.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -298,6 +298,8 @@
 	switch {
 	case !slices.Contains(state.engine.Models, request.Model):
 		return "modelMissing"
+	case slices.Contains(request.Closed, state.engine.Server.ID):
+		return "rateUsed"
 	case slices.Contains(request.Excluded, state.engine.Server.ID):
 		return "excluded"
 	case request.Adapter != "" && state.engine.Busy && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter}):
@@ -310,13 +312,13 @@
 }
 
 // best returns the candidate with the lowest cost. If none is found, full reports whether
-// an engine holds the model.
+// an engine that holds the model may run the request later.
 func (scheduler *Scheduler) best(request *Request, now time.Time) (best candidate, found, full bool) {
 	bestFailing := false
 	for _, state := range scheduler.sorted {
 		switch scheduler.exclusion(state, request) {
 		case "":
-		case "busy", "full":
+		case "busy", "full", "rateUsed":
 			full = true
 			continue
 		default:
