pool: an entry from before a failure does not end the assumption that a server is cold

A server that fails is taken to have ended, and to be cold when it is used again. Its registry entry is up to a period old when it arrives, so one from before the failure said that it was warm, and the server got requests without permits when its ejection ended, until the registry listed the next incarnation. Only an entry that is read a registry period after the failure, or one of the next incarnation, ends the assumption now.

go test ./pool -run TestColdTimes: the two cases of an entry from before fail without the change.

--- a/pool/cold.go
+++ b/pool/cold.go
@@ -23,6 +23,9 @@
 	// assumedAt is since when the server is assumed to be cold for the span of its service,
 	// as it has started or was not observed; zero if it is not.
 	assumedAt time.Time
+	// assumedUntilEntryAt is the time from which an entry of the same incarnation ends the
+	// assumption. One that is read earlier may be from before a failure of the server.
+	assumedUntilEntryAt time.Time
 	// statedUntil is until when its entry in the registry, and the time until the next
 	// one, make it cold.
 	statedUntil time.Time
@@ -73,6 +76,16 @@
 	pool.updateCold(member, false, now)
 }
 
+// assumeColdAfterFailure assumes that a server has ended and will be cold at the end of its
+// ejection, perhaps before the registry tells of its restart. The caller holds the mutex.
+func (pool *Pool) assumeColdAfterFailure(member *member, now time.Time) {
+	if _, coldStarts := pool.coldStarts[member.server.Service]; !coldStarts {
+		return
+	}
+	member.cold.assumedAt, member.cold.assumedUntilEntryAt = member.ejectedUntil, now.Add(pool.config.RegistryPeriod)
+	pool.updateCold(member, true, now)
+}
+
 // observeCold applies the cold time in a server's entry. The entry may be a registry
 // period old, and the next one may tell of another cold time that has begun meanwhile, so
 // what it states counts a period longer unless another entry follows. The caller holds the
@@ -80,11 +93,14 @@
 func (pool *Pool) observeCold(member *member, appeared, used bool) {
 	server := member.server
 	now := server.ListedAt
+	if server.ColdStated && !now.Before(member.cold.assumedUntilEntryAt) {
+		member.cold = coldTimes{}
+	}
 	switch {
 	case server.ColdStated && server.ColdLeft > 0:
-		member.cold = coldTimes{statedUntil: now.Add(server.ColdLeft + pool.config.RegistryPeriod)}
+		member.cold.statedUntil = now.Add(server.ColdLeft + pool.config.RegistryPeriod)
 	case server.ColdStated:
-		member.cold = coldTimes{}
+		member.cold.statedUntil = time.Time{}
 	case appeared && pool.registryRead:
 		member.cold.assumedAt = now
 	}
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -53,6 +53,22 @@
 		{name: "the next entry tells of another cold time", events: []coldEvent{stated(0, time.Second), read, stated(1.2, 3*time.Second)}, warmFrom: 5.4},
 		{name: "failed", events: []coldEvent{stated(0, 0), read, {at: 1, server: "s", failed: true}}, warmFrom: 5},
 		{name: "failed, and warm by its next entry", events: []coldEvent{stated(0, 0), read, {at: 1, server: "s", failed: true}, stated(2.5, 0)}, warmFrom: 2.5},
+		{name: "failed, and warm by an entry from before", events: []coldEvent{stated(0, 0), read, {at: 1, server: "s", failed: true}, stated(1.3, 0)}, warmFrom: 5},
+		{name: "failed, and nearly warm by an entry from before", events: []coldEvent{
+			stated(0, 0), read,
+			{at: 1, server: "s", failed: true},
+			stated(1.3, time.Millisecond),
+		}, warmFrom: 5},
+		{name: "failed, and warm by a later entry", events: []coldEvent{
+			stated(0, 0), read,
+			{at: 1, server: "s", failed: true},
+			stated(1.3, 0), stated(2.5, 0),
+		}, warmFrom: 2.5},
+		{name: "failed, and warm by that of the next incarnation", events: []coldEvent{
+			stated(0, 0), read,
+			{at: 1, server: "s", failed: true},
+			{at: 1.3, server: "s", put: true, incarnation: 2, stated: true},
+		}, warmFrom: 1.3},
 		{name: "its domain is used again", events: []coldEvent{stated(0, 0), read, {at: 1, assume: true}}, warmFrom: 4},
 		{name: "only its entry is not renewed", events: []coldEvent{
 			stated(0, 0), read,
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -91,11 +91,7 @@
 	duration := min(minEjection<<min(member.ejections, 3), maxEjection)
 	member.ejections++
 	member.ejectedUntil = now.Add(duration)
-	if _, coldStarts := pool.coldStarts[member.server.Service]; coldStarts {
-		// The server may have ended, and restart before the registry tells.
-		member.cold.assumedAt = member.ejectedUntil
-		pool.updateCold(member, true, now)
-	}
+	pool.assumeColdAfterFailure(member, now)
 	return member.ejectedUntil
 }
 
