relay: split selectServer

What a chosen server needs before a request can be sent, and the refusal of a request whose servers are all full, are functions of their own; behaviour is unchanged.

--- a/relay/place.go
+++ b/relay/place.go
@@ -82,14 +82,13 @@
 		}
 		switch choice := choice.(type) {
 		case pool.Chosen:
-			exchange.serverLoad = choice.Load
-			if !exchange.obtainPermit(ctx, choice) {
-				continue
+			server, rejected := exchange.prepare(ctx, choice)
+			if server != nil {
+				return server, nil
 			}
-			if exchange.ensureAdapter(ctx, choice) && exchange.relay.config.Pool.Usable(choice.Server, exchange.now()) {
-				return choice.Server, nil
+			if !rejected {
+				continue
 			}
-			exchange.tried = append(exchange.tried, choice.Server.ID)
 			adapters++
 			if adapters >= maxAdapterServers || choice.Alternatives == 0 {
 				refusal.reason, refusal.retryAfter = ReasonAdapterNotLoaded, fullRetryAfter
@@ -97,10 +96,7 @@
 			}
 			continue
 		case pool.Full:
-			refusal.reason, refusal.retryAfter, refusal.leastLoad = ReasonServersFull, max(fullRetryAfter, choice.RetryAfter), choice.Load
-			if choice.RateLimited {
-				refusal.reason = ReasonRateLimited
-			}
+			refusal.setFull(choice)
 			return nil, refusal
 		case pool.NoServer:
 			return nil, refusal
@@ -125,6 +121,30 @@
 	}
 }
 
+// prepare obtains what a request needs at the chosen server: a permit and the adapter. It
+// returns the server, or nil if the request can't be sent there; rejected then reports
+// whether it has to go to another one, as the adapter can't be loaded or the server is not
+// usable any more.
+func (exchange *exchange) prepare(ctx context.Context, choice pool.Chosen) (server *pool.Server, rejected bool) {
+	exchange.serverLoad = choice.Load
+	if !exchange.obtainPermit(ctx, choice) {
+		return nil, false
+	}
+	if exchange.ensureAdapter(ctx, choice) && exchange.relay.config.Pool.Usable(choice.Server, exchange.now()) {
+		return choice.Server, false
+	}
+	exchange.tried = append(exchange.tried, choice.Server.ID)
+	return nil, true
+}
+
+// setFull makes this the refusal of a request whose servers are all full or closed.
+func (refusal *refusal) setFull(choice pool.Full) {
+	refusal.reason, refusal.retryAfter, refusal.leastLoad = ReasonServersFull, max(fullRetryAfter, choice.RetryAfter), choice.Load
+	if choice.RateLimited {
+		refusal.reason = ReasonRateLimited
+	}
+}
+
 // mayWait reports whether the request may wait for a model that no server holds.
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
