ready: pause only where the settings ask for it

An underpowered instance that could not keep up reported by itself that it was not ready.

Setting pauseWhenOverloaded, off by default, switches pauses on. Without it no timer runs and the judge never pauses. Ruled out: to remove the package, as a deployment may want to try it.

go test ./ready: the case "not enabled" fails with 12 pauses without the check; go test ./ready ./platform pass. The other cases of the tests of package ready now enable pauses, their bounds are as they were.

--- a/node/readiness.go
+++ b/node/readiness.go
@@ -17,9 +17,12 @@
 )
 
 // newReadyJudge returns the judge of whether this instance keeps up. It observes the delays of
-// a timer while the process runs.
+// a timer while the process runs, if the settings ask for pauses.
 func newReadyJudge(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, client *coord.Client, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) *ready.Judge {
-	judge := ready.NewJudge(ready.JudgeConfig{Instance: host.Instance, Cores: host.Cores, StartedAt: clock.Now()})
+	judge := ready.NewJudge(ready.JudgeConfig{Enabled: host.PauseWhenOverloaded, Instance: host.Instance, Cores: host.Cores, StartedAt: clock.Now()})
+	if !host.PauseWhenOverloaded {
+		return judge
+	}
 	pauses := metrics.GetOrRegisterCounter("ready.pauses", registry)
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
--- a/ready/judge.go
+++ b/ready/judge.go
@@ -44,6 +44,8 @@
 
 // JudgeConfig configures a [Judge].
 type JudgeConfig struct {
+	// Enabled reports whether the deployment asks for pauses. Otherwise there are none.
+	Enabled bool
 	// Instance is the name of the instance, which selects its slot.
 	Instance string
 	// Cores is the instance's share of a core; zero means unknown.
@@ -103,7 +105,7 @@
 	if late >= lateDelay {
 		judge.delays = append(judge.delays, delay{at: now, length: min(late, maxDelay)})
 	}
-	if !tick.Busy || tick.Entries < minEntries || !judge.weak() || !judge.mayPause(tick) || !judge.late() {
+	if !judge.config.Enabled || !tick.Busy || tick.Entries < minEntries || !judge.weak() || !judge.mayPause(tick) || !judge.late() {
 		return false
 	}
 	judge.pausedAt, judge.delays = now, nil
--- a/ready/judge_test.go
+++ b/ready/judge_test.go
@@ -46,6 +46,7 @@
 	}
 	cases := []struct {
 		name    string
+		off     bool
 		cores   float64
 		entries int
 		busy    bool
@@ -53,6 +54,7 @@
 		pauses  bool
 	}{
 		{name: "weak and overloaded", cores: 0.109, entries: 24, busy: true, gap: always(600 * time.Millisecond), pauses: true},
+		{name: "not enabled", off: true, cores: 0.109, entries: 24, busy: true, gap: always(600 * time.Millisecond)},
 		{name: "weak, keeps up", cores: 0.109, entries: 24, busy: true, gap: always(190 * time.Millisecond)},
 		{name: "strong", cores: 0.3, entries: 24, busy: true, gap: always(600 * time.Millisecond)},
 		{name: "of unknown strength", entries: 24, busy: true, gap: always(600 * time.Millisecond)},
@@ -68,7 +70,7 @@
 	}
 	for _, each := range cases {
 		g := NewWithT(t)
-		judge := ready.NewJudge(ready.JudgeConfig{Instance: "edge-1", Cores: each.cores, StartedAt: start})
+		judge := ready.NewJudge(ready.JudgeConfig{Enabled: !each.off, Instance: "edge-1", Cores: each.cores, StartedAt: start})
 		pauses, unready := observe(judge, long, ready.Tick{Entries: each.entries, Busy: each.busy}, each.gap)
 		g.Expect(pauses > 0).To(Equal(each.pauses), "%s: %d pauses", each.name, pauses)
 		g.Expect(unready).To(BeNumerically("<", 1.0/12), "%s: an eighth is not allowed", each.name)
@@ -83,7 +85,7 @@
 		zones := [3]int{}
 		judges := make([]*ready.Judge, entries)
 		for index := range judges {
-			judges[index] = ready.NewJudge(ready.JudgeConfig{Instance: fmt.Sprintf("edge-%d", index), Cores: 0.109, StartedAt: start})
+			judges[index] = ready.NewJudge(ready.JudgeConfig{Enabled: true, Instance: fmt.Sprintf("edge-%d", index), Cores: 0.109, StartedAt: start})
 			zones[index%3]++
 		}
 		most := 0.0
@@ -109,7 +111,7 @@
 	g := NewWithT(t)
 	inSlot := 0
 	for second := range 48 {
-		judge := ready.NewJudge(ready.JudgeConfig{Instance: "edge-1", Cores: 0.109, StartedAt: start})
+		judge := ready.NewJudge(ready.JudgeConfig{Enabled: true, Instance: "edge-1", Cores: 0.109, StartedAt: start})
 		pauses, unready := observe(judge, 10*time.Minute, ready.Tick{Wall: start.Add(time.Duration(second) * time.Second), Entries: 24, Busy: true},
 			func(time.Time) time.Duration { return 600 * time.Millisecond })
 		if pauses > 0 {
--- a/setup/host.go
+++ b/setup/host.go
@@ -34,6 +34,9 @@
 	// bandwidth of the instance's network link. Zero means unknown.
 	Cores    float64
 	LinkMbps float64
+	// PauseWhenOverloaded has an instance with a small share of a core report that it is not
+	// ready, for some seconds, when it cannot keep up with its requests.
+	PauseWhenOverloaded bool
 	// Bounds are the deployment's limits, from which timeouts are derived.
 	Bounds HostBounds
 }
