relay: read on while the first part of a large response goes to a slow caller

A response of more than 1 MiB is forwarded after its first MiB was read. That part was written to the caller before anything read the response ahead, so that the server waited for a slow caller and cut the response off.

The reader that reads ahead now begins before the first part is written. The tests' listener bounds what the kernel holds for a caller, as that of package node does; with some MB of it the fault did not show.

TestServersDoNotWaitForTheFirstPart: the response is cut off after 1 s without the change, complete with it. go test -race ./relay -run 'TestServersDoNotWaitFor|SlowCaller|Memory|TestSlowServer|Silent' passes (24 s).

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -54,7 +54,7 @@
 	exchange.body = nil
 	exchange.memory.Release(memory.Body, exchange.memory.Held(memory.Body), exchange.now())
 	exchange.writer.WriteHeader(response.Status)
-	exchange.recordDone(response.Status, exchange.writePieces(body))
+	exchange.recordDone(response.Status, exchange.writePieces(exchange.newCallerWriter(nil), body))
 	return true
 }
 
@@ -91,8 +91,7 @@
 }
 
 // writePieces writes a part of the response to the caller and returns its length.
-func (exchange *exchange) writePieces(pieces memory.Pieces) int64 {
-	writer := exchange.newCallerWriter(nil)
+func (exchange *exchange) writePieces(writer io.Writer, pieces memory.Pieces) int64 {
 	for _, piece := range pieces {
 		if _, err := writer.Write(piece); err != nil {
 			exchange.abortLeft()
@@ -111,13 +110,16 @@
 }
 
 // forwardLarge forwards a response that is too large to buffer, beginning with what has
-// been read.
+// been read. A caller that takes that slowly does not keep its server waiting.
 func (exchange *exchange) forwardLarge(response *responseReader, read memory.Pieces) {
 	exchange.writer.WriteHeader(response.Status)
-	written := exchange.writePieces(read)
+	reader := exchange.newAheadReader(response)
+	defer reader.stop()
+	writer := exchange.newCallerWriter(reader.start)
+	written := exchange.writePieces(writer, read)
 	clear(read)
 	exchange.releaseResponse()
-	copied, err := exchange.copyLarge(response)
+	copied, err := io.Copy(writer, reader)
 	if err != nil {
 		exchange.abort(err)
 	}
@@ -125,13 +127,6 @@
 	exchange.recordDone(response.Status, written+copied)
 }
 
-// copyLarge forwards the rest of a response and returns its length.
-func (exchange *exchange) copyLarge(response *responseReader) (int64, error) {
-	reader := exchange.newAheadReader(response)
-	defer reader.stop()
-	return io.Copy(exchange.newCallerWriter(reader.start), reader)
-}
-
 // abort records why a response that has begun can't be completed, and ends it so that it
 // does not look complete. It panics with [http.ErrAbortHandler].
 func (exchange *exchange) abort(cause error) {
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -211,12 +211,26 @@
 	handler := relay.New(config)
 	handler.SetPolicy(newSnapshot(&policy.Account{Name: "crew", Keys: []string{"secret"}}, routes...))
 	front := httptest.NewUnstartedServer(handler)
+	front.Listener = boundedListener{Listener: front.Listener}
 	front.Config.ConnContext = reply.ConnContext
 	front.Start()
 	t.Cleanup(front.Close)
 	return &fixture{t: t, relay: handler, pool: servers, trunk: connections, coordinator: coordinator, front: front, logs: hook, crashes: crashes}
 }
 
+// boundedListener bounds what the kernel holds for a caller that does not read, as
+// trunk.LimitUnsent does in package node, on all kernels.
+type boundedListener struct{ net.Listener }
+
+// Accept implements [net.Listener].
+func (boundedListener boundedListener) Accept() (net.Conn, error) {
+	conn, err := boundedListener.Listener.Accept()
+	if buffered, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok && err == nil {
+		err = buffered.SetWriteBuffer(128 << 10)
+	}
+	return conn, err
+}
+
 // newSnapshot returns the policy of a fixture with one account.
 func newSnapshot(account *policy.Account, routes ...*policy.Route) *policy.Snapshot {
 	engine := &policy.Engine{Slots: 4, Models: map[names.Model]policy.Model{"notes": {Name: "notes"}}}
--- a/relay/slowcaller_test.go
+++ b/relay/slowcaller_test.go
@@ -80,6 +80,33 @@
 	}
 }
 
+// TestServersDoNotWaitForTheFirstPart guards against servers that wait while the part of a large
+// response that was read before any of it was forwarded goes to a slow caller.
+func TestServersDoNotWaitForTheFirstPart(t *testing.T) {
+	g := NewWithT(t)
+	budget := memory.NewBudget(256 << 20)
+	draft := route("draft", policy.KindSafe, "desk")
+	draft.Timeout, draft.Objective = 20*time.Second, 10*time.Second
+	fixture := newMemoryFixture(t, budget, draft)
+	var cut, ended atomic.Int64
+	send := flood(16<<20, time.Second, &cut)
+	fixture.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+		send(writer, request)
+		ended.Add(1)
+	})
+	conn := fixture.beginSlowly("/draft/1", 32<<10)
+	// The kernel takes less than what is read before any of it is forwarded.
+	g.Eventually(func() int64 { return ended.Load() + cut.Load() }).WithTimeout(10 * time.Second).Should(Equal(int64(1)))
+	g.Expect(cut.Load()).To(BeZero())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	read, err := io.Copy(io.Discard, response.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(BeNumerically(">=", 16<<20))
+	g.Eventually(func() int64 { return budget.Held(memory.Stream) + budget.Held(memory.Response) }).Should(BeZero())
+}
+
 // TestManySlowCallersDoNotKeepOthersOut guards against callers that request responses and read
 // nothing until the memory is exhausted: the slowest are ended, and others are served.
 func TestManySlowCallersDoNotKeepOthersOut(t *testing.T) {
