sched: check the figures of entries and callers, refuse before deadlines, explain what is decided

- A negative number of requests in a report, cut off at zero, left an engine with requests that nobody runs, for good.
Implausible numbers count as zero and are counted as invalid.
- A prompt of 2^30 tokens reserved an engine for hours.
- A slowdown of the future kept all later ones of its engine out; one of next to nothing drew all requests there.
Implausible ones that come with a call are now counted with the next report.
- A request whose deadline comes before its objective waited until the deadline, or was placed after it.
It now waits for a part of that time and is refused when it cannot be sent in time.
- Explain did not put failing engines last, as Place does.
Both use one order.
- The first parts of a prompt were dropped before the later ones, which are of no use without them.
A negative cache size panicked.

--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
@@ -38,8 +40,6 @@
 	// long stream on a slow engine takes a slot for longer, and every second of it is
 	// another chance of a pause.
 	streamCost = 0.1
-	// defaultEventTokens is assumed where the policy states no number.
-	defaultEventTokens = 6
 )
 
 // Estimate is what it costs to run a request on an engine, in milliseconds.
@@ -81,6 +81,20 @@
 	startAt  time.Time
 	first    time.Duration
 	missing  bool
+	// failing reports whether the engine is avoided if there is another.
+	failing bool
+}
+
+// compare orders candidates, the best first.
+func (candidate *candidate) compare(other *candidate) int {
+	switch {
+	case candidate.failing == other.failing:
+		return cmp.Compare(candidate.estimate.Total(), other.estimate.Total())
+	case candidate.failing:
+		return 1
+	default:
+		return -1
+	}
 }
 
 // estimate returns the estimate for a request on an engine.
@@ -118,17 +132,18 @@
 	if eventTime+estimate.Backlog+estimate.Prompt > pauseThreshold*gap {
 		estimate.Pause = pauseCost + streamPauseCost*running
 	}
+	result.failing = now.Before(state.failingUntil) || slices.Contains(request.Failing, state.engine.Server.ID)
 	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*pace*slowdown)
 	return result
 }
 
 // reserve books the prompt on the engine.
-func (scheduler *Scheduler) reserve(candidate *candidate, request *Request) {
+func (scheduler *Scheduler) reserve(candidate *candidate, request *Request, now time.Time) {
 	state := candidate.state
 	if state.readyAt.Before(candidate.startAt) {
 		state.readyAt = candidate.startAt
 	}
-	state.readyAt = state.readyAt.Add(duration(candidate.unread / (candidate.readRate * intakeFraction)))
+	state.readyAt = earlier(state.readyAt.Add(duration(candidate.unread/(candidate.readRate*intakeFraction))), now.Add(maxReserved))
 	state.placements = append(state.placements, placement{instance: request.Instance, sentAt: candidate.startAt})
 	state.prompts.add(request, int64(cachedFraction*float64(scheduler.config.CacheTokens)))
 }
@@ -150,5 +165,7 @@
 	Server names.BackendServer
 	// Excluded is why the engine does not qualify; it is empty if it does.
 	Excluded string
+	// Failing reports whether the engine is avoided if there is another.
+	Failing  bool
 	Estimate Estimate
 }
--- a/sched/overdue.go
+++ b/sched/overdue.go
@@ -78,8 +78,14 @@
 func (scheduler *Scheduler) hold(request *Request, wait time.Duration, load float64, now time.Time) Decision {
 	state := scheduler.model(request.Model)
 	if request.Elapsed < state.holdLimit(request, now) && request.Left > 2*maxLater {
-		return scheduler.later(request, wait+2*minLater)
+		return scheduler.later(request, wait+2*minLater, load, now)
 	}
+	return scheduler.refuse(request, wait, load, now)
+}
+
+// refuse refuses a request and spreads the times at which callers return.
+func (scheduler *Scheduler) refuse(request *Request, wait time.Duration, load float64, now time.Time) Decision {
+	state := scheduler.model(request.Model)
 	state.overdueRefused.Add(1, now)
 	due := now.Add(max(wait, minReturn))
 	if state.nextReturn.After(due) {
--- a/sched/prompts.go
+++ b/sched/prompts.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/basilkeel/basilkeel/names"
 )
@@ -23,8 +24,9 @@
 // last, up to a number of tokens. Engines drop the least recently used ones, too.
 type promptCache struct {
 	entries map[promptKey]*list.Element
-	recent  *list.List
-	tokens  int64
+	// recent lists promptEntry values, the most recent one first.
+	recent *list.List
+	tokens int64
 }
 
 // cached returns how many of the first tokens of a prompt the engine keeps. A part is of
@@ -45,16 +47,17 @@
 	if cache.entries == nil {
 		cache.entries, cache.recent = map[promptKey]*list.Element{}, list.New()
 	}
-	for _, part := range request.Parts {
+	// The first part is the most recent one, as the others are of no use without it.
+	for _, part := range slices.Backward(request.Parts) {
 		key := promptKey{model: request.Model, adapter: request.Adapter, part: part.ID}
 		if element, found := cache.entries[key]; found {
 			cache.recent.MoveToFront(element)
 			continue
 		}
-		cache.entries[key] = cache.recent.PushFront(&promptEntry{key: key, tokens: part.Tokens})
+		cache.entries[key] = cache.recent.PushFront(promptEntry{key: key, tokens: part.Tokens})
 		cache.tokens += part.Tokens
 	}
-	for cache.tokens > maxTokens || cache.recent.Len() > maxCachedParts {
+	for cache.recent.Len() > 0 && (cache.tokens > maxTokens || cache.recent.Len() > maxCachedParts) {
 		cache.drop(cache.recent.Back())
 	}
 }
@@ -66,7 +69,7 @@
 	}
 	for element := cache.recent.Front(); element != nil; {
 		next := element.Next()
-		if !held(element.Value.(*promptEntry).key.model) {
+		if entry, valid := element.Value.(promptEntry); !valid || !held(entry.key.model) {
 			cache.drop(element)
 		}
 		element = next
@@ -74,7 +77,8 @@
 }
 
 func (cache *promptCache) drop(element *list.Element) {
-	entry := cache.recent.Remove(element).(*promptEntry)
-	cache.tokens -= entry.tokens
-	delete(cache.entries, entry.key)
+	if entry, valid := cache.recent.Remove(element).(promptEntry); valid {
+		cache.tokens -= entry.tokens
+		delete(cache.entries, entry.key)
+	}
 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -85,6 +85,8 @@
 	accounts  map[names.ClientAccount]*rate.Meter
 	failures  map[names.BackendServer]failure
 	models    map[names.Model]*modelState
+	// invalid counts the implausible measurements in requests since the last report.
+	invalid int
 }
 
 // entryReport is what an entry has last reported.
@@ -129,11 +131,13 @@
 		if !known || state.engine.Server.Incarnation != engine.Server.Incarnation || state.engine.Server.Address != engine.Server.Address {
 			state = &engineState{recent: speed{halfLife: recentHalfLife}, lasting: speed{halfLife: lastingHalfLife}}
 			for _, report := range scheduler.reports {
-				state.reported += report.loads[engine.Server.ID]
+				state.reported += plausibleLoad(report.loads, engine.Server.ID)
 			}
 		}
+		if !slices.Equal(state.engine.Models, engine.Models) {
+			state.prompts.retain(func(model names.Model) bool { return slices.Contains(engine.Models, model) })
+		}
 		state.engine = engine
-		state.prompts.retain(func(model names.Model) bool { return slices.Contains(engine.Models, model) })
 		scheduler.engines[engine.Server.ID] = state
 		scheduler.sorted = append(scheduler.sorted, state)
 	}
@@ -145,18 +149,25 @@
 func (scheduler *Scheduler) Report(instance names.Instance, loads map[names.BackendServer]int, uses []pool.EngineUse, now time.Time) int {
 	former := scheduler.reports[instance]
 	scheduler.reports[instance] = entryReport{at: now, loads: loads}
+	invalid := scheduler.invalid
+	scheduler.invalid = 0
 	for _, state := range scheduler.sorted {
-		state.reported = max(state.reported+loads[state.engine.Server.ID]-former.loads[state.engine.Server.ID], 0)
+		server := state.engine.Server.ID
+		load := plausibleLoad(loads, server)
+		if load != loads[server] {
+			invalid++
+		}
+		state.reported += load - plausibleLoad(former.loads, server)
 		state.dropReported(instance, now)
 	}
 	scheduler.expire(now)
-	invalid := scheduler.observe(uses)
+	invalid += scheduler.observe(uses, now)
 	for _, use := range uses {
 		state, known := scheduler.engines[use.Server]
 		if !known || state.engine.Server.Incarnation != use.Incarnation {
 			continue
 		}
-		if use.Events < 0 || !(use.EventMilliseconds >= 0) || use.EventMilliseconds > float64(use.Events)*maxEventMilliseconds {
+		if !plausibleEvents(&use) {
 			invalid++
 			continue
 		}
@@ -183,7 +194,7 @@
 			continue
 		}
 		for _, state := range scheduler.sorted {
-			state.reported = max(state.reported-report.loads[state.engine.Server.ID], 0)
+			state.reported -= plausibleLoad(report.loads, state.engine.Server.ID)
 		}
 		delete(scheduler.reports, instance)
 	}
@@ -206,7 +217,8 @@
 
 // Place decides about one attempt of a request.
 func (scheduler *Scheduler) Place(request Request, now time.Time) Decision {
-	scheduler.observe(request.Slowdowns)
+	scheduler.invalid += scheduler.observe(request.Slowdowns, now)
+	request = plausible(request, scheduler.config.CacheTokens)
 	scheduler.recordFailing(&request, now)
 	best, found, full := scheduler.best(&request, now)
 	switch {
@@ -219,21 +231,22 @@
 	}
 	load := float64(best.state.running()) / best.state.slots()
 	idle := best.estimate.Wait == 0 && best.estimate.Backlog <= idleBacklog
-	deferrable := request.Objective >= scheduler.config.DeferFrom
 	wait := duration(best.estimate.Wait)
 	switch {
-	case deferrable && request.Elapsed < time.Duration(deferUntil*float64(request.Objective)):
+	case wait >= request.Left:
+		return scheduler.refuse(&request, wait, load, now)
+	case scheduler.canWait(&request):
 		if !idle || load > deferLoad {
-			return scheduler.later(&request, wait+2*minLater)
+			return scheduler.later(&request, wait+2*minLater, load, now)
 		}
 	case request.Elapsed+wait+best.first > request.Objective:
 		if !idle || load > overdueLoad {
 			return scheduler.hold(&request, wait, load, now)
 		}
 	case wait > scheduler.horizon(&request, now):
-		return scheduler.later(&request, wait-scheduler.horizon(&request, now)/2)
+		return scheduler.later(&request, wait-scheduler.horizon(&request, now)/2, load, now)
 	}
-	scheduler.reserve(&best, &request)
+	scheduler.reserve(&best, &request, now)
 	scheduler.recordAccount(&request, now)
 	scheduler.recordPlaced(&request, now)
 	server := best.state.engine.Server
@@ -243,10 +256,20 @@
 	}
 }
 
+// canWait reports whether a request waits for others. One whose deadline comes before its
+// objective waits for a part of the time to its deadline.
+func (scheduler *Scheduler) canWait(request *Request) bool {
+	until := min(request.Objective, request.Elapsed+request.Left)
+	return request.Objective >= scheduler.config.DeferFrom && request.Elapsed < time.Duration(deferUntil*float64(until))
+}
+
 // later returns a decision to ask again after about wait. A request that has waited for long
-// asks less often.
-func (scheduler *Scheduler) later(request *Request, wait time.Duration) Later {
-	wait = min(max(wait, minLater, time.Duration(laterGrowth*float64(request.Elapsed))), maxLater)
+// asks less often. One that would ask at its deadline or later is refused.
+func (scheduler *Scheduler) later(request *Request, wait time.Duration, load float64, now time.Time) Decision {
+	if request.Left <= 2*minLater {
+		return scheduler.refuse(request, wait, load, now)
+	}
+	wait = min(max(wait, minLater, time.Duration(laterGrowth*float64(request.Elapsed))), maxLater, request.Left/2)
 	return Later{Wait: wait + time.Duration(0.25*scheduler.config.Random()*float64(wait))}
 }
 
@@ -312,7 +335,6 @@
 // best returns the candidate with the lowest cost. If none is found, full reports whether
 // an engine holds the model.
 func (scheduler *Scheduler) best(request *Request, now time.Time) (best candidate, found, full bool) {
-	bestFailing := false
 	for _, state := range scheduler.sorted {
 		switch scheduler.exclusion(state, request) {
 		case "":
@@ -322,10 +344,8 @@
 		default:
 			continue
 		}
-		failing := now.Before(state.failingUntil) || slices.Contains(request.Failing, state.engine.Server.ID)
-		current := scheduler.estimate(state, request, now)
-		if !found || (bestFailing && !failing) || (failing == bestFailing && current.estimate.Total() < best.estimate.Total()) {
-			best, bestFailing, found = current, failing, true
+		if current := scheduler.estimate(state, request, now); !found || current.compare(&best) < 0 {
+			best, found = current, true
 		}
 	}
 	return best, found, full
@@ -333,13 +353,20 @@
 
 // Explain returns all engines with their estimates, the best first. It reserves nothing.
 func (scheduler *Scheduler) Explain(request Request, now time.Time) []Candidate {
-	candidates := make([]Candidate, 0, len(scheduler.sorted))
+	request = plausible(request, scheduler.config.CacheTokens)
+	estimated := make([]candidate, 0, len(scheduler.sorted))
 	for _, state := range scheduler.sorted {
-		estimated := scheduler.estimate(state, &request, now)
-		candidates = append(candidates, Candidate{Server: state.engine.Server.ID, Excluded: scheduler.exclusion(state, &request), Estimate: estimated.estimate})
+		estimated = append(estimated, scheduler.estimate(state, &request, now))
 	}
-	slices.SortStableFunc(candidates, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(min(len(a.Excluded), 1), min(len(b.Excluded), 1)), cmp.Compare(a.Estimate.Total(), b.Estimate.Total()))
+	excluded := func(candidate *candidate) string { return scheduler.exclusion(candidate.state, &request) }
+	slices.SortStableFunc(estimated, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(min(len(excluded(&a)), 1), min(len(excluded(&b)), 1)), a.compare(&b))
 	})
+	candidates := make([]Candidate, 0, len(estimated))
+	for _, each := range estimated {
+		candidates = append(candidates, Candidate{
+			Server: each.state.engine.Server.ID, Excluded: excluded(&each), Failing: each.failing, Estimate: each.estimate,
+		})
+	}
 	return candidates
 }
--- a/sched/slowdown.go
+++ b/sched/slowdown.go
@@ -11,7 +11,8 @@
 	// slowdownLifetime is how long a stated slowdown counts, less with its age. Slowdowns
 	// last for a fraction of a second.
 	slowdownLifetime = 600 * time.Millisecond
-	// maxSlowdown bounds the slowdowns that are plausible.
+	// minSlowdown and maxSlowdown bound the slowdowns that are plausible.
+	minSlowdown = 0.1
 	maxSlowdown = 20.0
 	// slowdownSamples is the number of latest slowdowns from which the margin follows, and
 	// slowdownQuantile the quantile of them that the margin covers.
@@ -51,7 +52,7 @@
 
 // observe stores the slowdowns that an engine has stated, and returns the number of
 // implausible ones.
-func (scheduler *Scheduler) observe(uses []pool.EngineUse) int {
+func (scheduler *Scheduler) observe(uses []pool.EngineUse, now time.Time) int {
 	invalid := 0
 	for _, use := range uses {
 		state, known := scheduler.engines[use.Server]
@@ -59,7 +60,7 @@
 			continue
 		}
 		for _, slowdown := range use.Slowdowns {
-			if !(slowdown.Factor > 0) || slowdown.Factor > maxSlowdown {
+			if !plausibleSlowdown(slowdown, now) {
 				invalid++
 				continue
 			}
