sched: the window of unread prompts leaves room for those placed within one pause objective

Cause: counted in the logs, streams pause where more than 7,000 prompt tokens are placed on an engine within 200 ms (0.14 of them, 0.37 from 9,000 on, 0.00 to 0.01 below 5,000). The window and the rate of intake together allowed that.

--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -15,9 +15,11 @@
 	// of their events.
 	intakeFraction = 0.5
 	// windowFraction is the part of the pause objective that an event and the prompts that
-	// an engine has to read at a time may take together while the engine is slowed down. The
-	// rest is left for errors of the estimate and for the network.
-	windowFraction = 0.9
+	// an engine has to read at a time may take together. Within one such time as many
+	// tokens again as intakeFraction allows can be placed, and a tenth is left for errors.
+	windowFraction = 0.4
+	// slowedFraction is the part that they may take while the engine is slowed down.
+	slowedFraction = 0.9
 	// minWindow is the least number of prompt tokens that an engine may have to read at a
 	// time. A single prompt may have more.
 	minWindow = 400.0
@@ -109,7 +111,7 @@
 
 	gap := milliseconds(scheduler.config.GapObjective)
 	eventTime := scheduler.paces.eventTime(state) * slowdown
-	window := max((windowFraction*gap/scheduler.slowdowns.margin-eventTime)*readRate, minWindow)
+	window := max((min(windowFraction, slowedFraction/scheduler.slowdowns.margin)*gap-eventTime)*readRate, minWindow)
 	intakeRate := readRate * intakeFraction
 	result.startAt = now
 	if allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / intakeRate)); allowedAt.After(now) {
--- a/sched/slowdown.go
+++ b/sched/slowdown.go
@@ -18,8 +18,6 @@
 	// slowdownQuantile the quantile of them that the margin covers.
 	slowdownSamples  = 200
 	slowdownQuantile = 0.9
-	// minMargin is the least margin: deployments that state no slowdown have some, too.
-	minMargin = 1.5
 )
 
 // slowdowns keeps the latest slowdowns of all engines of a service.
@@ -32,7 +30,7 @@
 	since int
 }
 
-func newSlowdowns() *slowdowns { return &slowdowns{margin: minMargin} }
+func newSlowdowns() *slowdowns { return &slowdowns{margin: 1} }
 
 // add adds a slowdown.
 func (slowdowns *slowdowns) add(factor float64) {
@@ -47,7 +45,7 @@
 	}
 	slowdowns.since = 0
 	sorted := slices.Sorted(slices.Values(slowdowns.samples))
-	slowdowns.margin = max(sorted[int(slowdownQuantile*float64(len(sorted)-1))], minMargin)
+	slowdowns.margin = max(sorted[int(slowdownQuantile*float64(len(sorted)-1))], 1)
 }
 
 // observe stores the slowdowns that an engine has stated, and returns the number of
