--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -79,10 +79,12 @@
 	estimate Estimate
 	// readRate is the number of tokens that the engine reads in a millisecond.
 	readRate float64
-	unread   float64
-	startAt  time.Time
-	first    time.Duration
-	missing  bool
+	// intakeRate is the rate at which prompts may be placed on it.
+	intakeRate float64
+	unread     float64
+	startAt    time.Time
+	first      time.Duration
+	missing    bool
 	// failing reports whether the engine is avoided if there is another.
 	failing bool
 }
@@ -112,12 +114,12 @@
 	gap := milliseconds(scheduler.config.GapObjective)
 	eventTime := scheduler.paces.eventTime(state) * slowdown
 	window := max((min(windowFraction, slowedFraction/scheduler.slowdowns.margin)*gap-eventTime)*readRate, minWindow)
-	intakeRate := readRate * intakeFraction
+	result.intakeRate = readRate * intakeFraction
 	result.startAt = now
-	if allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / intakeRate)); allowedAt.After(now) {
+	if allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / result.intakeRate)); allowedAt.After(now) {
 		result.startAt = allowedAt
 	}
-	backlog := max(milliseconds(state.readyAt.Sub(result.startAt)), 0) * intakeRate
+	backlog := max(milliseconds(state.readyAt.Sub(result.startAt)), 0) * result.intakeRate
 
 	estimate.Wait = milliseconds(result.startAt.Sub(now))
 	estimate.Backlog = backlog / readRate
@@ -145,7 +147,7 @@
 	if state.readyAt.Before(candidate.startAt) {
 		state.readyAt = candidate.startAt
 	}
-	state.readyAt = earlier(state.readyAt.Add(duration(candidate.unread/(candidate.readRate*intakeFraction))), now.Add(maxReserved))
+	state.readyAt = earlier(state.readyAt.Add(duration(candidate.unread/candidate.intakeRate)), now.Add(maxReserved))
 	state.placements = append(state.placements, placement{instance: request.Instance, sentAt: candidate.startAt})
 	state.prompts.add(request, int64(cachedFraction*float64(scheduler.config.CacheTokens)))
 }
--- a/sched/overdue.go
+++ b/sched/overdue.go
@@ -34,6 +34,10 @@
 	overdueRefused *rate.Meter
 	// nextReturn is when the next refused caller should return.
 	nextReturn time.Time
+	// refusedAt is when a request was last refused for lack of room, and refusedPriority the
+	// highest priority of those refused within refusalSpan before.
+	refusedAt       time.Time
+	refusedPriority int
 }
 
 // model returns the state of a model.
@@ -87,6 +91,9 @@
 func (scheduler *Scheduler) refuse(request *Request, wait time.Duration, load float64, now time.Time) Decision {
 	state := scheduler.model(request.Model)
 	state.overdueRefused.Add(1, now)
+	if now.Sub(state.refusedAt) >= refusalSpan || request.Priority <= state.refusedPriority {
+		state.refusedAt, state.refusedPriority = now, request.Priority
+	}
 	due := now.Add(max(wait, minReturn))
 	if state.nextReturn.After(due) {
 		due = state.nextReturn
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -30,16 +30,17 @@
 	// bookingHorizon bounds the time for which an engine's intake is reserved ahead.
 	// Requests of higher priority that come later have to wait for what is reserved.
 	bookingHorizon = 120 * time.Millisecond
-	// lowestHorizon is the part of bookingHorizon for the lowest priority, overRateHorizon
-	// that for accounts that use more than their rate.
-	lowestHorizon   = 0.5
-	overRateHorizon = 0.5
+	// lowestHorizon is the part of bookingHorizon for the lowest priority.
+	lowestHorizon = 0.5
+	// refusalSpan is how long after a request was refused for lack of room requests of lower
+	// priority yield.
+	refusalSpan = time.Second
 	// deferUntil is the part of its objective for which a request that can wait for others
 	// does so.
-	deferUntil = 0.4
-	// deferLoad and overdueLoad are the loads of an engine up to which requests that wait for
-	// others are placed there: those with time left, and those that have missed
-	// their objective.
+	deferUntil = 0.3
+	// deferLoad and overdueLoad are the loads of an engine up to which requests are placed there
+	// that leave room for others: those with time left or of an account beyond its rate, and
+	// those that have missed their objective.
 	deferLoad   = 0.7
 	overdueLoad = 0.85
 	// idleBacklog is the wait for reading, in milliseconds, up to which an engine counts as having no
@@ -239,12 +240,18 @@
 		if !idle || load > deferLoad {
 			return scheduler.later(&request, wait+2*minLater, load, now)
 		}
+	case scheduler.yields(&request, now):
+		return scheduler.refuse(&request, wait, load, now)
+	case scheduler.exceedsRate(&request, now):
+		if !idle || load > deferLoad {
+			return scheduler.hold(&request, wait, load, now)
+		}
 	case request.Elapsed+wait+best.first > request.Objective:
 		if !idle || load > overdueLoad {
 			return scheduler.hold(&request, wait, load, now)
 		}
-	case wait > scheduler.horizon(&request, now):
-		return scheduler.later(&request, wait-scheduler.horizon(&request, now)/2, load, now)
+	case wait > scheduler.horizon(&request):
+		return scheduler.later(&request, wait-scheduler.horizon(&request)/2, load, now)
 	}
 	scheduler.reserve(&best, &request, now)
 	scheduler.recordAccount(&request, now)
@@ -274,20 +281,34 @@
 }
 
 // horizon returns for how long the request may reserve an engine ahead.
-func (scheduler *Scheduler) horizon(request *Request, now time.Time) time.Duration {
+func (scheduler *Scheduler) horizon(request *Request) time.Duration {
 	horizon := float64(bookingHorizon)
 	if others := len(scheduler.config.Priorities) - 1; others > 0 {
 		rank, _ := slices.BinarySearch(scheduler.config.Priorities, request.Priority)
 		horizon *= 1 - (1-lowestHorizon)*float64(min(rank, others))/float64(others)
 	}
-	if meter, known := scheduler.accounts[request.Account]; known {
-		if limit := scheduler.config.AccountRate(request.Account); limit > 0 && meter.PerSecond(now) > limit {
-			horizon *= overRateHorizon
-		}
-	}
 	return time.Duration(horizon)
 }
 
+// exceedsRate reports whether the request's account uses more than its rate, out of its
+// burst.
+func (scheduler *Scheduler) exceedsRate(request *Request, now time.Time) bool {
+	meter, known := scheduler.accounts[request.Account]
+	if !known {
+		return false
+	}
+	limit := scheduler.config.AccountRate(request.Account)
+	return limit > 0 && meter.PerSecond(now) > limit
+}
+
+// yields reports whether a request that could wait and is due has to be refused, as requests of
+// higher priority for the model are refused for lack of room.
+func (scheduler *Scheduler) yields(request *Request, now time.Time) bool {
+	state, known := scheduler.models[request.Model]
+	return known && request.Objective >= scheduler.config.DeferFrom && request.Elapsed < request.Objective &&
+		state.refusedPriority < request.Priority && now.Sub(state.refusedAt) < refusalSpan
+}
+
 // recordAccount adds the request to the use of its account.
 func (scheduler *Scheduler) recordAccount(request *Request, now time.Time) {
 	if request.Account == "" {
--- a/sched/scheduler_test.go
+++ b/sched/scheduler_test.go
@@ -210,7 +210,7 @@
 			scheduler.Report("edge-2", loads(each.running), nil, epoch)
 			for range each.reading {
 				before := request()
-				before.PromptTokens, before.Objective = 2500, 2*time.Second
+				before.PromptTokens, before.Objective = 6000, 2*time.Second
 				scheduler.Place(before, epoch)
 			}
 			asked := request()
