coord: bound what calls to Place carry, no request waits for a coordinator that has not answered one

- Times in messages overflowed: a slowdown of the distant past was one of the future.
- Each 250 ms requests waited 150 ms again for a frozen coordinator, until it counted as unreachable.
Now none asks it until it has answered a report.
Loans, permits and probes are as before.
- A model name that is not UTF-8 could not be encoded, and its entry took the coordinator for unresponsive, for loans and permits too.
- With an unknown processor limit (zero) nothing was scheduled; one core is assumed.
- Calls beyond the coordinator's limit counted towards it, so that above the limit no call was answered at all.
Only answered ones count.
- Schedulers of services that left the policy stayed.

--- a/coord/place.go
+++ b/coord/place.go
@@ -1,10 +1,13 @@
 package coord
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
@@ -23,6 +26,8 @@
 	// core that it may use. A call takes about 0.1 ms.
 	placeCallsPerCore  = 5000
 	placeCallsHalfLife = 500 * time.Millisecond
+	// unknownCores is assumed if the processor limit is unknown.
+	unknownCores = 1.0
 )
 
 // Place schedules one attempt of a request. It fails with a *[NotCoordinatingError].
@@ -36,11 +41,12 @@
 		return nil, err
 	}
 	scheduler := coordinator.scheduler(term, service, snapshot, now)
-	term.placeCalls.Add(1, now)
-	if scheduler == nil || term.placeCalls.PerSecond(now) > placeCallsPerCore*coordinator.config.Cores {
+	if scheduler == nil || term.placeCalls.PerSecond(now) > placeCallsPerCore*cmp.Or(coordinator.config.Cores, unknownCores) {
 		metrics.GetOrRegisterCounter("coord.place.unscheduled", coordinator.config.Metrics).Inc(1)
 		return sched.Unscheduled{}, nil
 	}
+	// Only the calls that are answered count: those beyond must not keep others from it.
+	term.placeCalls.Add(1, now)
 	decision := scheduler.Place(request, now)
 	metrics.GetOrRegisterCounter("coord.place."+outcomeOf(decision), coordinator.config.Metrics).Inc(1)
 	return decision, nil
@@ -78,11 +84,11 @@
 		return
 	}
 	term.enginesReadAt = now
+	maps.DeleteFunc(term.schedulers, func(service names.Service, _ *sched.Scheduler) bool { return snapshot.Scheduling(service) == nil })
 	var servers []*pool.Server
 	for _, service := range snapshot.Services() {
 		scheduling := snapshot.Scheduling(service.Name)
 		if scheduling == nil {
-			delete(term.schedulers, service.Name)
 			continue
 		}
 		if servers == nil {
@@ -154,8 +160,23 @@
 	}
 }
 
-// Place implements [relay.Coordinator].
+// checkScheduling fails with a *[NoAnswerError] if a request has not been answered and no report
+// was answered since. Reports are sent without requests that wait for them.
+func (client *Client) checkScheduling() error {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if !client.unansweredAt.After(client.answeredAt) {
+		return nil
+	}
+	return &NoAnswerError{Since: client.config.Clock.Now().Sub(client.unansweredAt)}
+}
+
+// Place implements [relay.Coordinator]. A name that comes from the caller and is not UTF-8 text
+// is that of no model, and no call could be encoded with it.
 func (client *Client) Place(ctx context.Context, service names.Service, request sched.Request) (sched.Decision, error) {
+	if !utf8.ValidString(string(request.Model)) || !utf8.ValidString(string(request.Adapter)) {
+		return sched.Unscheduled{}, nil
+	}
 	request.Instance, request.Slowdowns = client.config.Instance, client.config.Pool.TakeSlowdowns()
 	conn, self, err := client.coordinatorConn()
 	if err != nil {
@@ -164,7 +185,7 @@
 	if self {
 		return client.config.Coordinator.Place(service, request)
 	}
-	if err := client.checkResponsive(); err != nil {
+	if err := client.checkScheduling(); err != nil {
 		return nil, err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
@@ -241,12 +262,12 @@
 
 // decodePlaceReply fails with an *[OutcomeError].
 func decodePlaceReply(reply *wire.CoordPlaceReply) (sched.Decision, error) {
-	wait := time.Duration(max(reply.GetWaitMilliseconds(), 0)) * time.Millisecond
+	wait := boundedTime(reply.GetWaitMilliseconds())
 	switch reply.GetOutcome() {
 	case outcomePlaced:
 		return sched.Placed{
 			Server: names.BackendServer(reply.GetServer()), Incarnation: reply.GetBorn(), Wait: wait, AdapterMissing: reply.GetAdapterMissing(),
-			Load: reply.GetLoad(), First: time.Duration(reply.GetFirstMilliseconds()) * time.Millisecond,
+			Load: reply.GetLoad(), First: boundedTime(reply.GetFirstMilliseconds()),
 			UnreadTokens: int64(reply.GetUnreadTokens()), Idle: reply.GetIdle(),
 		}, nil
 	case outcomeLater:
@@ -267,29 +288,48 @@
 func encodePlaceRequest(service names.Service, request sched.Request, now time.Time) *wire.CoordPlaceRequest {
 	message := &wire.CoordPlaceRequest{
 		Instance: string(request.Instance), Service: string(service), Model: string(request.Model), Adapter: string(request.Adapter),
-		PromptTokens: int32(min(request.PromptTokens, maxPromptTokens)), Tokens: request.Tokens,
+		PromptTokens: boundedTokens(request.PromptTokens), Tokens: request.Tokens,
 		ElapsedMilliseconds: request.Elapsed.Milliseconds(), ObjectiveMilliseconds: request.Objective.Milliseconds(),
 		LeftMilliseconds: request.Left.Milliseconds(), Priority: int32(request.Priority), Account: string(request.Account),
-		OutputTokens: int32(min(request.OutputTokens, maxPromptTokens)), Slowdowns: encodeUses(request.Slowdowns, now),
+		OutputTokens: boundedTokens(request.OutputTokens), Slowdowns: encodeUses(request.Slowdowns, now),
 		Domain: string(request.Domain), Excluded: encodeServers(request.Excluded), Failing: encodeServers(request.Failing),
 	}
 	for _, part := range request.Parts {
-		message.Parts = append(message.Parts, &wire.CoordPromptPart{Id: part.ID, Tokens: int32(min(part.Tokens, maxPromptTokens))})
+		message.Parts = append(message.Parts, &wire.CoordPromptPart{Id: part.ID, Tokens: boundedTokens(part.Tokens)})
 	}
 	return message
 }
 
-// maxPromptTokens bounds the tokens of a prompt in a call.
-const maxPromptTokens = 1 << 30
+const (
+	// maxPromptTokens bounds the tokens of a prompt in a message, maxTime the times.
+	maxPromptTokens = 1 << 30
+	maxTime         = time.Hour
+	// maxMeasurements bounds the measurements of a kind that count for an engine in a message.
+	// An entry sends at most eight.
+	maxMeasurements = 16
+)
+
+// boundedTokens returns a number of tokens as it is sent.
+func boundedTokens(tokens int64) int32 { return int32(min(max(tokens, 0), maxPromptTokens)) }
+
+// boundedTime returns a time from a message, which cannot overflow.
+func boundedTime(milliseconds int64) time.Duration {
+	return time.Duration(min(max(milliseconds, 0), maxTime.Milliseconds())) * time.Millisecond
+}
+
+// firstMeasurements returns the measurements that count.
+func firstMeasurements[T any](measurements []T) []T {
+	return measurements[:min(len(measurements), maxMeasurements)]
+}
 
 func decodePlaceRequest(message *wire.CoordPlaceRequest, now time.Time) (names.Service, sched.Request) {
 	request := sched.Request{
 		Instance: names.Instance(message.GetInstance()), Model: names.Model(message.GetModel()), Adapter: names.Adapter(message.GetAdapter()),
 		PromptTokens: int64(max(message.GetPromptTokens(), 0)), Tokens: max(message.GetTokens(), 0),
 		OutputTokens: int64(max(message.GetOutputTokens(), 0)), Slowdowns: decodeUses(message.GetSlowdowns(), now),
-		Elapsed:   time.Duration(message.GetElapsedMilliseconds()) * time.Millisecond,
-		Objective: time.Duration(message.GetObjectiveMilliseconds()) * time.Millisecond,
-		Left:      time.Duration(message.GetLeftMilliseconds()) * time.Millisecond,
+		Elapsed:   boundedTime(message.GetElapsedMilliseconds()),
+		Objective: boundedTime(message.GetObjectiveMilliseconds()),
+		Left:      boundedTime(message.GetLeftMilliseconds()),
 		Priority:  int(message.GetPriority()), Account: names.ClientAccount(message.GetAccount()), Domain: names.FailureDomain(message.GetDomain()),
 		Excluded: decodeServers(message.GetExcluded()), Failing: decodeServers(message.GetFailing()),
 	}
@@ -333,7 +373,7 @@
 	for _, use := range uses {
 		message := &wire.CoordEngineUse{Server: string(use.Server), Born: use.Incarnation, Events: int32(use.Events), EventMilliseconds: use.EventMilliseconds}
 		for _, reading := range use.Readings {
-			message.Readings = append(message.Readings, &wire.CoordReading{Tokens: int32(min(reading.Tokens, maxPromptTokens)), Milliseconds: reading.Milliseconds})
+			message.Readings = append(message.Readings, &wire.CoordReading{Tokens: boundedTokens(reading.Tokens), Milliseconds: reading.Milliseconds})
 		}
 		for _, slowdown := range use.Slowdowns {
 			message.Slowdowns = append(message.Slowdowns, &wire.CoordSlowdown{Factor: slowdown.Factor, AgeMilliseconds: now.Sub(slowdown.At).Milliseconds()})
@@ -349,12 +389,11 @@
 		use := pool.EngineUse{
 			Server: names.BackendServer(message.GetServer()), Incarnation: message.GetBorn(), Events: int(message.GetEvents()), EventMilliseconds: message.GetEventMilliseconds(),
 		}
-		for _, reading := range message.GetReadings() {
+		for _, reading := range firstMeasurements(message.GetReadings()) {
 			use.Readings = append(use.Readings, pool.Reading{Tokens: int64(reading.GetTokens()), Milliseconds: reading.GetMilliseconds()})
 		}
-		for _, slowdown := range message.GetSlowdowns() {
-			age := time.Duration(max(slowdown.GetAgeMilliseconds(), 0)) * time.Millisecond
-			use.Slowdowns = append(use.Slowdowns, pool.Slowdown{At: now.Add(-age), Factor: slowdown.GetFactor()})
+		for _, slowdown := range firstMeasurements(message.GetSlowdowns()) {
+			use.Slowdowns = append(use.Slowdowns, pool.Slowdown{At: now.Add(-boundedTime(slowdown.GetAgeMilliseconds())), Factor: slowdown.GetFactor()})
 		}
 		uses = append(uses, use)
 	}
