relay: end calls to the coordinator that lead nowhere, refuse at once what cannot be sent in time

Tests with a coordinator that gives each answer, none, or one that cannot be used. Failing without the change: TestEnginesWithoutPermitsDoNotLoop (calls without a pause until the deadline if the coordinator offers an engine for which the entry has no permit), TestSchedulingDecisions/later_than_the_deadline and /placed_later_than_the_deadline (the request waited until its deadline and was refused only then).

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -80,6 +80,8 @@
 	// unscheduled is why the entry chose the last attempt's server itself although the
 	// requests of the service are scheduled.
 	unscheduled string
+	// permitFailures counts the chosen servers for which there was no permit.
+	permitFailures int
 	// waited is the time spent on selecting servers.
 	waited time.Duration
 	// cause is the error of the last failed step.
@@ -260,6 +262,7 @@
 		return false
 	}
 	first := exchange.server
+	exchange.scheduled = nil
 	exchange.recordResent()
 	if exchange.attempt(ctx, choice.Server) {
 		return true
--- a/relay/place.go
+++ b/relay/place.go
@@ -84,6 +84,7 @@
 		case pool.Chosen:
 			exchange.serverLoad = choice.Load
 			if !exchange.obtainPermit(ctx, choice) {
+				exchange.permitFailures++
 				continue
 			}
 			if exchange.ensureAdapter(ctx, choice) && exchange.relay.config.Pool.Usable(choice.Server, exchange.now()) {
@@ -97,11 +98,7 @@
 			}
 			continue
 		case pool.Full:
-			refusal.reason, refusal.retryAfter, refusal.leastLoad = ReasonServersFull, max(fullRetryAfter, choice.RetryAfter), choice.Load
-			if choice.RateLimited {
-				refusal.reason = ReasonRateLimited
-			}
-			return nil, refusal
+			return nil, refuseFull(choice)
 		case pool.NoServer:
 			return nil, refusal
 		case pool.NoCopy:
@@ -115,16 +112,36 @@
 				exchange.logWaiting()
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !exchange.waitForChange(ctx, changed) {
 			refusal.reason = ReasonTimeUp
 			return nil, refusal
-		case <-changed:
-		case <-exchange.relay.config.Clock.After(pollInterval):
 		}
 	}
 }
 
+// refuseFull returns the refusal of a request for which no server has room.
+func refuseFull(choice pool.Full) *refusal {
+	refusal := &refusal{
+		status: http.StatusServiceUnavailable, reason: ReasonServersFull, retryAfter: max(fullRetryAfter, choice.RetryAfter), leastLoad: choice.Load,
+	}
+	if choice.RateLimited {
+		refusal.reason = ReasonRateLimited
+	}
+	return refusal
+}
+
+// waitForChange waits until the pool has changed, at most for pollInterval. It returns false
+// if ctx ends before.
+func (exchange *exchange) waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-exchange.relay.config.Clock.After(pollInterval):
+	}
+	return true
+}
+
 // mayWait reports whether the request may wait for a model that no server holds.
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -18,8 +18,8 @@
 const (
 	// maxPlacements bounds the calls to the coordinator for one attempt.
 	maxPlacements = 64
-	// maxUnusable bounds the engines that the coordinator offers and the entry cannot use
-	// before the entry chooses by itself.
+	// maxUnusable bounds the engines that the coordinator offers and the entry cannot use or
+	// has no permits for before the entry chooses by itself.
 	maxUnusable = 3
 )
 
@@ -31,8 +31,11 @@
 	if exchange.relay.snapshot.Load().Scheduling(exchange.service) == nil {
 		return exchange.pick(), nil
 	}
-	if !exchange.relay.config.Coordinator.Reachable() {
+	switch {
+	case !exchange.relay.config.Coordinator.Reachable():
 		return exchange.pickUnscheduled("unreachable"), nil
+	case exchange.permitFailures > maxUnusable:
+		return exchange.pickUnscheduled("unusable"), nil
 	}
 	var unusable []names.BackendServer
 	for range maxPlacements {
@@ -89,11 +92,15 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonTimeUp, retryAfter: fullRetryAfter}
 }
 
-// wait waits for a time. It returns false if ctx ends before.
+// wait waits for a time. It returns false if ctx ends before, and at once if the deadline
+// comes before.
 func (exchange *exchange) wait(ctx context.Context, duration time.Duration) bool {
 	if duration <= 0 {
 		return ctx.Err() == nil
 	}
+	if !exchange.now().Add(duration).Before(exchange.deadline) {
+		return false
+	}
 	select {
 	case <-ctx.Done():
 		return false
