--- a/relay/place.go
+++ b/relay/place.go
@@ -111,12 +111,9 @@
 				exchange.logWaiting()
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !exchange.waitForChange(ctx, changed) {
 			refusal.reason = ReasonTimeUp
 			return nil, refusal
-		case <-changed:
-		case <-exchange.relay.config.Clock.After(pollInterval):
 		}
 	}
 }
@@ -128,6 +125,7 @@
 func (exchange *exchange) prepare(ctx context.Context, choice pool.Chosen) (server *pool.Server, rejected bool) {
 	exchange.serverLoad = choice.Load
 	if !exchange.obtainPermit(ctx, choice) {
+		exchange.permitFailures++
 		return nil, false
 	}
 	if exchange.ensureAdapter(ctx, choice) && exchange.relay.config.Pool.Usable(choice.Server, exchange.now()) {
@@ -145,6 +143,18 @@
 	}
 }
 
+// waitForChange waits until the pool has changed, at most for pollInterval. It returns false
+// if ctx ends before.
+func (exchange *exchange) waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-exchange.relay.config.Clock.After(pollInterval):
+	}
+	return true
+}
+
 // mayWait reports whether the request may wait for a model that no server holds.
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
