pool, relay: name only holders of the model to the coordinator, and use no reservation outside of a request's homes

And an engine outside that the coordinator offered all the same was withheld at the send, three times, after which the request was refused though an engine inside could have run it.

The exclusions are now those of holders of the model, and what the coordinator offers is checked against homes and tried engines before it is used; after three unusable offers the entry chooses itself, as before. Ruled out: homes in the call (wire and scheduler of another part change).

--- a/pool/homes_test.go
+++ b/pool/homes_test.go
@@ -8,6 +8,20 @@
 	"github.com/basilkeel/basilkeel/names"
 )
 
+// TestOnlyHoldersAreExcluded guards against calls to the coordinator that name each engine outside
+// of a request's homes, hundreds in a large fleet, although it offers none that lacks the model.
+func TestOnlyHoldersAreExcluded(t *testing.T) {
+	g := NewWithT(t)
+	pool := newPool(engine("e1", "m"), engine("e2", "other"), engine("e3", "m"))
+	confined := query
+	confined.Confined = true
+	excluded, _ := pool.Unusable(confined, epoch)
+	g.Expect(excluded).To(ConsistOf(names.BackendServer("e1"), names.BackendServer("e3")))
+	pool.RecordMissingModel("e3", "m", epoch)
+	excluded, _ = pool.Unusable(query, epoch)
+	g.Expect(excluded).To(ConsistOf(names.BackendServer("e3")), "one that has denied to hold the model")
+}
+
 // TestConfinedQueriesGetServersOfTheirDomains guards against servers outside of a request's
 // homes, also when they are the only ones, and in what the coordinator is told.
 func TestConfinedQueriesGetServersOfTheirDomains(t *testing.T) {
--- a/pool/member.go
+++ b/pool/member.go
@@ -61,6 +61,11 @@
 	if until, found := member.missingModels[model]; found && now.Before(until) {
 		return false
 	}
+	return member.listsModel(model, now)
+}
+
+// listsModel reports whether the coordinator or the registry lists a model as held.
+func (member *member) listsModel(model names.Model, now time.Time) bool {
 	if member.holding != nil && now.Before(member.holdingUntil) {
 		return slices.Contains(member.holding.Models, model)
 	}
--- a/pool/use.go
+++ b/pool/use.go
@@ -118,8 +118,10 @@
 	return member.server, true
 }
 
-// Unusable returns the servers that a query must not get, and those that have failed
-// lately.
+// Unusable returns the servers with the model that a query must not get, and all those that
+// have failed lately. The coordinator offers no others, unless it knows of copies that this
+// instance does not know of; what it offers is checked. In a large fleet those that lack the
+// model would be most of what is sent.
 func (pool *Pool) Unusable(query Query, now time.Time) (excluded, failing []names.BackendServer) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -130,9 +132,13 @@
 		}
 		missingUntil, missing := member.missingModels[query.Model]
 		switch {
-		case !pool.accepting(member, now), !query.Permits(member.server), member.paused(now), slices.Contains(query.Tried, id),
-			restrictions[member.server.Identity()] == permit.RestrictionClosed, missing && now.Before(missingUntil):
+		case missing && now.Before(missingUntil):
 			excluded = append(excluded, id)
+		case !pool.accepting(member, now), !query.Permits(member.server), member.paused(now), slices.Contains(query.Tried, id),
+			restrictions[member.server.Identity()] == permit.RestrictionClosed:
+			if member.listsModel(query.Model, now) {
+				excluded = append(excluded, id)
+			}
 		case member.ejected(now), member.silent(now):
 			failing = append(failing, id)
 		}
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,7 +48,8 @@
 				return nil, timeUp()
 			}
 			server, usable := exchange.relay.config.Pool.UsableServer(decision.Server, decision.Incarnation, exchange.now())
-			if usable {
+			query := exchange.query()
+			if usable && query.Permits(server) && !slices.Contains(exchange.tried, server.ID) {
 				exchange.countScheduling("placed")
 				exchange.scheduled = &decision
 				return pool.Chosen{Server: server, Load: decision.Load, AdapterMissing: decision.AdapterMissing, Alternatives: 1}, nil
