crash: answers clear suspicions from the break on, confirmed or not

A suspicion of a request had the time of its confirmation (1.5 s after the break), an unconfirmed one the time at which it would count (2 s). Answers up to that time cleared nothing: a frequent request on three of many servers that ended together was quarantined at all entries although others had answered it meanwhile, and was then never answered again for 10 min. And a late copy of an unconfirmed suspicion counted after the confirmed one had been cleared, such as at a new coordinator.

Suspicions now have the time of the break, and an answer clears those that are not confirmed, too. A request that crashes every server is never answered, so that nothing is cleared for it. Ruled out: only to compare unconfirmed suspicions with the time of their confirmation, which ends the second fault alone.

--- a/crash/aggregator.go
+++ b/crash/aggregator.go
@@ -45,7 +45,7 @@
 			known.clearanceShared = false
 		}
 		// An entry that reports an outdated suspicion needs to know when it was cleared.
-		outdated := !suspicion.Cleared && !suspicion.Withdrawn && !suspicion.effectiveAt().After(known.clearedAt) && !known.clearanceShared
+		outdated := !suspicion.Cleared && !suspicion.Withdrawn && !suspicion.At.After(known.clearedAt) && !known.clearanceShared
 		switch {
 		case !added && !outdated:
 		case outdated, !known.shared && known.total() >= sharedThreshold:
@@ -91,7 +91,7 @@
 		return suspicion.Cleared || suspicion.Withdrawn || !aggregator.suspects.counts(suspicion)
 	})
 	for index := range suspicions {
-		suspicions[index].At, suspicions[index].CountsAt = suspicions[index].effectiveAt(), time.Time{}
+		suspicions[index].CountsAt = time.Time{}
 	}
 	slices.SortStableFunc(suspicions, func(a, b Suspicion) int {
 		return cmp.Or(cmp.Compare(aggregator.suspects.count(b.Subject()), aggregator.suspects.count(a.Subject())), b.At.Compare(a.At))
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -60,8 +60,8 @@
 	// settledAt is from when on it counts against a part, or zero if that is not set yet.
 	settledAt time.Time
 	// countsAt is when it counts, or began to count, without a confirmation, and zero if it
-	// is confirmed. brokenAt is when the subject was broken off in the former case.
-	countsAt, brokenAt time.Time
+	// is confirmed.
+	countsAt time.Time
 }
 
 func newSuspects(maxSubjects int) suspects {
@@ -107,12 +107,12 @@
 	former, counts := known.servers[suspicion.Server]
 	_, waits := known.unconfirmed[suspicion.Server]
 	switch {
-	case !suspicion.effectiveAt().After(known.clearedAt), unconfirmed && (counts || waits), counts && former.countsAt.IsZero():
+	case !suspicion.At.After(known.clearedAt), unconfirmed && (counts || waits), counts && former.countsAt.IsZero():
 		return false
 	case unconfirmed:
-		known.unconfirmed[suspicion.Server] = ending{at: suspicion.effectiveAt(), countsAt: suspicion.CountsAt, brokenAt: suspicion.At}
+		known.unconfirmed[suspicion.Server] = ending{at: suspicion.At, countsAt: suspicion.CountsAt}
 	case counts:
-		former.countsAt, former.brokenAt = time.Time{}, time.Time{}
+		former.countsAt = time.Time{}
 		known.servers[suspicion.Server] = former
 	default:
 		known.count(suspicion.Server, ending{at: suspicion.At})
@@ -245,11 +245,7 @@
 
 // suspicion returns the suspicion of the end of a server under a subject.
 func (ending ending) suspicion(subject Subject, server string) Suspicion {
-	suspicion := Suspicion{Fingerprint: subject.Fingerprint, Part: subject.Part, Server: server, At: ending.at, CountsAt: ending.countsAt}
-	if !ending.countsAt.IsZero() {
-		suspicion.At = ending.brokenAt
-	}
-	return suspicion
+	return Suspicion{Fingerprint: subject.Fingerprint, Part: subject.Part, Server: server, At: ending.at, CountsAt: ending.countsAt}
 }
 
 // takeCounted returns the unconfirmed suspicions that have begun to count since the last
--- a/crash/suspicion.go
+++ b/crash/suspicion.go
@@ -50,8 +50,9 @@
 	Part bool
 	// Server identifies an incarnation of a server. It is empty if Cleared is set.
 	Server string
-	// At is when the server was found to have ended, or when it answered, by this process's
-	// clock.
+	// At is when the server broke off the subject, or when it answered, by this process's
+	// clock. Every later answer clears the suspicion, also before it counts: a subject that
+	// crashes servers is never answered.
 	At      time.Time
 	Cleared bool
 	// CountsAt is when an unconfirmed suspicion counts unless it is confirmed or withdrawn
@@ -68,16 +69,6 @@
 	return Subject{Fingerprint: suspicion.Fingerprint, Part: suspicion.Part}
 }
 
-// effectiveAt returns the time after which an answer clears the suspicion. A request that
-// is answered elsewhere before its suspicion counts stays suspected, as it does when the
-// entry that found the server broken confirms it.
-func (suspicion Suspicion) effectiveAt() time.Time {
-	if suspicion.Part || suspicion.CountsAt.IsZero() {
-		return suspicion.At
-	}
-	return suspicion.CountsAt
-}
-
 // ServerName returns how suspicions identify an incarnation of a server.
 func ServerName(server names.BackendServer, incarnation int64) string {
 	return string(server) + "/" + strconv.FormatInt(incarnation, 10)
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -89,7 +89,7 @@
 
 // clearSuspect is clear for a subject that is suspected; it has no effect on others.
 func (tracker *Tracker) clearSuspect(subject Subject, at time.Time) {
-	if tracker.suspects.count(subject) > 0 || (subject.Part && tracker.suspects.total(subject) > 0) {
+	if tracker.suspects.total(subject) > 0 {
 		tracker.clear(subject, at)
 	}
 }
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -105,7 +105,7 @@
 	elapsed := relay.config.Clock.After(relay.config.CrashConfirmDelay)
 	var unconfirmed []crash.Suspicion
 	if !ended {
-		unconfirmed = suspect.suspicions(brokenAt, brokenAt)
+		unconfirmed = suspect.suspicions(brokenAt)
 		for index := range unconfirmed {
 			unconfirmed[index].CountsAt = brokenAt.Add(relay.config.CrashConfirmDelay + crash.UnconfirmedGrace)
 		}
@@ -195,15 +195,15 @@
 func (relay *Relay) confirmSuspect(suspect suspect, crashedAt time.Time) {
 	metrics.GetOrRegisterCounter("relay.crash.suspected", relay.config.Metrics).Inc(1)
 	event.RequestSuspected.Log(relay.config.Log, suspect.fields())
-	relay.addSuspicions(suspect.suspicions(relay.config.Clock.Now(), crashedAt))
+	relay.addSuspicions(suspect.suspicions(crashedAt))
 }
 
-// suspicions returns the suspicions of the request, found at a moment, and of the parts of its
-// prompt, whose server crashed at another.
-func (suspect suspect) suspicions(foundAt, crashedAt time.Time) []crash.Suspicion {
+// suspicions returns the suspicions of the request and of the parts of its prompt, whose server
+// crashed at a moment.
+func (suspect suspect) suspicions(crashedAt time.Time) []crash.Suspicion {
 	incarnation := crash.ServerName(suspect.server.ID, suspect.server.Incarnation)
 	suspicions := make([]crash.Suspicion, 0, 1+len(suspect.parts))
-	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: foundAt})
+	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: crashedAt})
 	for _, part := range suspect.parts {
 		suspicions = append(suspicions, crash.Suspicion{Fingerprint: part, Part: true, Server: incarnation, At: crashedAt})
 	}
--- a/relay/unconfirmed_test.go
+++ b/relay/unconfirmed_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/basilkeel/basilkeel/crash"
+	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 )
 
@@ -69,3 +70,32 @@
 	setReachable(true)
 	g.Expect(fixture.call(http.MethodPost, "/order/1", "deadly", nil).status).To(Equal(http.StatusOK))
 }
+
+// Guards against the quarantine of a frequent request that ran on three servers which ended
+// together: others have answered it since.
+func TestAnsweredRequestIsNotQuarantinedLater(t *testing.T) {
+	g := NewWithT(t)
+	look := route("look", policy.KindUnsafe, "desk")
+	fixture := newFixture(t, look)
+	for _, id := range []names.BackendServer{"desk-1", "desk-2", "desk-3"} {
+		fixture.server(id, "desk", func(writer http.ResponseWriter, _ *http.Request) { hijack(writer).Close() })
+		g.Expect(fixture.call(http.MethodPost, "/look/1", "sound", nil).status).To(Equal(http.StatusBadGateway))
+		fixture.pool.Remove(id, time.Now())
+	}
+	fixture.server("desk-4", "desk", func(http.ResponseWriter, *http.Request) {})
+	g.Expect(fixture.call(http.MethodPost, "/look/1", "sound", nil).status).To(Equal(http.StatusOK))
+	g.Eventually(func() int { return countEvents(fixture, "requestSuspected") }, 10*time.Second).Should(Equal(3))
+	fixture.crashes.Settle(time.Now().Add(time.Minute))
+	g.Expect(fixture.call(http.MethodPost, "/look/1", "sound", nil).status).To(Equal(http.StatusOK))
+}
+
+// countEvents returns how many events with a name were logged.
+func countEvents(fixture *fixture, name string) int {
+	count := 0
+	for _, entry := range fixture.logs.AllEntries() {
+		if entry.Message == name {
+			count++
+		}
+	}
+	return count
+}
