node: keep evacuations whose keys were lost while the service is away

An evacuation whose key was lost in a restoration of the service was kept for a minute, in which operators can write the key again. The minute also passed while the service did not answer, and requests reached the zone though nobody could have written the key.

The minute now begins anew when the service answers again. Ruled out: to keep such an evacuation until a key says otherwise, as the service has no event for the removal of a key that it does not know.

TestRetainedEvacuationsWaitForTheService fails without the change (false while the service is away). go test -race ./node passes.

--- a/node/evacuationhandler.go
+++ b/node/evacuationhandler.go
@@ -55,6 +55,8 @@
 	// loaded reports whether all keys have been read, and era is the latest era of a key.
 	loaded bool
 	era    store.Era
+	// lost reports whether the service does not answer, so that nobody can write a key.
+	lost bool
 }
 
 var _ mirror.Handler = (*evacuationHandler)(nil)
@@ -158,7 +160,9 @@
 		return
 	}
 	before := len(evacuationHandler.retained)
-	maps.DeleteFunc(evacuationHandler.retained, func(_ names.FailureDomain, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(evacuationHandler.retained, func(_ names.FailureDomain, until time.Time) bool {
+		return !evacuationHandler.lost && !now.Before(until)
+	})
 	if len(evacuationHandler.retained) < before {
 		evacuationHandler.apply(now)
 	}
@@ -215,10 +219,22 @@
 }
 
 // Lost implements [mirror.Handler]. The last known evacuations stay in force.
-func (*evacuationHandler) Lost(time.Time) {}
+func (evacuationHandler *evacuationHandler) Lost(time.Time) {
+	evacuationHandler.mutex.Lock()
+	defer evacuationHandler.mutex.Unlock()
+	evacuationHandler.lost = true
+}
 
-// Regained implements [mirror.Handler].
-func (*evacuationHandler) Regained(time.Time) {}
+// Regained implements [mirror.Handler]. The time to write lost keys again begins anew.
+func (evacuationHandler *evacuationHandler) Regained(time.Time) {
+	evacuationHandler.mutex.Lock()
+	defer evacuationHandler.mutex.Unlock()
+	evacuationHandler.lost = false
+	until := evacuationHandler.clock.Now().Add(evacuationRetention)
+	for domain := range evacuationHandler.retained {
+		evacuationHandler.retained[domain] = until
+	}
+}
 
 // evacuationReporter logs evacuations. It follows the registry's handler, as the registry
 // tells which names are those of failure domains.
--- a/node/evacuationhandler_test.go
+++ b/node/evacuationhandler_test.go
@@ -157,6 +157,28 @@
 	g.Expect(fixture.handler.pool.Evacuated("a")).To(BeFalse(), "the key was written and removed after the restoration")
 }
 
+// TestRetainedEvacuationsWaitForTheService guards against requests to an evacuated zone whose key
+// was lost in a restoration, as the time in which operators can write it again passes while the
+// service does not answer.
+func TestRetainedEvacuationsWaitForTheService(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newEvacuationFixture(t)
+	fixture.all.Replaced(fixture.entries(0, "a"))
+	fixture.all.Replaced(fixture.entries(1))
+	fixture.now.Advance(evacuationRetention / 2)
+	fixture.all.Lost(fixture.now.Now())
+	fixture.now.Advance(2 * evacuationRetention)
+	fixture.handler.expire(fixture.now.Now())
+	g.Expect(fixture.handler.pool.Evacuated("a")).To(BeTrue(), "the service is away")
+	fixture.all.Regained(fixture.now.Now())
+	fixture.now.Advance(evacuationRetention - time.Second)
+	fixture.handler.expire(fixture.now.Now())
+	g.Expect(fixture.handler.pool.Evacuated("a")).To(BeTrue(), "it has just come back")
+	fixture.now.Advance(time.Second)
+	fixture.handler.expire(fixture.now.Now())
+	g.Expect(fixture.handler.pool.Evacuated("a")).To(BeFalse())
+}
+
 // TestEvacuationsArriveByTheWatch guards against evacuation keys that the entry's mirror of
 // the service does not deliver.
 func TestEvacuationsArriveByTheWatch(t *testing.T) {
