relay: end callers that announce small bodies and send nothing

Only reads of bodies of more than 4 KiB were watched. Callers that announced bodies of one piece and sent nothing held 4 KiB each without any bound in time, and used up the budget for as long as they liked.

All reads of bodies are watched now if memory is bounded. Ruled out: to hold a small body only when it has arrived, as the piece it is read into exists before; a deadline of the connection, which net/http resets for the next request but which has no clock of this program.

TestSilentSendersOfSmallBodiesDoNotKeepOthersOut fails without the change (503 for 15 s). go test -race ./relay -run 'SilentSenders|Memory|Body|Bodies' passes.

--- a/relay/body.go
+++ b/relay/body.go
@@ -48,7 +48,7 @@
 	}
 	exchange.memoryWait = min(memory.MaxWait, time.Duration(memoryWaitRatio*float64(exchange.deadline.Sub(exchange.started))))
 	bounded := exchange.relay.config.Memory.Limit() > 0
-	if bounded && (length < 0 || length > memory.NextPieceBytes(0)) {
+	if bounded && length != 0 {
 		reader = exchange.newBodyReader(reader)
 	}
 	read := int64(0)
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -171,3 +171,24 @@
 	}).WithTimeout(15 * time.Second).Should(Equal(http.StatusOK))
 	g.Expect(seen.count()).To(Equal(1))
 }
+
+// TestSilentSendersOfSmallBodiesDoNotKeepOthersOut guards against callers that announce bodies of
+// one piece and send nothing, until no other body can be read.
+func TestSilentSendersOfSmallBodiesDoNotKeepOthersOut(t *testing.T) {
+	g := NewWithT(t)
+	const pieceBytes, senders = 4 << 10, 16
+	budget := memory.NewBudget(senders * pieceBytes)
+	order := route("order", policy.KindUnsafe, "desk")
+	order.Timeout = 20 * time.Second
+	fixture := newMemoryFixture(t, budget, order)
+	seen := fixture.server("desk-1", "desk", func(http.ResponseWriter, *http.Request) {})
+	for range senders {
+		_, err := fmt.Fprintf(fixture.dialFront(), "POST /order/1 HTTP/1.1\r\nHost: desk.example\r\nId: call-1\r\nKey: secret\r\nContent-Length: %d\r\n\r\n", pieceBytes)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(func() int64 { return budget.Held(memory.Body) }).Should(Equal(int64(senders * pieceBytes)))
+	g.Eventually(func() int {
+		return fixture.call(http.MethodPost, "/order/1", strings.Repeat("x", pieceBytes), nil).status
+	}).WithTimeout(15 * time.Second).Should(Equal(http.StatusOK))
+	g.Expect(seen.count()).To(Equal(1))
+}
