sched, coord: explain what Place would decide without reserving it

An explanation held the candidates only; whether a request would be placed, held or refused could not be asked without a reservation. Scheduler.Place is split: decide returns the decision and changes nothing, Place then reserves and records it, and Verdict returns it alone. Times at which refused callers return are computed by refuse and taken by recordRefused.

Coordinator.Explain returns both (its only test reads the candidates from the new structure), the call Place with `explain` answers with the outcome and the candidates, now with `failing`, and Client.Explain asks for them. It takes no slowdowns from the pool, as those would be lost to the next request.

Ruled out: to place on a copy of the scheduler. A copy of all engines and their prompts costs more than a call, and may differ.

--- a/coord/evacuate_test.go
+++ b/coord/evacuate_test.go
@@ -59,7 +59,7 @@
 		explained, err := coordinator.Explain("notes", request)
 		g.Expect(err).NotTo(HaveOccurred())
 		var ids []names.BackendServer
-		for _, candidate := range explained {
+		for _, candidate := range explained.Candidates {
 			ids = append(ids, candidate.Server)
 		}
 		return ids
--- a/coord/place.go
+++ b/coord/place.go
@@ -37,7 +37,7 @@
 	}
 	scheduler := coordinator.scheduler(term, service, snapshot, now)
 	term.placeCalls.Add(1, now)
-	if scheduler == nil || term.placeCalls.PerSecond(now) > placeCallsPerCore*coordinator.config.Cores {
+	if scheduler == nil || coordinator.overloaded(term, now) {
 		metrics.GetOrRegisterCounter("coord.place.unscheduled", coordinator.config.Metrics).Inc(1)
 		return sched.Unscheduled{}, nil
 	}
@@ -50,23 +50,33 @@
 	return decision, nil
 }
 
-// Explain returns the candidates for a request, the best first. It fails with a
-// *[NotCoordinatingError].
-func (coordinator *Coordinator) Explain(service names.Service, request sched.Request) ([]sched.Candidate, error) {
+// overloaded reports whether the coordinator is asked to schedule more requests than it can.
+// It is called with the coordinator's mutex held.
+func (coordinator *Coordinator) overloaded(term *term, now time.Time) bool {
+	return term.placeCalls.PerSecond(now) > placeCallsPerCore*coordinator.config.Cores
+}
+
+// Explain returns what [Coordinator.Place] would decide, and the candidates, the best first.
+// It reserves nothing. It fails with a *[NotCoordinatingError].
+func (coordinator *Coordinator) Explain(service names.Service, request sched.Request) (sched.Explanation, error) {
 	now := coordinator.config.Clock.Now()
 	snapshot := coordinator.config.Policy()
 	coordinator.mutex.Lock()
 	defer coordinator.mutex.Unlock()
 	term, err := coordinator.currentTerm(snapshot)
 	if err != nil {
-		return nil, err
+		return sched.Explanation{}, err
 	}
 	scheduler := coordinator.scheduler(term, service, snapshot, now)
 	if scheduler == nil {
-		return nil, nil
+		return sched.Explanation{Decision: sched.Unscheduled{}}, nil
 	}
 	request.Closed = append(request.Closed, term.coldRates.closed(service, request.Excluded, now)...)
-	return scheduler.Explain(request, now), nil
+	explanation := sched.Explanation{Decision: scheduler.Verdict(request, now), Candidates: scheduler.Explain(request, now)}
+	if coordinator.overloaded(term, now) {
+		explanation.Decision = sched.Unscheduled{}
+	}
+	return explanation, nil
 }
 
 // scheduler returns the scheduler of a service, or nil if its requests are not scheduled.
@@ -186,15 +196,46 @@
 	return decodePlaceReply(reply)
 }
 
+// Explain implements [relay.Coordinator]. Unlike Place, it reports no slowdowns, and a failed
+// call does not count as evidence that the coordinator is unresponsive.
+func (client *Client) Explain(ctx context.Context, service names.Service, request sched.Request) (sched.Explanation, error) {
+	request.Instance = client.config.Instance
+	conn, self, err := client.coordinatorConn()
+	if err != nil {
+		return sched.Explanation{}, err
+	}
+	if self {
+		return client.config.Coordinator.Explain(service, request)
+	}
+	if err := client.checkResponsive(); err != nil {
+		return sched.Explanation{}, err
+	}
+	message := encodePlaceRequest(service, request, client.config.Clock.Now())
+	message.Explain = true
+	callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	reply, err := wire.NewCoordinationClient(conn).Place(callCtx, message, grpc.WaitForReady(false))
+	if err != nil {
+		return sched.Explanation{}, err
+	}
+	decision, err := decodePlaceReply(reply)
+	if err != nil {
+		return sched.Explanation{}, err
+	}
+	return sched.Explanation{Decision: decision, Candidates: decodeCandidates(reply.GetCandidates())}, nil
+}
+
 // Place implements [wire.CoordinationServer].
 func (server *Server) Place(_ context.Context, message *wire.CoordPlaceRequest) (*wire.CoordPlaceReply, error) {
 	service, request := decodePlaceRequest(message, server.coordinator.config.Clock.Now())
 	if message.GetExplain() {
-		candidates, err := server.coordinator.Explain(service, request)
+		explanation, err := server.coordinator.Explain(service, request)
 		if err != nil {
 			return nil, encodeError(err)
 		}
-		return &wire.CoordPlaceReply{Candidates: encodeCandidates(candidates)}, nil
+		reply := encodeDecision(explanation.Decision)
+		reply.Candidates = encodeCandidates(explanation.Candidates)
+		return reply, nil
 	}
 	decision, err := server.coordinator.Place(service, request)
 	if err != nil {
@@ -331,12 +372,27 @@
 		encoded = append(encoded, &wire.CoordCandidate{
 			Server: string(candidate.Server), Excluded: candidate.Excluded, Wait: estimate.Wait, Backlog: estimate.Backlog, Prompt: estimate.Prompt,
 			Adapter: estimate.Adapter, Distance: estimate.Distance, Load: estimate.Load, Pause: estimate.Pause, Stream: estimate.Stream, Total: estimate.Total(),
-			CachedTokens: int32(estimate.CachedTokens), Pace: estimate.Pace,
+			CachedTokens: int32(estimate.CachedTokens), Pace: estimate.Pace, Failing: candidate.Failing,
 		})
 	}
 	return encoded
 }
 
+func decodeCandidates(encoded []*wire.CoordCandidate) []sched.Candidate {
+	candidates := make([]sched.Candidate, 0, len(encoded))
+	for _, message := range encoded {
+		candidates = append(candidates, sched.Candidate{
+			Server: names.BackendServer(message.GetServer()), Excluded: message.GetExcluded(), Failing: message.GetFailing(),
+			Estimate: sched.Estimate{
+				Wait: message.GetWait(), Backlog: message.GetBacklog(), Prompt: message.GetPrompt(), Adapter: message.GetAdapter(),
+				Distance: message.GetDistance(), Load: message.GetLoad(), Stream: message.GetStream(), Pause: message.GetPause(),
+				CachedTokens: int64(message.GetCachedTokens()), Pace: message.GetPace(),
+			},
+		})
+	}
+	return candidates
+}
+
 func encodeUses(uses []pool.EngineUse, now time.Time) []*wire.CoordEngineUse {
 	encoded := make([]*wire.CoordEngineUse, 0, len(uses))
 	for _, use := range uses {
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -169,3 +169,10 @@
 	Failing  bool
 	Estimate Estimate
 }
+
+// Explanation is what would be decided about a request, and what is taken into account.
+type Explanation struct {
+	Decision Decision
+	// Candidates are all engines of the service, the best first.
+	Candidates []Candidate
+}
--- a/sched/overdue.go
+++ b/sched/overdue.go
@@ -36,13 +36,18 @@
 	nextReturn time.Time
 }
 
-// model returns the state of a model.
+// model returns the state of a model, a new one if nothing has been recorded for it.
 func (scheduler *Scheduler) model(name names.Model) *modelState {
-	state, known := scheduler.models[name]
-	if !known {
-		state = &modelState{placed: rate.NewMeter(modelHalfLife), overduePlaced: rate.NewMeter(modelHalfLife), overdueRefused: rate.NewMeter(modelHalfLife)}
-		scheduler.models[name] = state
+	if state, known := scheduler.models[name]; known {
+		return state
 	}
+	return &modelState{placed: rate.NewMeter(modelHalfLife), overduePlaced: rate.NewMeter(modelHalfLife), overdueRefused: rate.NewMeter(modelHalfLife)}
+}
+
+// recordedModel returns the state of a model and keeps it.
+func (scheduler *Scheduler) recordedModel(name names.Model) *modelState {
+	state := scheduler.model(name)
+	scheduler.models[name] = state
 	return state
 }
 
@@ -51,7 +56,7 @@
 
 // recordPlaced records that a request was placed.
 func (scheduler *Scheduler) recordPlaced(request *Request, now time.Time) {
-	state := scheduler.model(request.Model)
+	state := scheduler.recordedModel(request.Model)
 	state.placed.Add(1, now)
 	if request.Elapsed > request.Objective {
 		state.overduePlaced.Add(1, now)
@@ -83,21 +88,27 @@
 	return scheduler.refuse(request, wait, load, now)
 }
 
-// refuse refuses a request and spreads the times at which callers return.
+// refuse returns the refusal of a request. The times at which callers return are spread, see
+// recordRefused.
 func (scheduler *Scheduler) refuse(request *Request, wait time.Duration, load float64, now time.Time) Decision {
 	state := scheduler.model(request.Model)
-	state.overdueRefused.Add(1, now)
 	due := now.Add(max(wait, minReturn))
 	if state.nextReturn.After(due) {
 		due = state.nextReturn
 	}
 	due = earlier(due, now.Add(maxReturn))
+	return Refused{RetryAfter: due.Sub(now), Load: load}
+}
+
+// recordRefused records a refusal and takes the time at which its caller returns.
+func (scheduler *Scheduler) recordRefused(request *Request, refused Refused, now time.Time) {
+	state := scheduler.recordedModel(request.Model)
+	state.overdueRefused.Add(1, now)
 	spacing := maxSpacing
 	if perSecond := state.placed.PerSecond(now); perSecond > 0 {
 		spacing = min(max(duration(1000/perSecond), minSpacing), maxSpacing)
 	}
-	state.nextReturn = due.Add(spacing)
-	return Refused{RetryAfter: due.Sub(now), Load: load}
+	state.nextReturn = now.Add(refused.RetryAfter + spacing)
 }
 
 // earlier returns the earlier of two times.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -220,40 +220,61 @@
 	scheduler.invalid += scheduler.observe(request.Slowdowns, now)
 	request = plausible(request, scheduler.config.CacheTokens)
 	scheduler.recordFailing(&request, now)
-	best, found, full := scheduler.best(&request, now)
+	decision, best := scheduler.decide(&request, now)
+	switch decision := decision.(type) {
+	case Placed:
+		scheduler.reserve(&best, &request, now)
+		scheduler.recordAccount(&request, now)
+		scheduler.recordPlaced(&request, now)
+	case Refused:
+		scheduler.recordRefused(&request, decision, now)
+	}
+	return decision
+}
+
+// Verdict returns what [Scheduler.Place] would decide about a request, except for the
+// random part of the time in a [Later]. It reserves and records nothing, and ignores the
+// request's slowdowns.
+func (scheduler *Scheduler) Verdict(request Request, now time.Time) Decision {
+	request = plausible(request, scheduler.config.CacheTokens)
+	decision, _ := scheduler.decide(&request, now)
+	return decision
+}
+
+// decide returns the decision about a request, and the best candidate if it is [Placed]. It
+// changes nothing.
+func (scheduler *Scheduler) decide(request *Request, now time.Time) (Decision, candidate) {
+	best, found, full := scheduler.best(request, now)
 	switch {
 	case len(scheduler.sorted) == 0:
-		return NoServer{}
+		return NoServer{}, best
 	case !found && !full:
-		return NoCopy{}
+		return NoCopy{}, best
 	case !found:
-		return scheduler.hold(&request, minLater, 1, now)
+		return scheduler.hold(request, minLater, 1, now), best
 	}
 	load := float64(best.state.running()) / best.state.slots()
 	idle := best.estimate.Wait == 0 && best.estimate.Backlog <= idleBacklog
 	wait := duration(best.estimate.Wait)
 	switch {
 	case wait >= request.Left:
-		return scheduler.refuse(&request, wait, load, now)
-	case scheduler.canWait(&request):
+		return scheduler.refuse(request, wait, load, now), best
+	case scheduler.canWait(request):
 		if !idle || load > deferLoad {
-			return scheduler.later(&request, wait+2*minLater, load, now)
+			return scheduler.later(request, wait+2*minLater, load, now), best
 		}
 	case request.Elapsed+wait+best.first > request.Objective:
 		if !idle || load > overdueLoad {
-			return scheduler.hold(&request, wait, load, now)
+			return scheduler.hold(request, wait, load, now), best
 		}
-	case wait > scheduler.horizon(&request, now):
-		return scheduler.later(&request, wait-scheduler.horizon(&request, now)/2, load, now)
+	case wait > scheduler.horizon(request, now):
+		return scheduler.later(request, wait-scheduler.horizon(request, now)/2, load, now), best
 	}
-	scheduler.reserve(&best, &request, now)
-	scheduler.recordAccount(&request, now)
-	scheduler.recordPlaced(&request, now)
 	server := best.state.engine.Server
 	return Placed{
 		Server: server.ID, Incarnation: server.Incarnation, Wait: wait, AdapterMissing: best.missing, Load: load,
 		First: best.first, UnreadTokens: int64(best.unread), Idle: idle,
-	}
+	}, best
 }
 
 // canWait reports whether a request waits for others. One whose deadline comes before its
