pool: explain what Pick chooses and why servers are excluded

Pick and the new Explain share the exclusions, the scores by part and the choice among candidates. Only the return time of callers whose servers have no permit differs: Explain uses Gate.NextReturn, which computes what Gate.Return hands out and leaves it to the next caller. Order and number of random draws in Pick are unchanged.

TestExclusions and TestExplainedChoiceIsThePick (go test ./pool) fail if Explain uses Gate.Return.

--- a/permit/gate.go
+++ b/permit/gate.go
@@ -306,6 +306,24 @@
 func (gate *Gate) Return(servers []Server, now time.Time) time.Duration {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
+	wait, first := gate.nextReturn(servers, now)
+	if first != nil {
+		first.nextReturn = now.Add(wait + first.closedFor)
+	}
+	return wait
+}
+
+// NextReturn returns what [Gate.Return] would return. The next caller is told the same time.
+func (gate *Gate) NextReturn(servers []Server, now time.Time) time.Duration {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	wait, _ := gate.nextReturn(servers, now)
+	return wait
+}
+
+// nextReturn returns when the next caller should return, and the server for whose permit it
+// does, or nil if there is none or the wait is the longest. The caller holds the mutex.
+func (gate *Gate) nextReturn(servers []Server, now time.Time) (time.Duration, *serverState) {
 	var first *serverState
 	for _, server := range servers {
 		if state, limited := gate.servers[server]; limited && (first == nil || state.returnTime().Before(first.returnTime())) {
@@ -313,14 +331,13 @@
 		}
 	}
 	if first == nil {
-		return 0
+		return 0, nil
 	}
 	due := first.returnTime()
 	if due.Sub(now) > maxWait {
-		return maxWait
+		return maxWait, nil
 	}
-	first.nextReturn = due.Add(first.closedFor)
-	return due.Sub(now)
+	return due.Sub(now), first
 }
 
 // returnTime returns when the next caller that is refused should return.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/basilkeel/basilkeel/permit"
@@ -13,11 +12,17 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	eligible := pool.candidates(query, now)
+	return pool.choose(&eligible, query, pool.config.Gate.Return, now)
+}
+
+// choose chooses among candidates. Next is used if all that are left are closed, see
+// [Pool.returnTime]. The caller holds the mutex.
+func (pool *Pool) choose(eligible *candidates, query Query, next func([]permit.Server, time.Time) time.Duration, now time.Time) Choice {
 	candidates := eligible.usable
 	if len(candidates) == 0 {
 		switch {
 		case eligible.pause > 0 || len(eligible.closed) > 0:
-			return Full{RetryAfter: pool.returnTime(eligible.pause, eligible.closed, now), RateLimited: len(eligible.closed) > 0}
+			return Full{RetryAfter: pool.returnTime(eligible.pause, eligible.closed, next, now), RateLimited: len(eligible.closed) > 0}
 		case eligible.listed:
 			return NoCopy{}
 		default:
@@ -25,7 +30,8 @@
 		}
 	}
 	ratio := pool.requestRatio()
-	best, _ := pool.best(candidates, query, ratio, now, func(*member) bool { return true })
+	score := func(member *member) Score { return pool.score(member, query, ratio, now) }
+	best, _ := eligible.best(score, func(*member) bool { return true })
 	maxLoad := float64(maxPlainLoad)
 	if query.Model != "" {
 		maxLoad = maxEngineLoad
@@ -33,8 +39,8 @@
 	chosen := Chosen{Alternatives: len(candidates) - 1, Yields: eligible.yields && len(candidates) > 1}
 	if query.Adapter != "" {
 		adapter := Adapter{Model: query.Model, Name: query.Adapter}
-		holder, holderScore := pool.best(candidates, query, ratio, now, func(member *member) bool { return member.hasAdapter(adapter, now) })
-		idle, idleScore := pool.best(candidates, query, ratio, now, func(member *member) bool { return !member.busy(now) })
+		holder, holderScore := eligible.best(score, func(member *member) bool { return member.hasAdapter(adapter, now) })
+		idle, idleScore := eligible.best(score, func(member *member) bool { return !member.busy(now) })
 		switch {
 		case holder != nil && holderScore <= idleScore+adapterSlack:
 			best = holder
@@ -64,6 +70,8 @@
 	closed []permit.Server
 	// listed reports whether any server of the service accepts requests at all.
 	listed bool
+	// record, unless it is nil, is called with each score that is compared.
+	record func(*member, Score)
 }
 
 // candidates returns the candidates for a query. The caller holds the mutex.
@@ -72,32 +80,25 @@
 	var reserved, ejected []*member
 	restrictions := pool.config.Gate.Restrictions(now)
 	for _, member := range pool.members {
-		if member.server.Service != query.Service || !pool.accepting(member, now) || !query.Permits(member.server) {
-			continue
-		}
-		result.listed = true
-		if slices.Contains(query.Tried, member.server.ID) {
+		if member.server.Service != query.Service {
 			continue
 		}
-		if query.Model != "" && !member.hasModel(query.Model, now) {
-			continue
-		}
-		if member.paused(now) {
+		exclusion := pool.exclusion(member, &query, restrictions, now)
+		result.listed = result.listed || exclusion.accepts()
+		switch exclusion {
+		case ExclusionPaused:
 			if left := member.pausedUntil.Sub(now); result.pause == 0 || left < result.pause {
 				result.pause = left
 			}
-			continue
-		}
-		restriction := restrictions[member.server.Identity()]
-		switch {
-		case restriction == permit.RestrictionClosed:
+		case ExclusionRateUsed:
 			result.closed = append(result.closed, member.server.Identity())
-		case member.ejected(now):
+		case ExclusionEjected:
 			ejected = append(ejected, member)
-		case restriction == permit.RestrictionYielding:
+		case ExclusionLastPermits:
 			reserved = append(reserved, member)
-		default:
+		case "":
 			result.usable = append(result.usable, member)
+		default:
 		}
 	}
 	result.yields = len(result.usable) > 0
@@ -110,17 +111,20 @@
 	return result
 }
 
-// best returns the eligible member with the lowest score, or nil.
-func (pool *Pool) best(candidates []*member, query Query, ratio float64, now time.Time, eligible func(*member) bool) (*member, float64) {
+// best returns the usable and eligible member with the lowest score, or nil.
+func (candidates *candidates) best(scoreOf func(*member) Score, eligible func(*member) bool) (*member, float64) {
 	var best *member
 	bestScore := math.Inf(1)
-	for _, member := range candidates {
+	for _, member := range candidates.usable {
 		if !eligible(member) {
 			continue
 		}
-		score := pool.score(member, query, ratio, now)
-		if score < bestScore {
-			best, bestScore = member, score
+		score := scoreOf(member)
+		if candidates.record != nil {
+			candidates.record(member, score)
+		}
+		if total := score.Total(); total < bestScore {
+			best, bestScore = member, total
 		}
 	}
 	return best, bestScore
@@ -129,19 +133,21 @@
 // score returns the load of a member plus penalties in the unit of loads; lower is
 // better. It estimates what other instances have sent from ratio, the number of all
 // instances' requests for each of this one's.
-func (pool *Pool) score(member *member, query Query, ratio float64, now time.Time) float64 {
+func (pool *Pool) score(member *member, query Query, ratio float64, now time.Time) Score {
 	unread := float64(member.unreadTokens) * ratio
 	unseen := unseenSpread * (1 - 1/ratio)
-	score := member.queryLoad(&query, now) +
-		float64(member.slowRequests)*slowPenalty +
-		max(member.errorRate-toleratedErrorRate, 0)*errorPenalty +
-		unread/promptChunkTokens*promptPenalty +
-		pool.config.Random()*(1/member.slots()+unseen)
+	score := Score{
+		Load:   member.queryLoad(&query, now),
+		Slow:   float64(member.slowRequests) * slowPenalty,
+		Errors: max(member.errorRate-toleratedErrorRate, 0) * errorPenalty,
+		Prompt: unread / promptChunkTokens * promptPenalty,
+		Random: pool.config.Random() * (1/member.slots() + unseen),
+	}
 	if member.silent(now) {
-		score += silentPenalty
+		score.Silent = silentPenalty
 	}
 	if member.server.Domain != query.Domain {
-		score += crossDomainPenalty
+		score.Distance = crossDomainPenalty
 	}
 	return score
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -225,8 +225,24 @@
 // accepting reports whether a server accepts new requests, as far as is known. The
 // caller holds the mutex.
 func (pool *Pool) accepting(member *member, now time.Time) bool {
-	return !member.server.Draining && !pool.gone(member, now) && !pool.departed(member.server.ID, member.server.Incarnation) &&
-		!pool.isEvacuated(member.server.Domain)
+	return pool.closure(member, now) == ""
+}
+
+// closure returns why a server accepts no new requests, or an empty exclusion. The caller
+// holds the mutex.
+func (pool *Pool) closure(member *member, now time.Time) Exclusion {
+	switch {
+	case member.server.Draining:
+		return ExclusionDraining
+	case pool.gone(member, now):
+		return ExclusionGone
+	case pool.departed(member.server.ID, member.server.Incarnation):
+		return ExclusionDeparted
+	case pool.isEvacuated(member.server.Domain):
+		return ExclusionEvacuated
+	default:
+		return ""
+	}
 }
 
 // Sweep drops servers that are idle and have been gone for longer than
--- a/pool/rate.go
+++ b/pool/rate.go
@@ -24,12 +24,13 @@
 
 // returnTime returns after how long a caller should return if only paused and closed
 // servers can run its request: the time until the first pause ends, zero if there is
-// none, or until a closed server has a permit for the caller. The caller holds the mutex.
-func (pool *Pool) returnTime(pause time.Duration, closed []permit.Server, now time.Time) time.Duration {
+// none, or until a closed server has a permit for the caller. Next is [permit.Gate.Return]
+// or [permit.Gate.NextReturn]. The caller holds the mutex.
+func (pool *Pool) returnTime(pause time.Duration, closed []permit.Server, next func([]permit.Server, time.Time) time.Duration, now time.Time) time.Duration {
 	if len(closed) == 0 {
 		return pause
 	}
-	wait := pool.config.Gate.Return(closed, now)
+	wait := next(closed, now)
 	if pause == 0 {
 		return wait
 	}
