--- a/policy/route.go
+++ b/policy/route.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
@@ -41,6 +42,11 @@
 	Homes []names.Region
 }
 
+// Sends reports whether some of the route's requests go to a service.
+func (route *Route) Sends(service names.Service) bool {
+	return slices.ContainsFunc(route.Targets, func(target Target) bool { return target.Service == service && target.Weight > 0 })
+}
+
 // Target returns the service for a request. The number draw selects it and is uniformly
 // distributed over [0, 1).
 func (route *Route) Target(draw float64) names.Service {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -82,6 +82,16 @@
 	return nil
 }
 
+// RouteTo returns the first route of the policy that sends requests to a service, or nil.
+func (snapshot *Snapshot) RouteTo(service names.Service) *Route {
+	for _, route := range snapshot.config.Routes {
+		if route.Sends(service) {
+			return route
+		}
+	}
+	return nil
+}
+
 // Service returns the service with a name, or nil.
 func (snapshot *Snapshot) Service(name names.Service) *Service { return snapshot.services[name] }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -84,6 +84,8 @@
 	waited time.Duration
 	// cause is the error of the last failed step.
 	cause error
+	// dry means that nothing may be sent, reserved or logged, see [Relay.Where].
+	dry bool
 	// stream is the stream whose header the caller has been sent; nil means none.
 	stream *stream
 	// firstByteAt is when the header of a stream was sent to the caller.
--- a/relay/homes.go
+++ b/relay/homes.go
@@ -41,6 +41,9 @@
 
 // logHomeFault logs a fault of the homes of the request's route and account once.
 func (exchange *exchange) logHomeFault(fault event.Event, homes []names.Region, region names.Region) {
+	if exchange.dry {
+		return
+	}
 	fields := logrus.Fields{"route": exchange.route.Name, "homes": joinRegions(homes), "policy": exchange.policyVersion}
 	if exchange.account != nil {
 		fields["account"] = string(exchange.account.Name)
@@ -117,6 +120,6 @@
 	}
 	query := exchange.query()
 	query.Confined = false
-	_, nowhere := exchange.relay.config.Pool.Pick(query, exchange.now()).(pool.NoCopy)
+	_, nowhere := exchange.pickFor(query).(pool.NoCopy)
 	return nowhere
 }
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -114,6 +114,11 @@
 	return sched.Unscheduled{}, nil
 }
 
+// Explain implements [relay.Coordinator].
+func (*fakeCoordinator) Explain(context.Context, names.Service, sched.Request) (sched.Explanation, error) {
+	return sched.Explanation{Decision: sched.Unscheduled{}}, nil
+}
+
 // AddWaiting implements [relay.Coordinator].
 func (fakeCoordinator *fakeCoordinator) AddWaiting(_ names.Service, model names.Model, delta int) {
 	fakeCoordinator.mutex.Lock()
--- a/relay/place.go
+++ b/relay/place.go
@@ -40,7 +40,16 @@
 
 // pick returns the pool's choice of a server that the request has not tried.
 func (exchange *exchange) pick() pool.Choice {
-	return exchange.relay.config.Pool.Pick(exchange.query(), exchange.now())
+	return exchange.pickFor(exchange.query())
+}
+
+// pickFor returns the pool's choice for a query.
+func (exchange *exchange) pickFor(query pool.Query) pool.Choice {
+	if exchange.dry {
+		choice, _ := exchange.relay.config.Pool.Explain(query, exchange.now())
+		return choice
+	}
+	return exchange.relay.config.Pool.Pick(query, exchange.now())
 }
 
 // query describes the request to the pool.
@@ -95,13 +104,10 @@
 				return nil, refusal
 			}
 			continue
-		case pool.Full:
-			refusal.setFull(choice)
-			return nil, refusal
-		case pool.NoServer:
-			return nil, refusal
+		case pool.Full, pool.NoServer:
+			return nil, refusalFor(choice)
 		case pool.NoCopy:
-			refusal.reason = ReasonModelNotLoaded
+			refusal = refusalFor(choice)
 			if exchange.info.Model == "" || !exchange.mayWait(began) {
 				return nil, refusal
 			}
@@ -137,6 +143,19 @@
 	return nil, true
 }
 
+// refusalFor returns the refusal of a request after a choice of no server.
+func refusalFor(choice pool.Choice) *refusal {
+	refusal := &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoServer, retryAfter: loadRetryAfter}
+	switch choice := choice.(type) {
+	case pool.Full:
+		refusal.setFull(choice)
+	case pool.NoCopy:
+		refusal.reason = ReasonModelNotLoaded
+	default:
+	}
+	return refusal
+}
+
 // setFull makes this the refusal of a request whose servers are all full or closed.
 func (refusal *refusal) setFull(choice pool.Full) {
 	refusal.reason, refusal.retryAfter, refusal.leastLoad = ReasonServersFull, max(fullRetryAfter, choice.RetryAfter), choice.Load
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -50,6 +50,8 @@
 	Reachable() bool
 	// Place schedules one attempt of a request on an engine of a service.
 	Place(ctx context.Context, service names.Service, request sched.Request) (sched.Decision, error)
+	// Explain returns what Place would decide. It reserves nothing.
+	Explain(ctx context.Context, service names.Service, request sched.Request) (sched.Explanation, error)
 }
 
 // Config holds the settings and dependencies of a [Relay].
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -28,18 +28,18 @@
 // request may be sent. Without an answer from the coordinator the entry chooses by itself.
 func (exchange *exchange) choose(ctx context.Context) (pool.Choice, *refusal) {
 	exchange.scheduled, exchange.unscheduled = nil, ""
-	if exchange.relay.snapshot.Load().Scheduling(exchange.service) == nil {
+	switch scheduled, unscheduled := exchange.scheduling(); {
+	case !scheduled:
 		return exchange.pick(), nil
-	}
-	if !exchange.relay.config.Coordinator.Reachable() {
-		return exchange.pickUnscheduled("unreachable"), nil
+	case unscheduled != "":
+		return exchange.pickUnscheduled(unscheduled), nil
 	}
 	var unusable []names.BackendServer
 	for range maxPlacements {
 		decision, err := exchange.relay.config.Coordinator.Place(ctx, exchange.service, exchange.schedulingRequest(unusable))
 		if err != nil {
 			exchange.logUnscheduled(err)
-			return exchange.pickUnscheduled("unanswered"), nil
+			return exchange.pickUnscheduled(unscheduledUnanswered), nil
 		}
 		switch decision := decision.(type) {
 		case sched.Placed:
@@ -53,7 +53,7 @@
 				return pool.Chosen{Server: server, Load: decision.Load, AdapterMissing: decision.AdapterMissing, Alternatives: 1}, nil
 			}
 			if unusable = append(unusable, decision.Server); len(unusable) > maxUnusable {
-				return exchange.pickUnscheduled("unusable"), nil
+				return exchange.pickUnscheduled(unscheduledUnusable), nil
 			}
 		case sched.Later:
 			exchange.countScheduling("later")
@@ -62,18 +62,41 @@
 			}
 		case sched.Refused:
 			exchange.countScheduling("refused")
-			return nil, &refusal{
-				status: http.StatusServiceUnavailable, reason: ReasonServersFull, retryAfter: decision.RetryAfter, leastLoad: decision.Load,
-			}
+			return nil, refusalBy(decision)
 		case sched.NoCopy:
 			return pool.NoCopy{}, nil
 		case sched.NoServer:
 			return pool.NoServer{}, nil
 		case sched.Unscheduled:
-			return exchange.pickUnscheduled("overloaded"), nil
+			return exchange.pickUnscheduled(unscheduledOverloaded), nil
 		}
 	}
-	return exchange.pickUnscheduled("undecided"), nil
+	return exchange.pickUnscheduled(unscheduledUndecided), nil
+}
+
+// Reasons for which the entry chooses a server itself although the requests of the service
+// are scheduled.
+const (
+	unscheduledUnreachable = "unreachable"
+	unscheduledUnanswered  = "unanswered"
+	unscheduledOverloaded  = "overloaded"
+	unscheduledUnusable    = "unusable"
+	unscheduledUndecided   = "undecided"
+)
+
+// scheduling reports whether the requests of the service are scheduled, and if so, why the
+// coordinator is not even asked; this is empty if it is.
+func (exchange *exchange) scheduling() (scheduled bool, unscheduled string) {
+	scheduled = exchange.relay.snapshot.Load().Scheduling(exchange.service) != nil
+	if scheduled && !exchange.relay.config.Coordinator.Reachable() {
+		unscheduled = unscheduledUnreachable
+	}
+	return scheduled, unscheduled
+}
+
+// refusalBy returns the refusal of a request that the coordinator refuses.
+func refusalBy(refused sched.Refused) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonServersFull, retryAfter: refused.RetryAfter, leastLoad: refused.Load}
 }
 
 // pickUnscheduled is pick for a request that the coordinator does not schedule for a
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -160,6 +160,9 @@
 	return time.Duration(milliseconds * float64(time.Millisecond))
 }
 
+// ExcludedByEntry is the exclusion of engines that the entry excludes.
+const ExcludedByEntry = "excluded"
+
 // Candidate is an engine as [Scheduler.Explain] shows it.
 type Candidate struct {
 	Server names.BackendServer
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -345,7 +345,7 @@
 	case slices.Contains(request.Closed, state.engine.Server.ID):
 		return "rateUsed"
 	case slices.Contains(request.Excluded, state.engine.Server.ID):
-		return "excluded"
+		return ExcludedByEntry
 	case request.Adapter != "" && state.engine.Busy && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter}):
 		return "busy"
 	case float64(state.running()) >= slotLimit*state.slots():
