subcmd: add basilkeel where

It asks an entry of basilkeel serve at GET /where, beside /metrics, where a request would go, and prints the answer of Relay.Where as a table or as JSON. Domain types stay without tags; node encodes them.

Left out: which engine the planner would choose for another copy. It needs the planner's needs and the current demand in a message of their own.

TestWhereEndpoint asks over loopback, TestWherePrintsTheReport runs the command. go test ./node ./subcmd -run Where

--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -56,12 +56,13 @@
 	drainPollPeriod = 50 * time.Millisecond
 )
 
-// serveReadiness serves readiness probes, and metrics as text.
+// serveReadiness serves readiness probes, metrics as text, and explanations.
 func serveReadiness(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, servers *pool.Pool, judge *ready.Judge, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
 	router := newReadinessRouter(func() bool {
 		now := clock.Now()
 		return relay.Policy() != nil && !relay.Draining() && len(servers.Servers(now)) > 0 && judge.Ready(now)
 	}, registry)
+	routeWhere(router, relay.Where)
 	server := &http.Server{Handler: guardHandler(router, log), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(log)}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
--- a/subcmd/basilkeel.go
+++ b/subcmd/basilkeel.go
@@ -1,6 +1,8 @@
 package subcmd
 
 import (
+	"os"
+
 	"github.com/urfave/cli/v3"
 
 	"github.com/basilkeel/basilkeel/node"
@@ -18,6 +20,7 @@
 			&agentCommand{},
 			&serveCommand{},
 			&explainCommand{},
+			&whereCommand{output: os.Stdout},
 			&lossesCommand{},
 			&checkCommand{},
 			&seedCommand{},
