--- a/node/where.go
+++ b/node/where.go
@@ -221,8 +221,8 @@
 
 func reportServer(server *pool.Candidate) WhereCandidate {
 	score := &server.Score
-	candidate := WhereCandidate{Server: string(server.Server.ID), Excluded: string(server.Excluded), Total: score.Total()}
-	if server.Excluded == "" {
+	candidate := WhereCandidate{Server: string(server.Server.ID), Excluded: server.Excluded.String(), Total: score.Total()}
+	if server.Excluded == pool.ExclusionNone {
 		candidate.Parts = []WherePart{
 			{"load", score.Load},
 			{"slow", score.Slow},
--- a/pool/explain.go
+++ b/pool/explain.go
@@ -9,50 +9,49 @@
 	"github.com/basilkeel/basilkeel/permit"
 )
 
-// Exclusion is why a server of a query's service is not chosen. An empty one means that it
-// qualifies.
-type Exclusion string
+// Exclusion is why a server of a query's service is not chosen.
+type Exclusion int
 
-// Exclusions of servers that accept no new requests, or none of this request.
 const (
-	ExclusionDraining  Exclusion = "draining"
-	ExclusionGone      Exclusion = "gone"
-	ExclusionDeparted  Exclusion = "departed"
-	ExclusionEvacuated Exclusion = "evacuated"
-	ExclusionHome      Exclusion = "home"
-)
-
-// Exclusions of servers that accept requests.
-const (
-	ExclusionTried        Exclusion = "tried"
-	ExclusionModelMissing Exclusion = "modelMissing"
-	ExclusionPaused       Exclusion = "paused"
+	// ExclusionNone means that the server qualifies.
+	ExclusionNone Exclusion = iota
+	ExclusionTried
+	ExclusionModelMissing
+	ExclusionPaused
 	// ExclusionRateUsed means that there is no permit for the server.
-	ExclusionRateUsed Exclusion = "rateUsed"
+	ExclusionRateUsed
 	// ExclusionEjected and ExclusionLastPermits are those of servers that are chosen only if
 	// no other is usable: they have failed lately, or their last permits are kept.
-	ExclusionEjected     Exclusion = "ejected"
-	ExclusionLastPermits Exclusion = "lastPermits"
+	ExclusionEjected
+	ExclusionLastPermits
+	// ExclusionDraining and the following are those of servers that accept no new requests,
+	// or none of the query's.
+	ExclusionDraining
+	ExclusionGone
+	ExclusionDeparted
+	ExclusionEvacuated
+	ExclusionHome
 )
 
-// accepts reports whether a server with the exclusion accepts requests of the kind.
-func (exclusion Exclusion) accepts() bool {
-	switch exclusion {
-	case ExclusionDraining, ExclusionGone, ExclusionDeparted, ExclusionEvacuated, ExclusionHome:
-		return false
-	default:
-		return true
-	}
+// String implements [fmt.Stringer]. It is empty for ExclusionNone.
+func (exclusion Exclusion) String() string {
+	return [...]string{
+		ExclusionNone: "", ExclusionTried: "tried", ExclusionModelMissing: "modelMissing", ExclusionPaused: "paused", ExclusionRateUsed: "rateUsed",
+		ExclusionEjected: "ejected", ExclusionLastPermits: "lastPermits", ExclusionDraining: "draining", ExclusionGone: "gone",
+		ExclusionDeparted: "departed", ExclusionEvacuated: "evacuated", ExclusionHome: "home",
+	}[exclusion]
 }
 
+// accepts reports whether a server with the exclusion accepts requests of the kind.
+func (exclusion Exclusion) accepts() bool { return exclusion < ExclusionDraining }
+
 // exclusion returns why a server of the query's service is not among the best candidates.
 // The caller holds the mutex.
 func (pool *Pool) exclusion(member *member, query *Query, restrictions map[permit.Server]permit.Restriction, now time.Time) Exclusion {
-	closure := pool.closure(member, now)
-	restriction := restrictions[member.server.Identity()]
-	switch {
-	case closure != "":
+	if closure := pool.closure(member, now); closure != ExclusionNone {
 		return closure
+	}
+	switch {
 	case !query.Permits(member.server):
 		return ExclusionHome
 	case slices.Contains(query.Tried, member.server.ID):
@@ -61,6 +60,9 @@
 		return ExclusionModelMissing
 	case member.paused(now):
 		return ExclusionPaused
+	}
+	restriction := restrictions[member.server.Identity()]
+	switch {
 	case restriction == permit.RestrictionClosed:
 		return ExclusionRateUsed
 	case member.ejected(now):
@@ -68,7 +70,7 @@
 	case restriction == permit.RestrictionYielding:
 		return ExclusionLastPermits
 	default:
-		return ""
+		return ExclusionNone
 	}
 }
 
@@ -97,7 +99,7 @@
 // Candidate is a server of a query's service as [Pool.Explain] shows it.
 type Candidate struct {
 	Server *Server
-	// Excluded is why the server was not compared with others; it is empty if it was.
+	// Excluded is why the server was not compared with others, ExclusionNone if it was.
 	Excluded Exclusion
 	// Score is the last one that was compared. It is zero if the server is excluded.
 	Score Score
@@ -139,7 +141,7 @@
 		switch {
 		case candidate.Server.ID == chosen:
 			return 0
-		case candidate.Excluded == "":
+		case candidate.Excluded == ExclusionNone:
 			return 1
 		default:
 			return 2
--- a/pool/explain_test.go
+++ b/pool/explain_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,7 +58,7 @@
 			g.Expect(candidates).To(HaveLen(1))
 			g.Expect(candidates[0].Excluded).To(Equal(each.want))
 			_, isChosen := choice.(pool.Chosen)
-			g.Expect(isChosen).To(Equal(each.want == ""))
+			g.Expect(isChosen).To(Equal(each.want == pool.ExclusionNone))
 			again, _ := servers.Explain(asked, epoch)
 			g.Expect(again).To(Equal(choice), "an explanation changes nothing")
 			g.Expect(servers.Pick(asked, epoch)).To(Equal(choice))
@@ -132,9 +133,29 @@
 				g.Expect(unasked.Pick(query, now)).To(Equal(explained), "explanations change nothing")
 				if chosen, isChosen := picked.(pool.Chosen); isChosen {
 					g.Expect(candidates[0].Server).To(BeIdenticalTo(chosen.Server))
-					g.Expect(candidates[0].Excluded).To(BeEmpty())
+					g.Expect(candidates[0].Excluded).To(Equal(pool.ExclusionNone))
 				}
 			},
 		})
 	})
 }
+
+// BenchmarkPick measures a choice among as many engines as the fleets have. The model is held
+// by some or by all of them.
+func BenchmarkPick(b *testing.B) {
+	for _, holders := range []int{70, 700} {
+		b.Run(fmt.Sprint(holders), func(b *testing.B) {
+			servers := newPool()
+			for index := range 700 {
+				each := engine(names.BackendServer(fmt.Sprint("engine-", index)), "other")
+				if index < holders {
+					each.Models = append(each.Models, "m")
+				}
+				servers.Put(each)
+			}
+			for b.Loop() {
+				servers.Pick(query, epoch)
+			}
+		})
+	}
+}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -30,7 +30,7 @@
 		}
 	}
 	ratio := pool.requestRatio()
-	score := func(member *member) Score { return pool.score(member, query, ratio, now) }
+	score := func(member *member, score *Score) { pool.score(member, &query, ratio, now, score) }
 	best, _ := eligible.best(score, func(*member) bool { return true })
 	maxLoad := float64(maxPlainLoad)
 	if query.Model != "" {
@@ -96,7 +96,7 @@
 			ejected = append(ejected, member)
 		case ExclusionLastPermits:
 			reserved = append(reserved, member)
-		case "":
+		case ExclusionNone:
 			result.usable = append(result.usable, member)
 		default:
 		}
@@ -112,14 +112,15 @@
 }
 
 // best returns the usable and eligible member with the lowest score, or nil.
-func (candidates *candidates) best(scoreOf func(*member) Score, eligible func(*member) bool) (*member, float64) {
+func (candidates *candidates) best(compute func(*member, *Score), eligible func(*member) bool) (*member, float64) {
 	var best *member
 	bestScore := math.Inf(1)
+	var score Score
 	for _, member := range candidates.usable {
 		if !eligible(member) {
 			continue
 		}
-		score := scoreOf(member)
+		compute(member, &score)
 		if candidates.record != nil {
 			candidates.record(member, score)
 		}
@@ -130,26 +131,24 @@
 	return best, bestScore
 }
 
-// score returns the load of a member plus penalties in the unit of loads; lower is
+// score computes the load of a member plus penalties in the unit of loads; lower is
 // better. It estimates what other instances have sent from ratio, the number of all
 // instances' requests for each of this one's.
-func (pool *Pool) score(member *member, query Query, ratio float64, now time.Time) Score {
+func (pool *Pool) score(member *member, query *Query, ratio float64, now time.Time, score *Score) {
 	unread := float64(member.unreadTokens) * ratio
 	unseen := unseenSpread * (1 - 1/ratio)
-	score := Score{
-		Load:   member.queryLoad(&query, now),
-		Slow:   float64(member.slowRequests) * slowPenalty,
-		Errors: max(member.errorRate-toleratedErrorRate, 0) * errorPenalty,
-		Prompt: unread / promptChunkTokens * promptPenalty,
-		Random: pool.config.Random() * (1/member.slots() + unseen),
-	}
+	score.Load = member.queryLoad(query, now)
+	score.Slow = float64(member.slowRequests) * slowPenalty
+	score.Errors = max(member.errorRate-toleratedErrorRate, 0) * errorPenalty
+	score.Prompt = unread / promptChunkTokens * promptPenalty
+	score.Random = pool.config.Random() * (1/member.slots() + unseen)
+	score.Silent, score.Distance = 0, 0
 	if member.silent(now) {
 		score.Silent = silentPenalty
 	}
 	if member.server.Domain != query.Domain {
 		score.Distance = crossDomainPenalty
 	}
-	return score
 }
 
 // requestRatio returns how many requests all instances run for each of this one's.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -225,10 +225,10 @@
 // accepting reports whether a server accepts new requests, as far as is known. The
 // caller holds the mutex.
 func (pool *Pool) accepting(member *member, now time.Time) bool {
-	return pool.closure(member, now) == ""
+	return pool.closure(member, now) == ExclusionNone
 }
 
-// closure returns why a server accepts no new requests, or an empty exclusion. The caller
+// closure returns why a server accepts no new requests, or ExclusionNone. The caller
 // holds the mutex.
 func (pool *Pool) closure(member *member, now time.Time) Exclusion {
 	switch {
@@ -241,7 +241,7 @@
 	case pool.isEvacuated(member.server.Domain):
 		return ExclusionEvacuated
 	default:
-		return ""
+		return ExclusionNone
 	}
 }
 
--- a/relay/where.go
+++ b/relay/where.go
@@ -222,10 +222,10 @@
 func (exchange *exchange) withEntryExclusions(engines []sched.Candidate) []sched.Candidate {
 	_, servers := exchange.relay.config.Pool.Explain(exchange.query(), exchange.now())
 	for _, server := range servers {
-		cause := entryExclusion + string(server.Excluded)
+		cause := entryExclusion + server.Excluded.String()
 		index := slices.IndexFunc(engines, func(engine sched.Candidate) bool { return engine.Server == server.Server.ID })
 		switch {
-		case server.Excluded == "":
+		case server.Excluded == pool.ExclusionNone:
 		case index < 0:
 			engines = append(engines, sched.Candidate{Server: server.Server.ID, Excluded: cause})
 		case engines[index].Excluded == sched.ExcludedByEntry:
