--- a/pool/explain.go
+++ b/pool/explain.go
@@ -12,6 +12,7 @@
 // Exclusion is why a server of a query's service is not chosen.
 type Exclusion int
 
+// Exclusions of servers that accept requests.
 const (
 	// ExclusionNone means that the server qualifies.
 	ExclusionNone Exclusion = iota
@@ -24,9 +25,12 @@
 	// no other is usable: they have failed lately, or their last permits are kept.
 	ExclusionEjected
 	ExclusionLastPermits
-	// ExclusionDraining and the following are those of servers that accept no new requests,
-	// or none of the query's.
-	ExclusionDraining
+)
+
+// Exclusions of servers that accept no new requests, or none of the query's. They follow all
+// others.
+const (
+	ExclusionDraining Exclusion = iota + ExclusionLastPermits + 1
 	ExclusionGone
 	ExclusionDeparted
 	ExclusionEvacuated
