--- a/coord/place_test.go
+++ b/coord/place_test.go
@@ -23,7 +23,7 @@
 	request := sched.Request{
 		Instance: "edge-1", Domain: "a", Account: "notes", Model: "m", Adapter: "style", PromptTokens: 700, OutputTokens: 300, Tokens: 1000.5,
 		Elapsed: 30 * time.Millisecond, Left: 20 * time.Second, Objective: 400 * time.Millisecond, Priority: 2,
-		Excluded: []names.BackendServer{"e1"}, Failing: []names.BackendServer{"e2"}, Parts: []sched.Part{{ID: math.MaxUint64, Tokens: 500}},
+		Excluded: []names.BackendServer{"e1"}, Failing: []names.BackendServer{"e2"}, Closed: []names.BackendServer{"e4"}, Parts: []sched.Part{{ID: math.MaxUint64, Tokens: 500}},
 		Slowdowns: []pool.EngineUse{{Server: "e3", Incarnation: 7, Slowdowns: []pool.Slowdown{{At: now.Add(-time.Second), Factor: 2.5}}}},
 	}
 	service, decoded := decodePlaceRequest(encodePlaceRequest("notes", request, now), now)
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -164,6 +164,9 @@
 	return time.Duration(milliseconds * float64(time.Millisecond))
 }
 
+// ExcludedByEntry is the exclusion of engines that the entry excludes.
+const ExcludedByEntry = "excluded"
+
 // Candidate is an engine as [Scheduler.Explain] shows it.
 type Candidate struct {
 	Server names.BackendServer
@@ -173,3 +176,10 @@
 	Failing  bool
 	Estimate Estimate
 }
+
+// Explanation is what would be decided about a request, and what is taken into account.
+type Explanation struct {
+	Decision Decision
+	// Candidates are all engines of the service, the best first.
+	Candidates []Candidate
+}
