relay: slow callers do not make engines count as slow

Cause: the time between two events of a stream was taken when the entry read them, also while it waited for the caller to take what had arrived before. A caller that reads slowly so raised the event time of its engine, by which all entries' requests are placed. After a write that takes longer than stallDelay (100 ms) the next events are not measured.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -270,6 +270,7 @@
 			if flushErr := writer.flush(); flushErr != nil {
 				return total, flushErr
 			}
+			meter.wrote(exchange.now().Sub(now))
 		}
 		if ended {
 			return total, endErr
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -151,6 +151,9 @@
 	sentAt   time.Time
 	count    int
 	lastAt   time.Time
+	// stalled reports whether the caller took long for what arrived last. The next events
+	// have been waiting then, or were held up.
+	stalled bool
 }
 
 // newEventMeter returns a meter for a response, or nil if the attempt is not scheduled.
@@ -169,10 +172,17 @@
 	relay := meter.exchange.relay
 	if meter.count == 0 {
 		meter.recordFirst(now.Sub(meter.sentAt))
-	} else {
+	} else if !meter.stalled {
 		relay.config.Pool.RecordEvents(meter.server, count-meter.count, now.Sub(meter.lastAt))
 	}
-	meter.count, meter.lastAt = count, now
+	meter.count, meter.lastAt, meter.stalled = count, now, false
+}
+
+// wrote records how long it took to write what arrived last to the caller.
+func (meter *eventMeter) wrote(elapsed time.Duration) {
+	if meter != nil && elapsed > stallDelay {
+		meter.stalled = true
+	}
 }
 
 // recordFirst records the time to the first event and the error of its estimate.
