relay, coord: callers that leave do not close servers or the coordinator to others

A request whose caller left while it waited for a permit counted as one that the coordinator had not answered: its entry sent nothing to the server for 250 ms, and asked the coordinator for no loan, permit or probe until the next report. Any caller could cause that by ending requests early. An error after the end of the request's own context now counts for neither, and the request ends instead of choosing again.

go test ./coord ./relay -run TestCallersThatLeave: both tests fail without the change (NoAnswerError; 503 instead of 200).

--- a/coord/client_test.go
+++ b/coord/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/basilkeel/basilkeel/conns"
 	"github.com/basilkeel/basilkeel/coord"
 	"github.com/basilkeel/basilkeel/crash"
+	"github.com/basilkeel/basilkeel/permit"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/share"
@@ -56,3 +58,36 @@
 	})
 	g.Eventually(client.Reachable, 5*time.Second).Should(BeTrue())
 }
+
+// TestCallersThatLeaveDoNotMakeTheCoordinatorUnresponsive guards against callers that end
+// their requests while these wait for a permit, and so keep others from asking for one.
+func TestCallersThatLeaveDoNotMakeTheCoordinatorUnresponsive(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	server := grpc.NewServer()
+	coord.NewServer(newCoordinator(t, &lease{})).Register(server)
+	connections := conns.NewPool(conns.PoolConfig{Options: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	client := coord.NewClient(coord.ClientConfig{
+		Instance: "edge-2", Self: "edge-2", Pool: pool.New(pool.Config{}), Shares: share.NewLimiter(), Crashes: crash.NewTracker(),
+		Coordinator: newCoordinator(t, &lease{}), Mirror: emptyMirror{}, Connections: connections,
+		Clock: clock.NewService(clock.ServiceConfig{}), Log: log, Metrics: metrics.NewRegistry(),
+	})
+	client.SetCoordinator(coord.Identity{Instance: "edge-1", Address: listener.Addr().String(), Process: "1"}.Encode())
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		server.Stop()
+		connections.Close()
+		running.Wait()
+	})
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _, err = client.Permit(gone, permit.Application{})
+	g.Expect(err).To(HaveOccurred())
+	_, _, err = client.Permit(context.Background(), permit.Application{})
+	var unanswered *coord.NoAnswerError
+	g.Expect(errors.As(err, &unanswered)).To(BeFalse(), "the coordinator has not failed to answer: %v", err)
+}
--- a/coord/grants.go
+++ b/coord/grants.go
@@ -38,7 +38,9 @@
 	defer cancel()
 	reply, granted, err := remote(callCtx, wire.NewCoordinationClient(conn))
 	if err != nil {
-		client.recordUnanswered()
+		if ctx.Err() == nil {
+			client.recordUnanswered()
+		}
 		return 0, false, err
 	}
 	return time.Duration(reply.GetWaitMilliseconds()) * time.Millisecond, granted, nil
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -96,7 +96,8 @@
 func (plainCodec) RefusalHeader(relay.RequestInfo) http.Header { return http.Header{} }
 
 // fakeCoordinator records what it is asked for and loads adapters at once. It calls onWait
-// for each request that waits for a model, and onAdapter for each adapter.
+// for each request that waits for a model, onAdapter for each adapter, and onPermit for
+// each permit, whose error it returns.
 type fakeCoordinator struct {
 	// mutex guards the fields below.
 	mutex       sync.Mutex
@@ -107,6 +108,7 @@
 	unreachable bool
 	onWait      func(model names.Model)
 	onAdapter   func(server *pool.Server)
+	onPermit    func(ctx context.Context) error
 }
 
 // Place implements [relay.Coordinator].
@@ -146,7 +148,15 @@
 }
 
 // Permit implements [relay.Coordinator].
-func (fakeCoordinator *fakeCoordinator) Permit(context.Context, permit.Application) (time.Duration, bool, error) {
+func (fakeCoordinator *fakeCoordinator) Permit(ctx context.Context, _ permit.Application) (time.Duration, bool, error) {
+	fakeCoordinator.mutex.Lock()
+	onPermit := fakeCoordinator.onPermit
+	fakeCoordinator.mutex.Unlock()
+	if onPermit != nil {
+		if err := onPermit(ctx); err != nil {
+			return 0, false, err
+		}
+	}
 	fakeCoordinator.mutex.Lock()
 	defer fakeCoordinator.mutex.Unlock()
 	return time.Second, !fakeCoordinator.denyLoans, nil
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -38,7 +38,7 @@
 }
 
 // obtainPermit obtains a permit if the chosen server declares a request rate or is cold. If it
-// returns false, the pool does not choose the server for some time.
+// returns false, the pool does not choose the server for some time, unless ctx is done.
 func (exchange *exchange) obtainPermit(ctx context.Context, choice pool.Chosen) bool {
 	server, lifetime := choice.Server, permit.Lifetime
 	gate, now := exchange.relay.config.Pool.Gate(), exchange.now()
@@ -50,6 +50,10 @@
 	case permit.NeedsPermit:
 		wait, issued, err := exchange.relay.config.Coordinator.Permit(ctx, permit.Application{Statement: admission.Statement, Yields: choice.Yields, Cold: admission.Cold})
 		switch {
+		case err != nil && ctx.Err() != nil:
+			// The request has ended, which says nothing of the coordinator.
+			exchange.cause = err
+			return false
 		case err != nil:
 			exchange.cause = err
 			gate.Close(server.Identity(), noPermitAnswerWait, exchange.now())
--- a/relay/permit_test.go
+++ b/relay/permit_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -75,3 +76,46 @@
 	_, ejected := fixture.pool.Pick(pool.Query{Service: "notes"}, time.Now()).(pool.Full)
 	g.Expect(ejected).To(BeTrue(), "the server is closed, not ejected")
 }
+
+// TestCallersThatLeaveDoNotCloseServers guards against callers that end their requests while
+// these wait for a permit, and so keep those of others from a server.
+func TestCallersThatLeaveDoNotCloseServers(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newFixture(t, route("order", policy.KindSafe, "desk"))
+	fixture.server("desk-0", "desk", declares(100))
+	g.Expect(fixture.call(http.MethodGet, "/order/1", "", nil).status).To(Equal(http.StatusOK))
+	fixture.pool.Gate().RecordAnswer(permit.Place{}, time.Now())
+	asked, left := make(chan struct{}), make(chan struct{})
+	fixture.coordinator.onPermit = func(ctx context.Context) error {
+		close(asked)
+		<-ctx.Done()
+		close(left)
+		return ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, fixture.front.URL+"/order/1", http.NoBody)
+		if err != nil {
+			return
+		}
+		request.Host = "desk.example"
+		request.Header.Set("Id", "call-1")
+		request.Header.Set("Key", "secret")
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	g.Eventually(asked, 5*time.Second).Should(BeClosed())
+	fixture.coordinator.mutex.Lock()
+	fixture.coordinator.onPermit = nil
+	fixture.coordinator.mutex.Unlock()
+	cancel()
+	g.Eventually(left, 5*time.Second).Should(BeClosed())
+	g.Eventually(ended, 5*time.Second).Should(BeClosed())
+	for range 10 {
+		fixture.pool.Gate().RecordAnswer(permit.Place{}, time.Now())
+		g.Expect(fixture.call(http.MethodGet, "/order/1", "", nil).status).To(Equal(http.StatusOK))
+	}
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -86,6 +86,9 @@
 			if server != nil {
 				return server, nil
 			}
+			if ctx.Err() != nil {
+				return nil, timeUp()
+			}
 			if !rejected {
 				continue
 			}
@@ -107,8 +110,7 @@
 			}
 			if !waiting {
 				waiting = true
-				exchange.relay.config.Coordinator.AddWaiting(exchange.service, exchange.info.Model, 1)
-				exchange.logWaiting()
+				exchange.beginWaiting()
 			}
 		}
 		select {
@@ -145,6 +147,12 @@
 	}
 }
 
+// beginWaiting tells the coordinator that the request waits for its model.
+func (exchange *exchange) beginWaiting() {
+	exchange.relay.config.Coordinator.AddWaiting(exchange.service, exchange.info.Model, 1)
+	exchange.logWaiting()
+}
+
 // mayWait reports whether the request may wait for a model that no server holds.
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
