--- a/relay/place.go
+++ b/relay/place.go
@@ -95,6 +95,9 @@
 			if server != nil {
 				return server, nil
 			}
+			if ctx.Err() != nil {
+				return nil, timeUp()
+			}
 			if !rejected {
 				continue
 			}
@@ -113,8 +116,7 @@
 			}
 			if !waiting {
 				waiting = true
-				exchange.relay.config.Coordinator.AddWaiting(exchange.service, exchange.info.Model, 1)
-				exchange.logWaiting()
+				exchange.beginWaiting()
 			}
 		}
 		if !exchange.waitForChange(ctx, changed) {
@@ -174,6 +176,12 @@
 	return true
 }
 
+// beginWaiting tells the coordinator that the request waits for its model.
+func (exchange *exchange) beginWaiting() {
+	exchange.relay.config.Coordinator.AddWaiting(exchange.service, exchange.info.Model, 1)
+	exchange.logWaiting()
+}
+
 // mayWait reports whether the request may wait for a model that no server holds.
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
