relay: the request in progress begins before the slow callers of its test

TestManySlowCallersDoNotKeepOthersOut began a request in a goroutine and 1,000 slow callers at the same time. The test now waits until the request has reached its server. Its bounds are as they were.

--- a/relay/slowcaller_test.go
+++ b/relay/slowcaller_test.go
@@ -120,12 +120,13 @@
 	fixture := newMemoryFixture(t, budget, draft, sound)
 	var cut atomic.Int64
 	fixture.server("desk-1", "desk", flood(4<<20, 25*time.Second, &cut))
-	fixture.server("sound-1", "sound", trickle("id: 1\ndata: piece\n\n", 50))
+	soundSeen := fixture.server("sound-1", "sound", trickle("id: 1\ndata: piece\n\n", 50))
 	for _, server := range fixture.pool.Servers(time.Now()) {
 		fixture.pool.Put(&pool.Server{ID: server.ID, Service: server.Service, Address: server.Address, Domain: "a", Slots: 4 * callers})
 	}
 	inProgress := make(chan result, 1)
 	go func() { inProgress <- fixture.call(http.MethodPost, "/sound/1", "prompt", nil) }()
+	g.Eventually(soundSeen.count).Should(Equal(1))
 	var begun sync.WaitGroup
 	for range 20 {
 		begun.Go(func() {
