--- a/relay/place.go
+++ b/relay/place.go
@@ -111,20 +111,34 @@
 			}
 			if !waiting {
 				waiting = true
-				exchange.relay.config.Coordinator.AddWaiting(exchange.service, exchange.info.Model, 1)
-				exchange.logWaiting()
+				exchange.beginWaiting()
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !exchange.awaitChange(ctx, changed) {
 			refusal.reason = ReasonTimeUp
 			return nil, refusal
-		case <-changed:
-		case <-exchange.relay.config.Clock.After(pollInterval):
 		}
 	}
 }
 
+// beginWaiting records that the request waits for its model.
+func (exchange *exchange) beginWaiting() {
+	exchange.relay.config.Coordinator.AddWaiting(exchange.service, exchange.info.Model, 1)
+	exchange.logWaiting()
+}
+
+// awaitChange waits until the pool has changed, or for pollInterval. It returns false if ctx
+// ends before.
+func (exchange *exchange) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-exchange.relay.config.Clock.After(pollInterval):
+	}
+	return true
+}
+
 // mayWait reports whether the request may wait for a model that no server holds.
 func (exchange *exchange) mayWait(began time.Time) bool {
 	now := exchange.now()
