--- a/relay/answer.go
+++ b/relay/answer.go
@@ -263,12 +263,9 @@
 		}
 		if len(ready) > 0 {
 			total += int64(len(ready))
-			if _, writeErr := writer.Write(ready); writeErr != nil {
+			if writeErr := writer.writeFlushed(ready); writeErr != nil {
 				return total, writeErr
 			}
-			if flushErr := writer.flush(); flushErr != nil {
-				return total, flushErr
-			}
 			meter.wrote(exchange.now().Sub(now))
 		}
 		if ended {
--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -25,8 +25,7 @@
 	active  bool
 	began   time.Time
 	waiting bool
-	// stallTimer and silenceTimer fire stallDelay and silentCallerTime after began.
-	stallTimer   *time.Timer
+	// silenceTimer fires silentCallerTime after began.
 	silenceTimer *time.Timer
 }
 
@@ -37,24 +36,21 @@
 		transfer()
 		return
 	}
+	began := callerWatch.exchange.now()
 	callerWatch.mutex.Lock()
-	callerWatch.active, callerWatch.began = true, callerWatch.exchange.now()
-	if callerWatch.stallTimer == nil {
-		callerWatch.stallTimer = time.AfterFunc(stallDelay, callerWatch.stall)
-	} else {
-		callerWatch.stallTimer.Reset(stallDelay)
-	}
+	callerWatch.active, callerWatch.began = true, began
 	callerWatch.mutex.Unlock()
+	callerWatch.exchange.relay.transfers.begin(callerWatch, began)
 	defer callerWatch.finish()
 	transfer()
 }
 
 // finish ends the watch of a read or write.
 func (callerWatch *callerWatch) finish() {
+	callerWatch.exchange.relay.transfers.end(callerWatch)
 	callerWatch.mutex.Lock()
 	defer callerWatch.mutex.Unlock()
 	callerWatch.active = false
-	callerWatch.stallTimer.Stop()
 	if callerWatch.waiting {
 		callerWatch.waiting = false
 		callerWatch.silenceTimer.Stop()
@@ -62,8 +58,8 @@
 	}
 }
 
-// stall handles a read or write that has taken stallDelay. A timer that fires late may belong
-// to an earlier one.
+// stall handles a read or write that has taken stallDelay. It may have ended meanwhile, and
+// another one may have begun.
 func (callerWatch *callerWatch) stall() {
 	callerWatch.mutex.Lock()
 	defer callerWatch.mutex.Unlock()
--- a/relay/callerwriter.go
+++ b/relay/callerwriter.go
@@ -45,10 +45,20 @@
 	return written, nil
 }
 
-// flush sends what has been written.
-func (callerWriter *callerWriter) flush() error {
+// writeFlushed writes data and sends it.
+func (callerWriter *callerWriter) writeFlushed(data []byte) error {
+	if len(data) > writeBytes {
+		if _, err := callerWriter.Write(data[:len(data)-writeBytes]); err != nil {
+			return err
+		}
+		data = data[len(data)-writeBytes:]
+	}
 	var err error
-	callerWriter.watch(func() { err = callerWriter.controller.Flush() })
+	callerWriter.watch(func() {
+		if _, err = callerWriter.exchange.writer.Write(data); err == nil {
+			err = callerWriter.controller.Flush()
+		}
+	})
 	return err
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,6 +94,7 @@
 	progress   *progress
 	homeFaults homeFaults
 	stalls     *stalls
+	transfers  *transfers
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -106,8 +107,9 @@
 	registerMemory(config.Memory, config.Metrics)
 	return &Relay{
 		config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow),
-		progress: &progress{cancels: map[*exchange]context.CancelFunc{}},
-		stalls:   newStalls(),
+		progress:  &progress{cancels: map[*exchange]context.CancelFunc{}},
+		stalls:    newStalls(),
+		transfers: newTransfers(config.Clock.Now),
 	}
 }
 
