pool, memory, relay: replace repeated code by one function each

Three places compared the time until which an engine refuses a model; they now call member.refusesModel. Account.ReleaseAll replaces Release with Held, which locked the budget twice for each response and had no other caller. The most weighted target of a route is found with cmp.Compare.

--- a/memory/account.go
+++ b/memory/account.go
@@ -165,11 +165,12 @@
 	account.budget.serveWaits(now)
 }
 
-// Held returns the bytes that are held for a purpose.
-func (account *Account) Held(purpose Purpose) int64 {
+// ReleaseAll gives back all bytes that are held for a purpose.
+func (account *Account) ReleaseAll(purpose Purpose, now time.Time) {
 	account.budget.mutex.Lock()
 	defer account.budget.mutex.Unlock()
-	return account.held[purpose]
+	account.add(purpose, -account.held[purpose])
+	account.budget.serveWaits(now)
 }
 
 // Close gives back everything.
--- a/pool/member.go
+++ b/pool/member.go
@@ -58,10 +58,13 @@
 }
 
 func (member *member) hasModel(model names.Model, now time.Time) bool {
-	if until, found := member.missingModels[model]; found && now.Before(until) {
-		return false
-	}
-	return member.listsModel(model, now)
+	return !member.refusesModel(model, now) && member.listsModel(model, now)
+}
+
+// refusesModel reports whether the server has lately answered that it lacks a model.
+func (member *member) refusesModel(model names.Model, now time.Time) bool {
+	until, found := member.missingModels[model]
+	return found && now.Before(until)
 }
 
 // listsModel reports whether the coordinator or the registry lists a model as held.
--- a/pool/use.go
+++ b/pool/use.go
@@ -130,9 +130,8 @@
 		if member.server.Service != query.Service {
 			continue
 		}
-		missingUntil, missing := member.missingModels[query.Model]
 		switch {
-		case missing && now.Before(missingUntil):
+		case member.refusesModel(query.Model, now):
 			excluded = append(excluded, id)
 		case pool.barred(member, &query, now), restrictions[member.server.Identity()] == permit.RestrictionClosed:
 			if member.listsModel(query.Model, now) {
@@ -164,7 +163,6 @@
 // barred reports whether a server of the query's service must not get it, whatever its rate.
 // The caller holds the mutex.
 func (pool *Pool) barred(member *member, query *Query, now time.Time) bool {
-	missingUntil, missing := member.missingModels[query.Model]
 	return !pool.accepting(member, now) || !query.Permits(member.server) || member.paused(now) ||
-		slices.Contains(query.Tried, member.server.ID) || missing && now.Before(missingUntil)
+		slices.Contains(query.Tried, member.server.ID) || member.refusesModel(query.Model, now)
 }
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -52,7 +52,7 @@
 	// Neither the connection nor the request's body waits for a slow caller.
 	response.Close()
 	exchange.body = nil
-	exchange.memory.Release(memory.Body, exchange.memory.Held(memory.Body), exchange.now())
+	exchange.memory.ReleaseAll(memory.Body, exchange.now())
 	exchange.writer.WriteHeader(response.Status)
 	exchange.recordDone(response.Status, exchange.writePieces(exchange.newCallerWriter(nil), body))
 	return true
@@ -87,7 +87,7 @@
 
 // releaseResponse gives back the memory of a response that was read ahead.
 func (exchange *exchange) releaseResponse() {
-	exchange.memory.Release(memory.Response, exchange.memory.Held(memory.Response), exchange.now())
+	exchange.memory.ReleaseAll(memory.Response, exchange.now())
 }
 
 // writePieces writes a part of the response to the caller and returns its length.
--- a/relay/where.go
+++ b/relay/where.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -139,16 +140,7 @@
 		return &refusal{status: http.StatusNotFound, reason: ReasonNoRoute}
 	}
 	if exchange.service = question.Service; exchange.service == "" {
-		most := slices.MaxFunc(exchange.route.Targets, func(a, b policy.Target) int {
-			switch {
-			case a.Weight < b.Weight:
-				return -1
-			case a.Weight > b.Weight:
-				return 1
-			default:
-				return 0
-			}
-		})
+		most := slices.MaxFunc(exchange.route.Targets, func(a, b policy.Target) int { return cmp.Compare(a.Weight, b.Weight) })
 		exchange.service = most.Service
 	}
 	if question.Account != "" {
