--- a/pool/pick.go
+++ b/pool/pick.go
@@ -79,7 +79,7 @@
 	var result candidates
 	var reserved, ejected []*member
 	restrictions := pool.config.Gate.Restrictions(now)
-	for _, member := range pool.members {
+	for _, member := range pool.sorted {
 		if member.server.Service != query.Service {
 			continue
 		}
@@ -155,7 +155,7 @@
 // The caller holds the mutex.
 func (pool *Pool) requestRatio() float64 {
 	own, others := 0, 0
-	for _, member := range pool.members {
+	for _, member := range pool.sorted {
 		own += member.ownRequests
 		others += member.otherRequests
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -79,6 +80,9 @@
 	// mutex guards the fields below.
 	mutex   sync.Mutex
 	members map[names.BackendServer]*member
+	// sorted are the members by ID. A choice goes through them in this order, so that the
+	// same random numbers lead to the same choices.
+	sorted []*member
 	// departures are the incarnations that announced that they are leaving.
 	departures map[names.BackendServer]departure
 	// registryLostAt is when the registry stopped responding, or zero while it
@@ -147,6 +151,7 @@
 		}
 		pool.applyHolding(fresh)
 		pool.members[server.ID] = fresh
+		pool.order(fresh)
 	} else {
 		if known.server.Draining && !server.Draining {
 			draining := *server
@@ -160,6 +165,19 @@
 	pool.notifyChanged()
 }
 
+// order puts a new member into sorted, in place of a former one of the same ID. The caller
+// holds the mutex.
+func (pool *Pool) order(fresh *member) {
+	index, found := slices.BinarySearchFunc(pool.sorted, fresh.server.ID, func(member *member, id names.BackendServer) int {
+		return cmp.Compare(member.server.ID, id)
+	})
+	if found {
+		pool.sorted[index] = fresh
+		return
+	}
+	pool.sorted = slices.Insert(pool.sorted, index, fresh)
+}
+
 // Remove records that the registry no longer lists a server.
 func (pool *Pool) Remove(id names.BackendServer, now time.Time) {
 	pool.mutex.Lock()
@@ -256,6 +274,9 @@
 			delete(pool.members, id)
 		}
 	}
+	if len(pool.sorted) > len(pool.members) {
+		pool.sorted = slices.DeleteFunc(pool.sorted, func(member *member) bool { return pool.members[member.server.ID] == nil })
+	}
 	pool.expireDepartures(now)
 	pool.assumeUnseen(now)
 	return pool.config.Gate.Expire(pool.listed, now)
