copies: do not take old reports of engines for restarts

Cause: all values of an engine's report are some hundred milliseconds old, its count of accepted orders included. The tracker took a count that was lower than that of the order just accepted for a restart, gave up the step, and later replaced the models by those of the old report, so that entries sent requests to engines that were unloading their model or had unloaded it (503, 421). The stand-in of the tests reported its count without delay. Change: for a second after an order was accepted, or a report was read, a report with a lower count is ignored, and the engine is queried again. Stand-in: reports lag as a whole.

--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -557,8 +557,9 @@
 	}
 }
 
-// query requests the engine's report and applies it. It is called with the tracker's
-// orderLock taken, so that no order is in flight.
+// query requests the engine's report and applies it. It reports false if there is none or it
+// is older than what is known. It is called with the tracker's orderLock taken, so that no
+// order is in flight.
 func (dispatcher *Dispatcher) query(ctx context.Context, tracker *Tracker) (engineReport EngineReport, reported bool) {
 	if dispatcher.evacuated(tracker) {
 		return EngineReport{}, false
@@ -572,8 +573,7 @@
 		event.OrderUnclear.Log(dispatcher.config.Log, logrus.Fields{"server": string(server.ID), "report": true, "cause": err.Error()})
 		return EngineReport{}, false
 	}
-	tracker.applyReport(server, engineReport, asked, dispatcher.config.Clock.Now())
-	return engineReport, true
+	return engineReport, tracker.applyReport(server, engineReport, asked, dispatcher.config.Clock.Now())
 }
 
 // admit returns a request for an order with the current count of accepted orders. It
--- a/copies/fakeengine_test.go
+++ b/copies/fakeengine_test.go
@@ -41,20 +41,20 @@
 // snapshot is the state of an engine at one time.
 type snapshot struct {
 	at       time.Time
+	accepted int64
 	models   []names.Model
 	adapters []pool.Adapter
 	busy     bool
 }
 
-// reportLag is the age of the models and adapters in a report. Its count of orders is
-// current.
+// reportLag is the age of all that a report contains.
 const reportLag = 200 * time.Millisecond
 
 // record adds a snapshot to the history. It is called with the mutex held after each
 // change.
 func (engine *fakeEngine) record() {
 	engine.history = append(engine.history, snapshot{
-		at: engine.clock.Now(), models: slices.Clone(engine.models), adapters: slices.Clone(engine.adapters), busy: engine.loading != "",
+		at: engine.clock.Now(), accepted: engine.accepted, models: slices.Clone(engine.models), adapters: slices.Clone(engine.adapters), busy: engine.loading != "",
 	})
 }
 
@@ -177,7 +177,7 @@
 	defer engine.mutex.Unlock()
 	engine.reports++
 	seen := engine.reported()
-	return copies.EngineReport{Busy: seen.busy, Accepted: engine.accepted, Models: slices.Clone(seen.models), Adapters: slices.Clone(seen.adapters)}, nil
+	return copies.EngineReport{Busy: seen.busy, Accepted: seen.accepted, Models: slices.Clone(seen.models), Adapters: slices.Clone(seen.adapters)}, nil
 }
 
 func (engine *fakeEngine) recordedViolations() []string {
@@ -197,6 +197,8 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	engine.accepted, engine.fence, engine.models, engine.adapters, engine.loading = 0, 0, nil, nil, ""
+	// No report shows an earlier incarnation.
+	engine.history = nil
 	engine.record()
 }
 
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -22,8 +22,10 @@
 	// outdatedAt is since when the registry has listed an older incarnation, or zero.
 	delistedAt time.Time
 	outdatedAt time.Time
-	// accepted is the number of orders that the engine has accepted.
-	accepted int64
+	// accepted is the number of orders that the engine has accepted, and acceptedAt when it
+	// last answered one with that.
+	accepted   int64
+	acceptedAt time.Time
 	// consistent reports whether models, adapters and accepted belong together: the engine
 	// reported them in this term while it executed no order, and every change since is
 	// that by an answered order. pending reports whether the last order got no answer, so
@@ -41,7 +43,7 @@
 	adapterOrderAt time.Time
 	querying       bool
 	// busySeen reports whether the engine executed an order at its last report that is
-	// not one of the running step.
+	// not one of the running step, or whether that report was too old to tell.
 	busySeen bool
 	// reportedCount is the count of accepted orders in the last report, and
 	// reportedCountAt the time of the first report with that count and of an idle engine.
@@ -143,7 +145,7 @@
 	if !tracker.isIncarnation(server.Incarnation, server.Address) {
 		tracker.consistent, tracker.pending, tracker.reported, tracker.busySeen = false, false, false, false
 		tracker.loading, tracker.unloading, tracker.accepted = "", nil, 0
-		tracker.reportedCount, tracker.reportedCountAt, tracker.withheldUntil = 0, time.Time{}, time.Time{}
+		tracker.reportedCount, tracker.reportedCountAt, tracker.withheldUntil, tracker.acceptedAt = 0, time.Time{}, time.Time{}, time.Time{}
 		tracker.loadedAt, tracker.unloadedAt = map[names.Model]time.Time{}, map[names.Model]time.Time{}
 		tracker.adapterLoadedAt = map[pool.Adapter]time.Time{}
 		tracker.useRegistry(server)
@@ -183,6 +185,18 @@
 // models in a report may be some hundred milliseconds older than its count.
 const reportStableAfter = 400 * time.Millisecond
 
+// maxReportAge bounds the age of what a report contains: it is some hundred milliseconds
+// old, the count of accepted orders included.
+const maxReportAge = time.Second
+
+// isOutdated reports whether an engine's report, requested at asked, may be from before the
+// last order that the engine has accepted, or before a report that is known. The mutex is
+// held.
+func (tracker *Tracker) isOutdated(engineReport EngineReport, asked time.Time) bool {
+	return engineReport.Accepted < tracker.accepted && asked.Sub(tracker.acceptedAt) < maxReportAge ||
+		engineReport.Accepted < tracker.reportedCount && asked.Sub(tracker.reportedCountAt) < maxReportAge
+}
+
 // isIncarnation reports whether the engine still is the incarnation at an address. It is
 // called with the mutex held.
 func (tracker *Tracker) isIncarnation(incarnation int64, address string) bool {
@@ -196,13 +210,19 @@
 	return tracker.isIncarnation(request.Incarnation, request.Address)
 }
 
-// applyReport applies the engine's own report, which was requested at asked. It ignores
-// that of an incarnation that has ended since.
-func (tracker *Tracker) applyReport(reporter *pool.Server, engineReport EngineReport, asked, now time.Time) {
+// applyReport applies the engine's own report, which was requested at asked. It reports
+// false if it ignores the report, as that of an incarnation that has ended since or as one
+// from before what is known.
+func (tracker *Tracker) applyReport(reporter *pool.Server, engineReport EngineReport, asked, now time.Time) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	if !tracker.isIncarnation(reporter.Incarnation, reporter.Address) {
-		return
+		return false
+	}
+	if tracker.isOutdated(engineReport, asked) {
+		// The engine is queried again: it may also have restarted.
+		tracker.busySeen = tracker.busySeen || !tracker.stepRunning
+		return false
 	}
 	if engineReport.Accepted < tracker.accepted || engineReport.Accepted < tracker.reportedCount {
 		tracker.recordRestart()
@@ -216,11 +236,11 @@
 			tracker.finishLoad(now)
 		}
 		tracker.busySeen = engineReport.Busy && tracker.loading == "" && !tracker.stepRunning
-		return
+		return true
 	}
 	tracker.accepted, tracker.consistent = engineReport.Accepted, stable
 	if !stable {
-		return
+		return true
 	}
 	tracker.reported, tracker.pending, tracker.busySeen = true, false, false
 	tracker.models = slices.Clone(engineReport.Models)
@@ -234,6 +254,7 @@
 	if engineReport.InMemory != nil || engineReport.OnDisk != nil {
 		tracker.inMemory, tracker.onDisk = engineReport.InMemory, engineReport.OnDisk
 	}
+	return true
 }
 
 // finishLoad records that the running load is done. It is called with the mutex held.
@@ -330,6 +351,7 @@
 	counted := outcome == OutcomeAccepted || (order.Adapter != "" && order.Unload)
 	if counted {
 		tracker.accepted++
+		tracker.acceptedAt = now
 	}
 	adapter := pool.Adapter{Model: order.Model, Name: order.Adapter}
 	switch {
--- a/copies/unanswered_test.go
+++ b/copies/unanswered_test.go
@@ -205,10 +205,12 @@
 		t.Run(fmt.Sprint(each.name, ", unseen ", unseen), func(t *testing.T) {
 			g := NewWithT(t)
 			engine := newFakeEngine("a")
-			engine.accepted = 2
+			engine.accepted, engine.history = 2, nil
+			engine.record()
 			orderings := &orderings{engine: engine, dispatcher: newDispatcher(engine, 1), incarnation: 1}
+			// A lower count of orders shows a restart only once the report cannot be an old one.
 			settle := func() {
-				for range 3 {
+				for range 8 {
 					orderings.query()
 					orderings.dispatcher.Wait()
 				}
