share: sum up the use of an account once for all entries

Cause: Divider.Propose summed up the use of each account anew for each entry, twice, so that its time grew with the square of the number of entries. It runs every 0.5 s and holds the coordinator's mutex, so that reports, loans and placements waited for it: with 300 entries for about 9 ms for each limited account, on a whole core. Reports time out after 600 ms. Change: the sums are computed once for each account.

--- a/share/divider.go
+++ b/share/divider.go
@@ -138,12 +138,13 @@
 		changed = changed || !known
 	}
 	for _, account := range accounts {
-		divider.lower(account, now)
+		use := divider.accountUse(account, now)
+		divider.lower(account, use)
 		left := sharesTotal
 		for instance := range next {
 			left -= next[instance].Shares[account]
 		}
-		changed = divider.raise(next, account, left, now) || changed
+		changed = divider.raise(next, account, left, use, now) || changed
 	}
 	return next, changed
 }
@@ -163,12 +164,12 @@
 
 // lower assigns smaller shares to entries that are above their target. This
 // needs no write: the record holds the upper bound of each share.
-func (divider *Divider) lower(account names.ClientAccount, now time.Time) {
+func (divider *Divider) lower(account names.ClientAccount, use accountUse) {
 	for _, entry := range divider.entries {
 		if entry.lastReport.IsZero() || entry.ending {
 			continue
 		}
-		target := divider.target(entry, account, now)
+		target := use.target(entry.usage[account])
 		if entry.assigned[account] > target+divider.leastChange() {
 			entry.assigned[account] = target
 			divider.version++
@@ -179,11 +180,11 @@
 
 // raise raises the shares in next of entries below their target, by at most left
 // in total, and reports whether it raised any.
-func (divider *Divider) raise(next Record, account names.ClientAccount, left float64, now time.Time) bool {
+func (divider *Divider) raise(next Record, account names.ClientAccount, left float64, use accountUse, now time.Time) bool {
 	missing := 0.0
 	for _, entry := range divider.entries {
 		if divider.raisable(entry, now) {
-			missing += max(divider.target(entry, account, now)-entry.assigned[account], 0)
+			missing += max(use.target(entry.usage[account])-entry.assigned[account], 0)
 		}
 	}
 	if missing <= 0 || left <= 0 {
@@ -194,7 +195,7 @@
 		if !divider.raisable(entry, now) {
 			continue
 		}
-		add := max(divider.target(entry, account, now)-entry.assigned[account], 0) * min(left/missing, 1)
+		add := max(use.target(entry.usage[account])-entry.assigned[account], 0) * min(left/missing, 1)
 		if add > divider.leastChange() {
 			holder := next[instance]
 			holder.Shares[account] = max(holder.Shares[account], entry.assigned[account]+add)
@@ -310,21 +311,35 @@
 	return entry.lastReport
 }
 
-// target returns the share of an account that an entry should have.
-func (divider *Divider) target(entry *entryState, account names.ClientAccount, now time.Time) float64 {
-	total, count := 0.0, 0.0
-	for _, other := range divider.entries {
-		if other.lastReport.IsZero() || now.Sub(other.lastReport) > Lifetime {
+// accountUse is the use of an account by the entries that have reported within Lifetime.
+type accountUse struct {
+	// entries is their number, and total the sum of what they use in a second.
+	entries float64
+	total   float64
+}
+
+// accountUse returns the use of an account. It visits all entries, so that it is computed
+// once for all their targets.
+func (divider *Divider) accountUse(account names.ClientAccount, now time.Time) accountUse {
+	use := accountUse{}
+	for _, entry := range divider.entries {
+		if entry.lastReport.IsZero() || now.Sub(entry.lastReport) > Lifetime {
 			continue
 		}
-		count++
-		total += other.usage[account]
+		use.entries++
+		use.total += entry.usage[account]
 	}
-	if count == 0 {
+	return use
+}
+
+// target returns the share of the account that an entry should have that uses the given
+// amount in a second.
+func (use accountUse) target(usage float64) float64 {
+	if use.entries == 0 {
 		return 0
 	}
-	if total <= 0 {
-		return sharesTotal / count
+	if use.total <= 0 {
+		return sharesTotal / use.entries
 	}
-	return sharesTotal * (evenFraction/count + (1-evenFraction)*entry.usage[account]/total)
+	return sharesTotal * (evenFraction/use.entries + (1-evenFraction)*usage/use.total)
 }
