mirror: keep the results of Since until there are other changes

Cause: a coordinator's mirror is asked four times a second by each entry for the changes since one of the few revisions that it had lately. Each time it collected them anew, with a lookup for each: 117 us and 140 KB for 625 changes of 3,000 servers, 1,200 times a second with 300 entries. Change: up to 32 results are kept until something changes. The freshness is checked at each call as before.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -48,6 +48,9 @@
 	// maxSinceBytes bounds the entries that are passed to another mirror at a time. A
 	// message to another process may have four megabytes.
 	maxSinceBytes = 2 << 20
+	// maxKeptSince bounds the results of Since that are kept. Hundreds of mirrors ask for the
+	// changes since one of the few revisions that this one had lately.
+	maxKeptSince = 32
 )
 
 // Source reads from the key-value service.
@@ -113,6 +116,8 @@
 	// changes holds changes in the order of their revisions. Those that are not in
 	// latest are obsolete.
 	changes []store.Entry
+	// kept holds results of Since by their revision until there are other changes.
+	kept map[store.Revision]sinceResult
 	// attachedUntil is until when this mirror relies on the changes of another mirror
 	// instead of a watch.
 	attachedUntil time.Time
@@ -124,37 +129,62 @@
 	serviceRevisionAt time.Time
 }
 
+// sinceResult are the changes after a revision. Fits reports whether they are no longer than
+// maxSinceBytes.
+type sinceResult struct {
+	entries []store.Entry
+	whole   bool
+	fits    bool
+}
+
 // New returns a mirror that has read nothing.
 func New(config Config) *Mirror {
-	return &Mirror{config: config, retryDelay: minRetryDelay, latest: map[string]store.Entry{}}
+	return &Mirror{config: config, retryDelay: minRetryDelay, latest: map[string]store.Entry{}, kept: map[store.Revision]sinceResult{}}
 }
 
 // Since returns the changes after a revision and the revision that they lead to. If
 // whole is set, it returns all entries instead. It reports whether the mirror is
 // fresh: if the service has not confirmed lately that the mirror is up to date, or the
-// changes are longer than maxSinceBytes, Since returns no changes.
+// changes are longer than maxSinceBytes, Since returns no changes. Callers must not change
+// the entries.
 func (mirror *Mirror) Since(after store.Revision) (entries []store.Entry, to store.Revision, whole, fresh bool) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	if mirror.config.Clock.Now().Sub(mirror.confirmed) > freshness {
 		return nil, 0, false, false
 	}
-	whole = after < mirror.deletionsAfter
+	result, found := mirror.kept[after]
+	if !found {
+		result = mirror.changesSince(after)
+		if len(mirror.kept) < maxKeptSince {
+			mirror.kept[after] = result
+		}
+	}
+	if !result.fits {
+		return nil, 0, false, false
+	}
+	return result.entries, mirror.revision, result.whole, true
+}
+
+// changesSince returns the changes after a revision. It is called with the mutex held.
+func (mirror *Mirror) changesSince(after store.Revision) sinceResult {
+	result := sinceResult{whole: after < mirror.deletionsAfter}
 	bytes := 0
 	for _, entry := range slices.Backward(mirror.changes) {
-		if !whole && entry.Revision() <= after {
+		if !result.whole && entry.Revision() <= after {
 			break
 		}
 		if mirror.isLatest(entry) && (entry.Revision() > after || !entry.Deleted()) {
-			entries = append(entries, entry)
+			result.entries = append(result.entries, entry)
 			bytes += len(entry.Key()) + len(entry.Value())
 		}
 	}
 	if bytes > maxSinceBytes {
-		return nil, 0, false, false
+		return sinceResult{}
 	}
-	slices.Reverse(entries)
-	return entries, mirror.revision, whole, true
+	slices.Reverse(result.entries)
+	result.entries, result.fits = slices.Clip(result.entries), true
+	return result
 }
 
 // Apply applies changes of another mirror after this mirror's revision. The mirror
@@ -214,6 +244,7 @@
 	if whole {
 		mirror.latest, mirror.changes, mirror.deletionsAfter = map[string]store.Entry{}, nil, to
 	}
+	clear(mirror.kept)
 	added := len(mirror.changes)
 	for _, entry := range entries {
 		mirror.latest[entry.Key()] = entry
