coord: compress changes in blocks, drop reports that are given up

Cause: whole lists of changes are less often the same than it seemed: they begin at any revision that an entry had lately and end at any that the coordinator had. Where replies are late there are more of these, so that a coordinator that had fallen behind compressed more. Change: changes are compressed in blocks of 256 revisions, which all but the first and the last of a list have in common with others. A report whose entry no longer waits is dropped; the entry repeats it.

--- a/coord/codec.go
+++ b/coord/codec.go
@@ -76,11 +76,7 @@
 	message.Suspects, message.Unconfirmed = encodeSuspicions(reply.Suspicions, now)
 	message.SuspectsVersion = reply.SuspicionsVersion
 	message.Rates, message.RatesVersion, message.Rank = encodeRates(reply.Rates, now), reply.RatesVersion, int32(reply.Rank)
-	for _, entry := range reply.Changes {
-		message.Changes = append(message.Changes, &wire.CoordChange{
-			Key: entry.Key(), Value: entry.Value(), Revision: int64(entry.Revision()), Deleted: entry.Deleted(),
-		})
-	}
+	message.Changes = encodeChanges(reply.Changes)
 	for account := range accountsOf(reply.Assigned.Shares, reply.Assigned.Lent) {
 		message.Shares = append(message.Shares, &wire.CoordShare{
 			Account: string(account), Share: reply.Assigned.Shares[account], Loan: reply.Assigned.Lent[account],
@@ -100,6 +96,14 @@
 	return message
 }
 
+func encodeChanges(entries []store.Entry) []*wire.CoordChange {
+	encoded := make([]*wire.CoordChange, 0, len(entries))
+	for _, entry := range entries {
+		encoded = append(encoded, &wire.CoordChange{Key: entry.Key(), Value: entry.Value(), Revision: int64(entry.Revision()), Deleted: entry.Deleted()})
+	}
+	return encoded
+}
+
 func decodeReply(message *wire.CoordExchangeReply, now time.Time) Reply {
 	reply := Reply{
 		Term:     message.GetTerm(),
--- a/coord/server.go
+++ b/coord/server.go
@@ -28,12 +28,24 @@
 	wire.RegisterCoordinationServer(registrar, server)
 }
 
-// Exchange implements [wire.CoordinationServer].
-func (server *Server) Exchange(_ context.Context, message *wire.CoordExchangeRequest) (*wire.CoordExchangeReply, error) {
+// Exchange implements [wire.CoordinationServer]. A report whose entry no longer waits for the
+// reply is dropped, so that a coordinator that has fallen behind spends its time on the others.
+// The entry counts as one without a coordinator then, and repeats what it has to report.
+func (server *Server) Exchange(ctx context.Context, message *wire.CoordExchangeRequest) (*wire.CoordExchangeReply, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
 	reply, err := server.coordinator.Exchange(decodeReport(message, server.coordinator.config.Clock.Now()))
 	if err != nil {
 		return nil, encodeError(err)
 	}
+	shared, err := shareChanges(ctx, reply.Changes)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	if shared {
+		reply.Changes = nil
+	}
 	return encodeReply(reply, server.coordinator.config.Clock.Now()), nil
 }
 
