share: reuse an entry's record of loans

Cause: the lender built a new record of an entry's loans for each report and looked it up for each account. Change: the record is cleared and filled again.

--- a/share/lender.go
+++ b/share/lender.go
@@ -56,17 +56,22 @@
 // LendAhead records what an entry has left of its loans, and returns the further
 // tokens that it lends for the entry's expected use until its next reports.
 func (lender *Lender) LendAhead(instance names.Instance, state State, limits *policy.Snapshot, now time.Time) Amounts {
-	for account, lent := range lender.lent[instance] {
+	entry, found := lender.lent[instance]
+	if !found {
+		entry = Amounts{}
+		lender.lent[instance] = entry
+	}
+	for account, lent := range entry {
 		lender.totalLent[account] -= max(lent, 0)
 	}
-	lender.lent[instance] = Amounts{}
+	clear(entry)
 	added := Amounts{}
 	for _, account := range limits.Accounts() {
 		if account.Rate <= 0 {
 			continue
 		}
 		left := state.Loans[account.Name]
-		lender.lent[instance][account.Name] = left
+		entry[account.Name] = left
 		lender.totalLent[account.Name] += max(left, 0)
 		bucket := lender.bucket(account, now)
 		wanted := state.Usage[account.Name]*loanSpan.Seconds() - left
@@ -76,7 +81,7 @@
 		}
 		granted := min(wanted, bucket.level-reserved)
 		bucket.level -= granted
-		lender.lent[instance][account.Name] += granted
+		entry[account.Name] = left + granted
 		lender.totalLent[account.Name] += max(left+granted, 0) - max(left, 0)
 		added[account.Name] = granted
 	}
