--- a/node/registryhandler.go
+++ b/node/registryhandler.go
@@ -26,8 +26,10 @@
 	log   logrus.FieldLogger
 	// metrics is nil for the default registry.
 	metrics metrics.Registry
-	// known maps each server with an entry to its incarnation.
-	known map[names.BackendServer]int64
+	// known maps each server with an entry to its incarnation, and listed to what was logged
+	// of it.
+	known  map[names.BackendServer]int64
+	listed map[names.BackendServer]listing
 	// removed holds the servers whose entries were removed lately.
 	removed map[names.BackendServer]removal
 	// outdated maps the servers whose entries are ignored, as they had been removed or
@@ -37,6 +39,16 @@
 	era store.Era
 }
 
+// listing is what is logged of a server's entry. A server writes its entry every 1.2 s, mostly
+// without a change of these.
+type listing struct {
+	service     names.Service
+	address     string
+	incarnation int64
+	draining    bool
+	models      int
+}
+
 // removal is what is known of a server whose entry was removed.
 type removal struct {
 	incarnation int64
@@ -48,7 +60,7 @@
 func newRegistryHandler(servers *pool.Pool, clock *clock.Service, log logrus.FieldLogger) *registryHandler {
 	return &registryHandler{
 		pool: servers, clock: clock, log: log,
-		known: map[names.BackendServer]int64{}, removed: map[names.BackendServer]removal{}, outdated: map[names.BackendServer]store.Revision{},
+		known: map[names.BackendServer]int64{}, listed: map[names.BackendServer]listing{}, removed: map[names.BackendServer]removal{}, outdated: map[names.BackendServer]store.Revision{},
 	}
 }
 
@@ -111,6 +123,7 @@
 	if err != nil {
 		event.ServerEntryUnread.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": err.Error()})
 		delete(registryHandler.known, id)
+		delete(registryHandler.listed, id)
 		registryHandler.pool.Reject(id, registryHandler.clock.Now())
 		return
 	}
@@ -125,9 +138,21 @@
 		event.ColdLeftInvalid.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": server.ColdFault})
 	}
 	registryHandler.pool.Put(server)
+	registryHandler.logListed(server, entry.Revision())
+}
+
+// logListed logs a server's entry if it is new or has changed.
+func (registryHandler *registryHandler) logListed(server *pool.Server, revision store.Revision) {
+	current := listing{
+		service: server.Service, address: server.Address, incarnation: server.Incarnation, draining: server.Draining, models: len(server.Models),
+	}
+	if former, found := registryHandler.listed[server.ID]; found && former == current {
+		return
+	}
+	registryHandler.listed[server.ID] = current
 	event.ServerListed.Log(registryHandler.log, logrus.Fields{
-		"server": string(id), "service": string(server.Service), "address": server.Address, "draining": server.Draining,
-		"models": len(server.Models), "revision": entry.Revision().String(),
+		"server": string(server.ID), "service": string(server.Service), "address": server.Address, "draining": server.Draining,
+		"models": len(server.Models), "revision": revision.String(),
 	})
 }
 
@@ -150,6 +175,7 @@
 	}
 	now := registryHandler.clock.Now()
 	delete(registryHandler.known, id)
+	delete(registryHandler.listed, id)
 	for each, removed := range registryHandler.removed {
 		if now.Sub(removed.at) > removalLifetime {
 			delete(registryHandler.removed, each)
