sched: convert readings by the present pace of their engine

Cause: the rate at which engines read prompts is fitted to readings of all engines, each divided by the pace of its engine at the time. Readings that arrive before the pace of a slow engine is known were taken for those of a usual one for the next 500 readings. Change: the sums of readings are kept for each engine and divided by its present pace when the line is fitted, with the medians of the paces. The line is no longer computed for each candidate. Readings of engines that go are kept. Command: go test ./sched -v

--- a/sched/engine.go
+++ b/sched/engine.go
@@ -33,6 +33,7 @@
 	// slowdown is the latest one that the engine has stated.
 	slowdown pool.Slowdown
 	prompts  promptCache
+	readings readingSums
 	// failingUntil is until when the engine is avoided because an entry has reported it as
 	// failing.
 	failingUntil time.Time
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -104,8 +104,7 @@
 // estimate returns the estimate for a request on an engine.
 func (scheduler *Scheduler) estimate(state *engineState, request *Request, now time.Time) candidate {
 	pace, slowdown := scheduler.paces.pace(state), state.slowdownAt(now)
-	readRate, first := scheduler.readings.rate()
-	readRate /= pace * slowdown
+	readRate, first := scheduler.readings.rate/(pace*slowdown), scheduler.readings.first
 	result := candidate{state: state, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
 	estimate := &result.estimate
 	estimate.Pace, estimate.CachedTokens = pace, state.prompts.cached(request)
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -135,9 +135,9 @@
 // SetEngines replaces the engines that accept requests. A new incarnation or address loses what
 // is known of the former one.
 func (scheduler *Scheduler) SetEngines(engines []Engine) {
-	former := scheduler.engines
+	former, formerSorted := scheduler.engines, scheduler.sorted
 	scheduler.engines = make(map[names.BackendServer]*engineState, len(engines))
-	scheduler.sorted = scheduler.sorted[:0]
+	scheduler.sorted = make([]*engineState, 0, len(engines))
 	for _, engine := range engines {
 		state, known := former[engine.Server.ID]
 		if !known || state.engine.Server.Incarnation != engine.Server.Incarnation || state.engine.Server.Address != engine.Server.Address {
@@ -154,6 +154,11 @@
 		scheduler.sorted = append(scheduler.sorted, state)
 	}
 	slices.SortFunc(scheduler.sorted, func(a, b *engineState) int { return cmp.Compare(a.engine.Server.ID, b.engine.Server.ID) })
+	for _, state := range formerSorted {
+		if scheduler.engines[state.engine.Server.ID] != state {
+			scheduler.readings.drop(state, scheduler.paces.pace(state))
+		}
+	}
 }
 
 // Report stores the requests in flight of an entry, and what it has measured since its
@@ -202,11 +207,12 @@
 				invalid++
 				continue
 			}
-			scheduler.readings.observe(reading, scheduler.paces.pace(state))
+			scheduler.readings.observe(state, reading)
 		}
 	}
 	if scheduler.isDue(&scheduler.pacedAt, time.Duration(len(scheduler.sorted))*pacesPeriod, now) {
 		scheduler.paces.update(scheduler.sorted)
+		scheduler.readings.update(scheduler.sorted, &scheduler.paces)
 	}
 	return invalid
 }
--- a/sched/scheduler_test.go
+++ b/sched/scheduler_test.go
@@ -138,6 +138,42 @@
 	}
 }
 
+// TestReadingsOfSlowEngines guards against a slow engine whose first readings arrive before its
+// pace is known and make all engines count as slower than they are, and against readings that
+// are lost with their engine.
+func TestReadingsOfSlowEngines(t *testing.T) {
+	g := NewWithT(t)
+	engines := []sched.Engine{engine("e1", model), engine("e2", model), engine("e3", model)}
+	var events, readings []pool.EngineUse
+	for server, pace := range map[names.BackendServer]float64{"e1": 1, "e2": 1, "e3": 2.4} {
+		events = append(events, pool.EngineUse{Server: server, Incarnation: 1, Events: 100, EventMilliseconds: 3500 * pace})
+		use := pool.EngineUse{Server: server, Incarnation: 1}
+		for tokens := int64(400); tokens <= 4000; tokens += 20 {
+			use.Readings = append(use.Readings, pool.Reading{Tokens: tokens, Milliseconds: pace * (50 + float64(tokens)/40)})
+		}
+		readings = append(readings, use)
+	}
+	prompts := func(scheduler *sched.Scheduler) map[names.BackendServer]float64 {
+		result := map[names.BackendServer]float64{}
+		for _, candidate := range scheduler.Explain(request(), epoch) {
+			result[candidate.Server] = candidate.Estimate.Prompt
+		}
+		return result
+	}
+	for _, reports := range [][][]pool.EngineUse{{events, readings}, {readings, events}} {
+		scheduler := newScheduler(config(), engines...)
+		for _, uses := range reports {
+			g.Expect(scheduler.Report("edge-1", nil, uses, epoch)).To(BeZero())
+		}
+		measured := prompts(scheduler)
+		g.Expect(measured["e1"]).To(BeNumerically("~", 700.0/40, 0.5))
+		g.Expect(measured["e3"]).To(BeNumerically("~", 2.4*700/40, 1.2))
+		scheduler.SetEngines(engines[:1])
+		scheduler.Report("edge-1", nil, nil, epoch)
+		g.Expect(prompts(scheduler)["e1"]).To(BeNumerically("~", measured["e1"], 1e-6))
+	}
+}
+
 // TestAbsurdRequests guards against a caller whose request takes an engine, or its account,
 // away from all others for long.
 func TestAbsurdRequests(t *testing.T) {
