sched: pace of engines without the prompts that their peers read

Cause: the 69 paused streams of 343 at slow engines in TestSlowEngines come from 28 cases: 25 times two, 3 times three prompts of other requests were read between two events. None comes from the step time alone, from the stream's own prompt, or from an engine of unknown pace. In all of them the engine's pace, 2.4, was taken for 1.58 to 1.85: it is the engine's event time relative to that of its peers, which read prompts up to half of the time, while slow engines get few prompts. The prompts were placed that much too close to each other. Change: the delay of streams by each prompt placed is counted, and the time to read a prompt follows from the event time relative to that of a usual engine that reads the same prompts (workPace). The costs of the load and of the response keep the former pace, which states how long a response takes with the prompts that engines read. Not measured on deployments. Command: go test ./sched -v

--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -77,6 +77,8 @@
 type candidate struct {
 	state    *engineState
 	estimate Estimate
+	// workPace is the engine's pace relative to a usual one that reads the same prompts.
+	workPace float64
 	// readRate is the number of tokens that the engine reads in a millisecond.
 	readRate float64
 	// intakeRate is the rate at which prompts may be placed on it.
@@ -103,9 +105,9 @@
 
 // estimate returns the estimate for a request on an engine.
 func (scheduler *Scheduler) estimate(state *engineState, request *Request, now time.Time) candidate {
-	pace, slowdown := scheduler.paces.pace(state), state.slowdownAt(now)
-	readRate, first := scheduler.readings.rate/(pace*slowdown), scheduler.readings.first
-	result := candidate{state: state, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
+	pace, workPace, slowdown := scheduler.paces.pace(state), scheduler.paces.workPace(state), state.slowdownAt(now)
+	readRate, first := scheduler.readings.rate/(workPace*slowdown), scheduler.readings.first
+	result := candidate{state: state, workPace: workPace, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
 	estimate := &result.estimate
 	estimate.Pace, estimate.CachedTokens = pace, state.prompts.cached(request)
 	result.unread = float64(max(request.PromptTokens-estimate.CachedTokens, 1))
@@ -136,7 +138,7 @@
 		estimate.Pause = pauseCost + streamPauseCost*running
 	}
 	result.failing = now.Before(state.failingUntil) || slices.Contains(request.Failing, state.engine.Server.ID)
-	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*pace*slowdown)
+	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*workPace*slowdown)
 	return result
 }
 
@@ -147,6 +149,8 @@
 		state.readyAt = candidate.startAt
 	}
 	state.readyAt = earlier(state.readyAt.Add(duration(candidate.unread/candidate.intakeRate)), now.Add(maxReserved))
+	// The requests in the entries' reports stream, those placed since mostly wait for their prompt.
+	state.lasting.addDelay(float64(state.reported)*candidate.estimate.Prompt/candidate.workPace, now)
 	scheduler.addPlacement(state, placement{instance: request.Instance, sentAt: candidate.startAt})
 	state.prompts.add(request, int64(cachedFraction*float64(scheduler.config.CacheTokens)))
 }
--- a/sched/reading.go
+++ b/sched/reading.go
@@ -110,7 +110,7 @@
 	sums := readings.former
 	for _, state := range states {
 		if state.readings.count > 0 {
-			sums.merge(state.readings, paces.pace(state))
+			sums.merge(state.readings, paces.workPace(state))
 		}
 	}
 	readings.fit(sums)
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -156,7 +156,7 @@
 	slices.SortFunc(scheduler.sorted, func(a, b *engineState) int { return cmp.Compare(a.engine.Server.ID, b.engine.Server.ID) })
 	for _, state := range formerSorted {
 		if scheduler.engines[state.engine.Server.ID] != state {
-			scheduler.readings.drop(state, scheduler.paces.pace(state))
+			scheduler.readings.drop(state, scheduler.paces.workPace(state))
 		}
 	}
 }
--- a/sched/scheduler_test.go
+++ b/sched/scheduler_test.go
@@ -174,6 +174,45 @@
 	}
 }
 
+// TestPaceOfEnginesWithFewPrompts guards against a slow engine that counts as hardly slower than
+// its peers, as these read prompts between the events of their streams and it does not.
+func TestPaceOfEnginesWithFewPrompts(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		period  = 250 * time.Millisecond
+		streams = 10
+		step    = 33.0
+		reading = 2000.0 / 30
+	)
+	scheduler := newScheduler(config(), engine("e1", model), engine("e2", model), engine("e3", model))
+	running := map[names.BackendServer]int{"e1": streams, "e2": streams, "e3": streams}
+	elapsed := streams * float64(period/time.Millisecond)
+	now := epoch
+	for ; now.Before(at(10 * time.Second)); now = now.Add(period) {
+		var uses []pool.EngineUse
+		for _, server := range []names.BackendServer{"e1", "e2"} {
+			asked := request()
+			asked.PromptTokens = 2000
+			for other := range running {
+				if other != server {
+					asked.Excluded = append(asked.Excluded, other)
+				}
+			}
+			g.Expect(scheduler.Place(asked, now)).To(BeAssignableToTypeOf(sched.Placed{}))
+			uses = append(uses, pool.EngineUse{Server: server, Incarnation: 1, Events: int((elapsed - streams*reading) / step), EventMilliseconds: elapsed})
+		}
+		uses = append(uses, pool.EngineUse{Server: "e3", Incarnation: 1, Events: int(elapsed / (2.4 * step)), EventMilliseconds: elapsed})
+		g.Expect(scheduler.Report("edge-1", running, uses, now)).To(BeZero())
+	}
+	estimates := map[names.BackendServer]sched.Estimate{}
+	for _, candidate := range scheduler.Explain(request(), now) {
+		estimates[candidate.Server] = candidate.Estimate
+	}
+	g.Expect(estimates["e2"].Prompt).To(Equal(estimates["e1"].Prompt))
+	g.Expect(estimates["e3"].Prompt / estimates["e1"].Prompt).To(BeNumerically("~", 2.4, 0.1))
+	g.Expect(estimates["e3"].Pace).To(BeNumerically("<", 2), "the pace of the streams, with the reading of the others")
+}
+
 // TestAbsurdRequests guards against a caller whose request takes an engine, or its account,
 // away from all others for long.
 func TestAbsurdRequests(t *testing.T) {
--- a/sched/speed.go
+++ b/sched/speed.go
@@ -27,19 +27,33 @@
 	// events and milliseconds are decaying sums as of updatedAt.
 	events       float64
 	milliseconds float64
-	updatedAt    time.Time
+	// delay is a decaying sum of the times, in milliseconds at the usual pace, for which the
+	// engine's streams were to wait for the prompts that were placed on it.
+	delay     float64
+	updatedAt time.Time
 }
 
 // add adds a number of events and the sum of the times between them.
 func (speed *speed) add(events int, milliseconds float64, now time.Time) {
-	if now.After(speed.updatedAt) {
-		decay := math.Exp2(-now.Sub(speed.updatedAt).Seconds() / speed.halfLife.Seconds())
-		speed.events, speed.milliseconds, speed.updatedAt = speed.events*decay, speed.milliseconds*decay, now
-	}
+	speed.decay(now)
 	speed.events += float64(events)
 	speed.milliseconds += milliseconds
 }
 
+// addDelay adds a time for which streams wait for a prompt.
+func (speed *speed) addDelay(milliseconds float64, now time.Time) {
+	speed.decay(now)
+	speed.delay += milliseconds
+}
+
+func (speed *speed) decay(now time.Time) {
+	if !now.After(speed.updatedAt) {
+		return
+	}
+	decay := math.Exp2(-now.Sub(speed.updatedAt).Seconds() / speed.halfLife.Seconds())
+	speed.events, speed.milliseconds, speed.delay, speed.updatedAt = speed.events*decay, speed.milliseconds*decay, speed.delay*decay, now
+}
+
 // minEvents is the least decayed number of events for a mean.
 const minEvents = 4
 
@@ -52,25 +66,41 @@
 	return speed.milliseconds / speed.events, true
 }
 
+// eventDelay returns the part of an event time in which a usual engine would have read
+// prompts. It is bounded by what intakeFraction allows, as streams that have ended and prompts
+// that were never sent count in the sum as well.
+func (speed *speed) eventDelay(eventTime float64) float64 {
+	return min(speed.delay/speed.events, intakeFraction*eventTime)
+}
+
 // paces compares the event times of engines.
 type paces struct {
 	// recent and lasting are the medians of the engines' event times in milliseconds, or
 	// zero if they are unknown.
 	recent  float64
 	lasting float64
+	// undelayed is the median of the lasting event times without the reading of prompts.
+	undelayed float64
 }
 
 // update recomputes the medians.
 func (paces *paces) update(states []*engineState) {
-	paces.recent = median(states, paces.recent, func(state *engineState) *speed { return &state.recent })
-	paces.lasting = median(states, paces.lasting, func(state *engineState) *speed { return &state.lasting })
+	paces.recent = median(states, paces.recent, func(state *engineState) (float64, bool) { return state.recent.eventTime() })
+	paces.lasting = median(states, paces.lasting, func(state *engineState) (float64, bool) { return state.lasting.eventTime() })
+	paces.undelayed = median(states, paces.undelayed, func(state *engineState) (float64, bool) {
+		eventTime, known := state.lasting.eventTime()
+		if !known {
+			return 0, false
+		}
+		return eventTime - state.lasting.eventDelay(eventTime), true
+	})
 }
 
-// median returns the median of the engines' event times, or former if none is known.
-func median(states []*engineState, former float64, speedOf func(*engineState) *speed) float64 {
+// median returns the median of the engines' times, or former if none is known.
+func median(states []*engineState, former float64, timeOf func(*engineState) (float64, bool)) float64 {
 	var times []float64
 	for _, state := range states {
-		if milliseconds, known := speedOf(state).eventTime(); known {
+		if milliseconds, known := timeOf(state); known {
 			times = append(times, milliseconds)
 		}
 	}
@@ -81,14 +111,32 @@
 	return times[(len(times)-1)/2]
 }
 
-// pace returns the lasting pace of an engine: one for a usual engine, two for one half as
-// fast. An engine without events counts as usual.
+// pace returns the lasting pace of an engine's streams, with the prompts that it reads
+// meanwhile: one for a usual engine, two for one half as fast. An engine without events counts as
+// usual.
 func (paces *paces) pace(state *engineState) float64 {
 	milliseconds, known := state.lasting.eventTime()
-	if !known || paces.lasting <= 0 {
+	return plausiblePace(milliseconds, paces.lasting, known)
+}
+
+// workPace returns the lasting pace of an engine relative to a usual one that reads the same
+// prompts. [paces.pace] takes an engine 2.4 times as slow for 1.7 times as slow where it gets few
+// prompts and the others read half of the time.
+func (paces *paces) workPace(state *engineState) float64 {
+	milliseconds, known := state.lasting.eventTime()
+	if !known {
+		return 1
+	}
+	return plausiblePace(milliseconds, paces.undelayed+state.lasting.eventDelay(milliseconds), paces.undelayed > 0)
+}
+
+// plausiblePace returns the pace of an engine that takes a time where a usual one takes
+// another, or one if they are unknown.
+func plausiblePace(milliseconds, usual float64, known bool) float64 {
+	if !known || usual <= 0 {
 		return 1
 	}
-	pace := min(max(milliseconds/paces.lasting, minPace), maxPace)
+	pace := min(max(milliseconds/usual, minPace), maxPace)
 	if pace < usualPace {
 		return 1
 	}
