sched: keep large prompts apart at slow engines

The prompts are larger than the engine's window, which is 400 tokens there. The second is sent when the intake is free, so that the time between both is that of the first: 70 ms and 105 ms of reading were part of one event of 80 ms, 255 ms in all, where 250 are allowed. Change: such a prompt is sent later by as much as keeps an event with both below pauseThreshold of the gap objective. What is added follows from the event time without prompts, the prompt's reading time and the objective, and is zero for prompts of less than about 5,000 tokens at engines of the usual pace. Not measured on deployments. Command: go test ./sched -v

--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -117,7 +117,11 @@
 	window := max((min(windowFraction, slowedFraction/scheduler.slowdowns.margin)*gap-eventTime)*readRate, minWindow)
 	result.intakeRate = readRate * intakeFraction
 	result.startAt = now
-	if allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / result.intakeRate)); allowedAt.After(now) {
+	allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / result.intakeRate))
+	if result.unread > window {
+		allowedAt = state.readyAt.Add(duration(separation(scheduler.paces.undelayed*workPace*slowdown, result.unread/readRate, gap)))
+	}
+	if allowedAt.After(now) {
 		result.startAt = allowedAt
 	}
 	backlog := max(milliseconds(state.readyAt.Sub(result.startAt)), 0) * result.intakeRate
@@ -142,6 +146,18 @@
 	return result
 }
 
+// separation returns how long after its intake is free an engine may be sent a prompt that is
+// larger than its window, in milliseconds, where an event takes a time without prompts. Until then
+// it has read prompts for at most as long as it has not (intakeFraction). So an event that ends
+// with the prompt contains others for at most its own time less the separation, and stays below
+// pauseThreshold of the objective. A prompt that exceeds the objective by itself is not separated.
+func separation(event, prompt, gap float64) float64 {
+	if event+prompt > gap {
+		return 0
+	}
+	return min(max(2*event+prompt-pauseThreshold*gap, 0), event)
+}
+
 // reserve books the prompt on the engine.
 func (scheduler *Scheduler) reserve(candidate *candidate, request *Request, now time.Time) {
 	state := candidate.state
--- a/sched/scheduler_test.go
+++ b/sched/scheduler_test.go
@@ -213,6 +213,38 @@
 	g.Expect(estimates["e3"].Pace).To(BeNumerically("<", 2), "the pace of the streams, with the reading of the others")
 }
 
+// TestLargePromptsAtSlowEngines guards against two prompts that are each read in time and
+// together interrupt the streams of a slow engine for too long.
+func TestLargePromptsAtSlowEngines(t *testing.T) {
+	const (
+		event     = 80.0
+		objective = 250.0
+	)
+	for first := int64(300); first <= 5000; first += 100 {
+		for second := int64(500); second <= 5000; second += 100 {
+			g := NewWithT(t)
+			scheduler := newScheduler(config(), engine("e1", model))
+			scheduler.Report("edge-1", nil, []pool.EngineUse{{Server: "e1", Incarnation: 1, Events: 100, EventMilliseconds: 100 * event}}, epoch)
+			before, after := request(), request()
+			before.PromptTokens, after.PromptTokens = first, second
+			one := scheduler.Explain(before, epoch)[0].Estimate
+			g.Expect(one.Wait).To(BeZero())
+			scheduler.Place(before, epoch)
+			two := scheduler.Explain(after, epoch)[0].Estimate
+			// An event that ends with the second prompt contains the first one, which is read in
+			// one step, if the time between them is shorter than the event.
+			reading := two.Prompt
+			if two.Wait-one.Prompt < event {
+				reading += one.Prompt
+			}
+			if event+two.Prompt <= objective {
+				g.Expect(event+reading).To(BeNumerically("<=", objective+1e-6), "%d and %d tokens", first, second)
+			}
+			g.Expect(two.Wait).To(BeNumerically("<=", 2*one.Prompt+event), "%d and %d tokens", first, second)
+		}
+	}
+}
+
 // TestAbsurdRequests guards against a caller whose request takes an engine, or its account,
 // away from all others for long.
 func TestAbsurdRequests(t *testing.T) {
