--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -77,6 +77,8 @@
 type candidate struct {
 	state    *engineState
 	estimate Estimate
+	// workPace is the engine's pace relative to a usual one that reads the same prompts.
+	workPace float64
 	// readRate is the number of tokens that the engine reads in a millisecond.
 	readRate float64
 	// intakeRate is the rate at which prompts may be placed on it.
@@ -103,10 +105,9 @@
 
 // estimate returns the estimate for a request on an engine.
 func (scheduler *Scheduler) estimate(state *engineState, request *Request, now time.Time) candidate {
-	pace, slowdown := scheduler.paces.pace(state), state.slowdownAt(now)
-	readRate, first := scheduler.readings.rate()
-	readRate /= pace * slowdown
-	result := candidate{state: state, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
+	pace, workPace, slowdown := scheduler.paces.pace(state), scheduler.paces.workPace(state), state.slowdownAt(now)
+	readRate, first := scheduler.readings.rate/(workPace*slowdown), scheduler.readings.first
+	result := candidate{state: state, workPace: workPace, readRate: readRate, missing: request.Adapter != "" && !state.hasAdapter(pool.Adapter{Model: request.Model, Name: request.Adapter})}
 	estimate := &result.estimate
 	estimate.Pace, estimate.CachedTokens = pace, state.prompts.cached(request)
 	result.unread = float64(max(request.PromptTokens-estimate.CachedTokens, 1))
@@ -116,7 +117,11 @@
 	window := max((min(windowFraction, slowedFraction/scheduler.slowdowns.margin)*gap-eventTime)*readRate, minWindow)
 	result.intakeRate = readRate * intakeFraction
 	result.startAt = now
-	if allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / result.intakeRate)); allowedAt.After(now) {
+	allowedAt := state.readyAt.Add(-duration(max(window-result.unread, 0) / result.intakeRate))
+	if result.unread > window {
+		allowedAt = state.readyAt.Add(duration(separation(scheduler.paces.undelayed*workPace*slowdown, result.unread/readRate, gap)))
+	}
+	if allowedAt.After(now) {
 		result.startAt = allowedAt
 	}
 	backlog := max(milliseconds(state.readyAt.Sub(result.startAt)), 0) * result.intakeRate
@@ -137,10 +142,22 @@
 		estimate.Pause = pauseCost + streamPauseCost*running
 	}
 	result.failing = now.Before(state.failingUntil) || slices.Contains(request.Failing, state.engine.Server.ID)
-	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*pace*slowdown)
+	result.first = duration(estimate.Backlog + estimate.Prompt + estimate.Adapter + estimate.Distance + first*workPace*slowdown)
 	return result
 }
 
+// separation returns how long after its intake is free an engine may be sent a prompt that is
+// larger than its window, in milliseconds, where an event takes a time without prompts. Until then
+// it has read prompts for at most as long as it has not (intakeFraction). So an event that ends
+// with the prompt contains others for at most its own time less the separation, and stays below
+// pauseThreshold of the objective. A prompt that exceeds the objective by itself is not separated.
+func separation(event, prompt, gap float64) float64 {
+	if event+prompt > gap {
+		return 0
+	}
+	return min(max(2*event+prompt-pauseThreshold*gap, 0), event)
+}
+
 // reserve books the prompt on the engine.
 func (scheduler *Scheduler) reserve(candidate *candidate, request *Request, now time.Time) {
 	state := candidate.state
@@ -148,6 +165,8 @@
 		state.readyAt = candidate.startAt
 	}
 	state.readyAt = earlier(state.readyAt.Add(duration(candidate.unread/candidate.intakeRate)), now.Add(maxReserved))
+	// The requests in the entries' reports stream, those placed since mostly wait for their prompt.
+	state.lasting.addDelay(float64(state.reported)*candidate.estimate.Prompt/candidate.workPace, now)
 	scheduler.addPlacement(state, placement{instance: request.Instance, sentAt: candidate.startAt})
 	state.prompts.add(request, int64(cachedFraction*float64(scheduler.config.CacheTokens)))
 }
--- a/sched/scheduler_test.go
+++ b/sched/scheduler_test.go
@@ -138,6 +138,113 @@
 	}
 }
 
+// TestReadingsOfSlowEngines guards against a slow engine whose first readings arrive before its
+// pace is known and make all engines count as slower than they are, and against readings that
+// are lost with their engine.
+func TestReadingsOfSlowEngines(t *testing.T) {
+	g := NewWithT(t)
+	engines := []sched.Engine{engine("e1", model), engine("e2", model), engine("e3", model)}
+	var events, readings []pool.EngineUse
+	for server, pace := range map[names.BackendServer]float64{"e1": 1, "e2": 1, "e3": 2.4} {
+		events = append(events, pool.EngineUse{Server: server, Incarnation: 1, Events: 100, EventMilliseconds: 3500 * pace})
+		use := pool.EngineUse{Server: server, Incarnation: 1}
+		for tokens := int64(400); tokens <= 4000; tokens += 20 {
+			use.Readings = append(use.Readings, pool.Reading{Tokens: tokens, Milliseconds: pace * (50 + float64(tokens)/40)})
+		}
+		readings = append(readings, use)
+	}
+	prompts := func(scheduler *sched.Scheduler) map[names.BackendServer]float64 {
+		result := map[names.BackendServer]float64{}
+		for _, candidate := range scheduler.Explain(request(), epoch) {
+			result[candidate.Server] = candidate.Estimate.Prompt
+		}
+		return result
+	}
+	for _, reports := range [][][]pool.EngineUse{{events, readings}, {readings, events}} {
+		scheduler := newScheduler(config(), engines...)
+		for _, uses := range reports {
+			g.Expect(scheduler.Report("edge-1", nil, uses, epoch)).To(BeZero())
+		}
+		measured := prompts(scheduler)
+		g.Expect(measured["e1"]).To(BeNumerically("~", 700.0/40, 0.5))
+		g.Expect(measured["e3"]).To(BeNumerically("~", 2.4*700/40, 1.2))
+		scheduler.SetEngines(engines[:1])
+		scheduler.Report("edge-1", nil, nil, epoch)
+		g.Expect(prompts(scheduler)["e1"]).To(BeNumerically("~", measured["e1"], 1e-6))
+	}
+}
+
+// TestPaceOfEnginesWithFewPrompts guards against a slow engine that counts as hardly slower than
+// its peers, as these read prompts between the events of their streams and it does not.
+func TestPaceOfEnginesWithFewPrompts(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		period  = 250 * time.Millisecond
+		streams = 10
+		step    = 33.0
+		reading = 2000.0 / 30
+	)
+	scheduler := newScheduler(config(), engine("e1", model), engine("e2", model), engine("e3", model))
+	running := map[names.BackendServer]int{"e1": streams, "e2": streams, "e3": streams}
+	elapsed := streams * float64(period/time.Millisecond)
+	now := epoch
+	for ; now.Before(at(10 * time.Second)); now = now.Add(period) {
+		var uses []pool.EngineUse
+		for _, server := range []names.BackendServer{"e1", "e2"} {
+			asked := request()
+			asked.PromptTokens = 2000
+			for other := range running {
+				if other != server {
+					asked.Excluded = append(asked.Excluded, other)
+				}
+			}
+			g.Expect(scheduler.Place(asked, now)).To(BeAssignableToTypeOf(sched.Placed{}))
+			uses = append(uses, pool.EngineUse{Server: server, Incarnation: 1, Events: int((elapsed - streams*reading) / step), EventMilliseconds: elapsed})
+		}
+		uses = append(uses, pool.EngineUse{Server: "e3", Incarnation: 1, Events: int(elapsed / (2.4 * step)), EventMilliseconds: elapsed})
+		g.Expect(scheduler.Report("edge-1", running, uses, now)).To(BeZero())
+	}
+	estimates := map[names.BackendServer]sched.Estimate{}
+	for _, candidate := range scheduler.Explain(request(), now) {
+		estimates[candidate.Server] = candidate.Estimate
+	}
+	g.Expect(estimates["e2"].Prompt).To(Equal(estimates["e1"].Prompt))
+	g.Expect(estimates["e3"].Prompt / estimates["e1"].Prompt).To(BeNumerically("~", 2.4, 0.1))
+	g.Expect(estimates["e3"].Pace).To(BeNumerically("<", 2), "the pace of the streams, with the reading of the others")
+}
+
+// TestLargePromptsAtSlowEngines guards against two prompts that are each read in time and
+// together interrupt the streams of a slow engine for too long.
+func TestLargePromptsAtSlowEngines(t *testing.T) {
+	const (
+		event     = 80.0
+		objective = 250.0
+	)
+	for first := int64(300); first <= 5000; first += 100 {
+		for second := int64(500); second <= 5000; second += 100 {
+			g := NewWithT(t)
+			scheduler := newScheduler(config(), engine("e1", model))
+			scheduler.Report("edge-1", nil, []pool.EngineUse{{Server: "e1", Incarnation: 1, Events: 100, EventMilliseconds: 100 * event}}, epoch)
+			before, after := request(), request()
+			before.PromptTokens, after.PromptTokens = first, second
+			one := scheduler.Explain(before, epoch)[0].Estimate
+			g.Expect(one.Wait).To(BeZero())
+			scheduler.Place(before, epoch)
+			two := scheduler.Explain(after, epoch)[0].Estimate
+			// An event that ends with the second prompt contains the first one, which is read in
+			// one step, if the time between them is shorter than the event.
+			reading := two.Prompt
+			if two.Wait-one.Prompt < event {
+				reading += one.Prompt
+			}
+			if event+two.Prompt <= objective {
+				g.Expect(event+reading).To(BeNumerically("<=", objective+1e-6), "%d and %d tokens", first, second)
+			}
+			g.Expect(two.Wait).To(BeNumerically("<=", 2*one.Prompt+event), "%d and %d tokens", first, second)
+		}
+	}
+}
+
 // TestAbsurdRequests guards against a caller whose request takes an engine, or its account,
 // away from all others for long.
 func TestAbsurdRequests(t *testing.T) {
