pool: choose among the members of a service without allocating

Cause: a choice went through the members of all services, summed their requests, and allocated a growing list of candidates and a closure for each comparison. Change: members are listed by service, in the order of their IDs as before; the sums of requests are kept; the memory of the candidates is reused; maps that are usually empty are not searched. Choices for given random numbers are the same (TestChoicesStaySame).

--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -47,6 +47,9 @@
 
 // isEvacuated is [Pool.Evacuated]. The caller holds the mutex.
 func (pool *Pool) isEvacuated(domain names.FailureDomain) bool {
+	if len(pool.evacuated) == 0 {
+		return false
+	}
 	_, evacuated := pool.evacuated[domain]
 	return evacuated
 }
--- a/pool/explain.go
+++ b/pool/explain.go
@@ -119,15 +119,13 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	scores := map[*member]Score{}
-	eligible := pool.candidates(query, now)
+	eligible := pool.candidates(&query, now)
 	eligible.record = func(member *member, score Score) { scores[member] = score }
-	choice := pool.choose(&eligible, query, pool.config.Gate.NextReturn, now)
+	choice := pool.choose(&eligible, &query, pool.config.Gate.NextReturn, now)
 	restrictions := pool.config.Gate.Restrictions(now)
-	var explained []Candidate
-	for _, member := range pool.members {
-		if member.server.Service != query.Service {
-			continue
-		}
+	listed := pool.byService[query.Service]
+	explained := slices.Grow([]Candidate(nil), len(listed))
+	for _, member := range listed {
 		candidate := Candidate{Server: member.server, Busy: member.busy(now)}
 		candidate.AdapterMissing = query.Adapter != "" && !member.hasAdapter(Adapter{Model: query.Model, Name: query.Adapter}, now)
 		score, compared := scores[member]
--- a/pool/leave.go
+++ b/pool/leave.go
@@ -53,6 +53,9 @@
 // departed reports whether an incarnation has announced that it is leaving. The caller
 // holds the mutex.
 func (pool *Pool) departed(id names.BackendServer, incarnation int64) bool {
+	if len(pool.departures) == 0 {
+		return false
+	}
 	known, found := pool.departures[id]
 	return found && known.incarnation == incarnation
 }
--- a/pool/member.go
+++ b/pool/member.go
@@ -63,6 +63,9 @@
 
 // refusesModel reports whether the server has lately answered that it lacks a model.
 func (member *member) refusesModel(model names.Model, now time.Time) bool {
+	if len(member.missingModels) == 0 {
+		return false
+	}
 	until, found := member.missingModels[model]
 	return found && now.Before(until)
 }
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -16,6 +16,7 @@
 			member.lastActiveAt = now
 		}
 		member.ownRequests++
+		pool.ownRequests++
 		member.unreadTokens += tokens
 	}
 }
@@ -50,6 +51,7 @@
 	defer pool.mutex.Unlock()
 	if member, found := pool.members[id]; found && member.ownRequests > 0 {
 		member.ownRequests--
+		pool.ownRequests--
 	}
 }
 
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -11,13 +11,13 @@
 func (pool *Pool) Pick(query Query, now time.Time) Choice {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	eligible := pool.candidates(query, now)
-	return pool.choose(&eligible, query, pool.config.Gate.Return, now)
+	eligible := pool.candidates(&query, now)
+	return pool.choose(&eligible, &query, pool.config.Gate.Return, now)
 }
 
 // choose chooses among candidates. Next is used if all that are left are closed, see
 // [Pool.returnTime]. The caller holds the mutex.
-func (pool *Pool) choose(eligible *candidates, query Query, next func([]permit.Server, time.Time) time.Duration, now time.Time) Choice {
+func (pool *Pool) choose(eligible *candidates, query *Query, next func([]permit.Server, time.Time) time.Duration, now time.Time) Choice {
 	candidates := eligible.usable
 	if len(candidates) == 0 {
 		switch {
@@ -29,18 +29,16 @@
 			return NoServer{}
 		}
 	}
-	ratio := pool.requestRatio()
-	score := func(member *member, score *Score) { pool.score(member, &query, ratio, now, score) }
-	best, _ := eligible.best(score, func(*member) bool { return true })
+	scorer := pool.newScorer(query, now)
+	best, _ := scorer.best(eligible, amongAll)
 	maxLoad := float64(maxPlainLoad)
 	if query.Model != "" {
 		maxLoad = maxEngineLoad
 	}
 	chosen := Chosen{Alternatives: len(candidates) - 1, Yields: eligible.yields && len(candidates) > 1}
 	if query.Adapter != "" {
-		adapter := Adapter{Model: query.Model, Name: query.Adapter}
-		holder, holderScore := eligible.best(score, func(member *member) bool { return member.hasAdapter(adapter, now) })
-		idle, idleScore := eligible.best(score, func(member *member) bool { return !member.busy(now) })
+		holder, holderScore := scorer.best(eligible, amongHolders)
+		idle, idleScore := scorer.best(eligible, amongIdle)
 		switch {
 		case holder != nil && holderScore <= idleScore+adapterSlack:
 			best = holder
@@ -75,15 +73,12 @@
 }
 
 // candidates returns the candidates for a query. The caller holds the mutex.
-func (pool *Pool) candidates(query Query, now time.Time) candidates {
-	var result candidates
+func (pool *Pool) candidates(query *Query, now time.Time) candidates {
+	result := candidates{usable: pool.usable[:0]}
 	var reserved, ejected []*member
 	restrictions := pool.config.Gate.Restrictions(now)
-	for _, member := range pool.sorted {
-		if member.server.Service != query.Service {
-			continue
-		}
-		exclusion := pool.exclusion(member, &query, restrictions, now)
+	for _, member := range pool.byService[query.Service] {
+		exclusion := pool.exclusion(member, query, restrictions, now)
 		result.listed = result.listed || exclusion.accepts()
 		switch exclusion {
 		case ExclusionPaused:
@@ -102,6 +97,7 @@
 		}
 	}
 	result.yields = len(result.usable) > 0
+	pool.usable = result.usable
 	if len(result.usable) == 0 {
 		result.usable = reserved
 	}
@@ -111,16 +107,45 @@
 	return result
 }
 
-// best returns the usable and eligible member with the lowest score, or nil.
-func (candidates *candidates) best(compute func(*member, *Score), eligible func(*member) bool) (*member, float64) {
+// group is a part of the candidates.
+type group int
+
+const (
+	amongAll group = iota
+	// amongHolders are those that hold the query's adapter, amongIdle those that accept an
+	// order to load it.
+	amongHolders
+	amongIdle
+)
+
+// scorer computes the scores of members for a query.
+type scorer struct {
+	pool  *Pool
+	query *Query
+	now   time.Time
+	// ratio is the number of all instances' requests for each of this one's, from which it is
+	// estimated what the others have sent. unseen is the load over which choices are
+	// randomized because of the others.
+	ratio  float64
+	unseen float64
+}
+
+// newScorer returns a scorer. The caller holds the mutex.
+func (pool *Pool) newScorer(query *Query, now time.Time) scorer {
+	ratio := pool.requestRatio()
+	return scorer{pool: pool, query: query, now: now, ratio: ratio, unseen: unseenSpread * (1 - 1/ratio)}
+}
+
+// best returns the usable member of a group with the lowest score, or nil.
+func (scorer *scorer) best(candidates *candidates, group group) (*member, float64) {
 	var best *member
 	bestScore := math.Inf(1)
 	var score Score
 	for _, member := range candidates.usable {
-		if !eligible(member) {
+		if !scorer.includes(group, member) {
 			continue
 		}
-		compute(member, &score)
+		scorer.score(member, &score)
 		if candidates.record != nil {
 			candidates.record(member, score)
 		}
@@ -131,22 +156,32 @@
 	return best, bestScore
 }
 
+// includes reports whether a member belongs to a group.
+func (scorer *scorer) includes(group group, member *member) bool {
+	switch group {
+	case amongHolders:
+		return member.hasAdapter(Adapter{Model: scorer.query.Model, Name: scorer.query.Adapter}, scorer.now)
+	case amongIdle:
+		return !member.busy(scorer.now)
+	default:
+		return true
+	}
+}
+
 // score computes the load of a member plus penalties in the unit of loads; lower is
-// better. It estimates what other instances have sent from ratio, the number of all
-// instances' requests for each of this one's.
-func (pool *Pool) score(member *member, query *Query, ratio float64, now time.Time, score *Score) {
-	unread := float64(member.unreadTokens) * ratio
-	unseen := unseenSpread * (1 - 1/ratio)
-	score.Load = member.queryLoad(query, now)
+// better.
+func (scorer *scorer) score(member *member, score *Score) {
+	slots := member.slots()
+	score.Load = member.queryLoad(scorer.query, scorer.now)
 	score.Slow = float64(member.slowRequests) * slowPenalty
 	score.Errors = max(member.errorRate-toleratedErrorRate, 0) * errorPenalty
-	score.Prompt = unread / promptChunkTokens * promptPenalty
-	score.Random = pool.config.Random() * (1/member.slots() + unseen)
+	score.Prompt = float64(member.unreadTokens) * scorer.ratio / promptChunkTokens * promptPenalty
+	score.Random = scorer.pool.config.Random() * (1/slots + scorer.unseen)
 	score.Silent, score.Distance = 0, 0
-	if member.silent(now) {
+	if member.silent(scorer.now) {
 		score.Silent = silentPenalty
 	}
-	if member.server.Domain != query.Domain {
+	if member.server.Domain != scorer.query.Domain {
 		score.Distance = crossDomainPenalty
 	}
 }
@@ -154,10 +189,5 @@
 // requestRatio returns how many requests all instances run for each of this one's.
 // The caller holds the mutex.
 func (pool *Pool) requestRatio() float64 {
-	own, others := 0, 0
-	for _, member := range pool.sorted {
-		own += member.ownRequests
-		others += member.otherRequests
-	}
-	return 1 + float64(others)/float64(max(own, 1))
+	return 1 + float64(pool.otherRequests)/float64(max(pool.ownRequests, 1))
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -80,9 +80,14 @@
 	// mutex guards the fields below.
 	mutex   sync.Mutex
 	members map[names.BackendServer]*member
-	// sorted are the members by ID. A choice goes through them in this order, so that the
-	// same random numbers lead to the same choices.
-	sorted []*member
+	// byService holds the members of each service by ID. A choice goes through them in this
+	// order, so that the same random numbers lead to the same choices.
+	byService map[names.Service][]*member
+	// ownRequests and otherRequests are the sums of those of the members.
+	ownRequests   int
+	otherRequests int
+	// usable is the memory of the candidates of the last choice, which the next one uses.
+	usable []*member
 	// departures are the incarnations that announced that they are leaving.
 	departures map[names.BackendServer]departure
 	// registryLostAt is when the registry stopped responding, or zero while it
@@ -115,7 +120,7 @@
 		config.Gate = permit.NewGate()
 	}
 	return &Pool{
-		config: config, members: map[names.BackendServer]*member{}, departures: map[names.BackendServer]departure{},
+		config: config, members: map[names.BackendServer]*member{}, byService: map[names.Service][]*member{}, departures: map[names.BackendServer]departure{},
 		holdings: map[names.BackendServer]*Holding{}, changed: make(chan struct{}),
 		uses: map[permit.Server]*EngineUse{}, modelRequests: map[modelOnServer]int{}, returnedAt: map[names.FailureDomain]time.Time{},
 	}
@@ -148,16 +153,23 @@
 		fresh := &member{server: server, missingModels: map[names.Model]time.Time{}}
 		if found {
 			fresh.ownRequests, fresh.unreadTokens = known.ownRequests, known.unreadTokens
+			pool.otherRequests -= known.otherRequests
+			pool.unlist(known)
 		}
 		pool.applyHolding(fresh)
 		pool.members[server.ID] = fresh
-		pool.order(fresh)
+		pool.list(fresh)
 	} else {
 		if known.server.Draining && !server.Draining {
 			draining := *server
 			draining.Draining, draining.Remaining = true, known.server.Remaining
 			server = &draining
 		}
+		if known.server.Service != server.Service {
+			pool.unlist(known)
+			known.server = server
+			pool.list(known)
+		}
 		known.server = server
 		known.delistedAt, known.outagePossible = time.Time{}, false
 	}
@@ -165,17 +177,26 @@
 	pool.notifyChanged()
 }
 
-// order puts a new member into sorted, in place of a former one of the same ID. The caller
-// holds the mutex.
-func (pool *Pool) order(fresh *member) {
-	index, found := slices.BinarySearchFunc(pool.sorted, fresh.server.ID, func(member *member, id names.BackendServer) int {
+// list adds a member to those of its service. The caller holds the mutex.
+func (pool *Pool) list(member *member) {
+	listed := pool.byService[member.server.Service]
+	index, _ := place(listed, member)
+	pool.byService[member.server.Service] = slices.Insert(listed, index, member)
+}
+
+// unlist removes a member from those of its service. The caller holds the mutex.
+func (pool *Pool) unlist(member *member) {
+	listed := pool.byService[member.server.Service]
+	if index, found := place(listed, member); found {
+		pool.byService[member.server.Service] = slices.Delete(listed, index, index+1)
+	}
+}
+
+// place returns the position of a member in a list by ID.
+func place(listed []*member, wanted *member) (int, bool) {
+	return slices.BinarySearchFunc(listed, wanted.server.ID, func(member *member, id names.BackendServer) int {
 		return cmp.Compare(member.server.ID, id)
 	})
-	if found {
-		pool.sorted[index] = fresh
-		return
-	}
-	pool.sorted = slices.Insert(pool.sorted, index, fresh)
 }
 
 // Remove records that the registry no longer lists a server.
@@ -272,11 +293,10 @@
 	for id, member := range pool.members {
 		if member.ownRequests == 0 && pool.gone(member, now) && now.Sub(member.delistedAt) > pool.RegistryExpiry() {
 			delete(pool.members, id)
+			pool.otherRequests -= member.otherRequests
+			pool.unlist(member)
 		}
 	}
-	if len(pool.sorted) > len(pool.members) {
-		pool.sorted = slices.DeleteFunc(pool.sorted, func(member *member) bool { return pool.members[member.server.ID] == nil })
-	}
 	pool.expireDepartures(now)
 	pool.assumeUnseen(now)
 	return pool.config.Gate.Expire(pool.listed, now)
@@ -322,6 +342,7 @@
 	pool.holdingsUntil = update.Until
 	for id, member := range pool.members {
 		if update.Others != nil {
+			pool.otherRequests += update.Others[id] - member.otherRequests
 			member.otherRequests = update.Others[id]
 		}
 		pool.applyHolding(member)
