relay, trunk: read what a response declares once

Cause: the header of each response was parsed twice, every value of it and the body were searched with a regular expression, each response took a buffer of 4 KiB however short it was, and the check before sending built a whole query. Change: the result of the match is kept; text without the beginning of a status line is not searched further, and a body is not copied for it; a response with a declared length gets a buffer of that length; the log's fields are allocated at once. TestStatusLineAcrossReadsIsFound passes before and after.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -25,6 +25,8 @@
 	// copyBytes of a response are read ahead even if no memory is free: forwarding it as it
 	// arrives needs a buffer of that size as well.
 	copyBytes = 32 << 10
+	// doneFields is the number of fields that the log of a request usually has.
+	doneFields = 14
 )
 
 // forwardWhole forwards a response after reading it completely, unless it is larger than
@@ -64,6 +66,10 @@
 	var body memory.Pieces
 	for read := int64(0); read <= maxBufferedBytes; {
 		size := min(memory.NextPieceBytes(read), maxBufferedBytes+1-read)
+		if response.Length >= 0 {
+			// The end may only show in a read after the last byte.
+			size = min(size, max(response.Length-read, 1))
+		}
 		if read < copyBytes {
 			exchange.memory.Hold(memory.Response, size)
 		} else if !exchange.memory.TryHold(memory.Response, size) {
@@ -151,7 +157,8 @@
 func (exchange *exchange) recordDone(status int, bytes int64) {
 	exchange.count("done", "")
 	exchange.recordDuration()
-	fields := logrus.Fields{"status": status, "bytes": bytes}
+	fields := make(logrus.Fields, doneFields)
+	fields["status"], fields["bytes"] = status, bytes
 	if reason := exchange.lateReason(); reason != "" && status < http.StatusBadRequest {
 		exchange.count("late", reason)
 		fields["late"] = string(reason)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -64,6 +64,9 @@
 	// selected.
 	server     *pool.Server
 	serverLoad float64
+	// matched is what the header of the last response that belongs to the request says; it is
+	// set only if the request has an ID.
+	matched ResponseInfo
 	// answered reports whether the server of the last attempt has begun to answer: with
 	// the first event of a stream, or a whole response.
 	answered bool
@@ -182,7 +185,10 @@
 		return false
 	}
 	defer response.Close()
-	responseInfo := relay.config.Codec.ReadResponse(response.Header)
+	responseInfo := exchange.matched
+	if exchange.info.ID == "" {
+		responseInfo = relay.config.Codec.ReadResponse(response.Header)
+	}
 	// A server that is misdirected has not run the request, also if it does not say so.
 	responseInfo.NotRun = responseInfo.NotRun || response.Status == http.StatusMisdirectedRequest
 	callerHeader := relay.config.Codec.CallerHeader(response.Header)
--- a/relay/homes.go
+++ b/relay/homes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 
@@ -90,9 +91,8 @@
 // failure domain may have been evacuated since the server was chosen. That it is a home of
 // the request is checked here for all servers, whoever chose them.
 func (exchange *exchange) maySend(server *pool.Server) bool {
-	query := exchange.query()
 	switch {
-	case !query.Permits(server):
+	case exchange.confined && !slices.Contains(exchange.domains, server.Domain):
 		exchange.countWithheld("home")
 		return false
 	case exchange.relay.config.Pool.Evacuated(server.Domain):
--- a/relay/response.go
+++ b/relay/response.go
@@ -26,14 +26,15 @@
 	return fmt.Sprintf("response with status %d %s", unprovenError.Status, unprovenError.Defect)
 }
 
-// matcher returns whether a response belongs to the request, or nil if the request has no
-// ID by which its response can be recognized.
+// matcher returns a function that reports whether a response belongs to the request, and sets
+// matched. It returns nil if the request has no ID by which its response can be recognized.
 func (exchange *exchange) matcher() func(http.Header) bool {
 	if exchange.info.ID == "" {
 		return nil
 	}
 	return func(header http.Header) bool {
-		return exchange.relay.config.Codec.ReadResponse(header).RequestID == exchange.info.ID
+		exchange.matched = exchange.relay.config.Codec.ReadResponse(header)
+		return exchange.matched.RequestID == exchange.info.ID
 	}
 }
 
--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -129,16 +129,28 @@
 // statusLine matches the beginning of a response.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [1-5][0-9][0-9]`)
 
+// protocolName is the beginning of what [statusLine] matches. Most texts lack it, which is
+// found out much faster than that they lack a status line.
+const protocolName = "HTTP/"
+
+// findStatusLine returns the first status line in text, or an empty string.
+func findStatusLine(text string) string {
+	if !strings.Contains(text, protocolName) {
+		return ""
+	}
+	return statusLine.FindString(text)
+}
+
 // enclosedStatusLine returns the status line of another response in the reason or a
 // header of response, or an empty string. One is there if response was cut within its
 // header, so that what follows it was read as a part of it.
 func enclosedStatusLine(response *http.Response) string {
-	if line := statusLine.FindString(response.Status); line != "" {
+	if line := findStatusLine(response.Status); line != "" {
 		return line
 	}
 	for _, values := range response.Header {
 		for _, value := range values {
-			if line := statusLine.FindString(value); line != "" {
+			if line := findStatusLine(value); line != "" {
 				return line
 			}
 		}
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -1,6 +1,7 @@
 package trunk
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -17,8 +18,10 @@
 	// that its regular end cannot be distinguished from a lost connection.
 	EndsWithConnection bool
 
-	// hasLength reports whether the body ends after a declared number of bytes.
-	hasLength bool
+	// Length is the declared number of bytes of the body, or -1 if none is declared. The body
+	// of a response to HEAD has none of them.
+	Length int64
+
 	// enclosed is the beginning of a status line in the body, if there is one, and
 	// lastBytes are the bytes read last, in which one may have begun.
 	enclosed   string
@@ -39,7 +42,7 @@
 // it, and more bytes follow it.
 func (response *Response) Read(buffer []byte) (int, error) {
 	count, err := response.body.Read(buffer)
-	if response.hasLength {
+	if response.Length > 0 {
 		response.findStatusLine(buffer[:count])
 	}
 	switch {
@@ -59,9 +62,18 @@
 	if response.enclosed != "" {
 		return
 	}
-	part := slices.Concat(response.lastBytes, data)
-	response.enclosed = string(statusLine.Find(part))
-	response.lastBytes = append(response.lastBytes[:0], part[max(0, len(part)-statusLineBytes+1):]...)
+	// A status line that began in the bytes read before ends within the next ones.
+	response.lastBytes = append(response.lastBytes, data[:min(len(data), statusLineBytes-1)]...)
+	for _, text := range [][]byte{response.lastBytes, data} {
+		if response.enclosed == "" && bytes.Contains(text, []byte(protocolName)) {
+			response.enclosed = string(statusLine.Find(text))
+		}
+	}
+	if len(data) >= statusLineBytes {
+		response.lastBytes = append(response.lastBytes[:0], data[len(data)-statusLineBytes+1:]...)
+		return
+	}
+	response.lastBytes = slices.Delete(response.lastBytes, 0, max(0, len(response.lastBytes)-statusLineBytes+1))
 }
 
 // Close returns the connection to the pool. It closes the connection instead if the body
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -93,7 +93,7 @@
 	return &Response{
 		Status:     response.StatusCode,
 		Header:     response.Header,
-		hasLength:  response.ContentLength > 0,
+		Length:     response.ContentLength,
 		trunk:      trunk,
 		connection: connection,
 		body:       response.Body,
