--- a/relay/answer.go
+++ b/relay/answer.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -56,7 +57,11 @@
 	exchange.body = nil
 	exchange.memory.ReleaseAll(memory.Body, exchange.now())
 	exchange.writer.WriteHeader(response.Status)
-	exchange.recordDone(response.Status, exchange.writePieces(exchange.newCallerWriter(nil), body))
+	var writer io.Writer = exchange.writer
+	if body.Len() > unsentBytes {
+		writer = exchange.newCallerWriter(nil)
+	}
+	exchange.recordDone(response.Status, exchange.writePieces(writer, body))
 	return true
 }
 
@@ -243,12 +248,13 @@
 	reader := exchange.newAheadReader(response)
 	defer reader.stop()
 	writer := exchange.newCallerWriter(reader.start)
-	buffer := make([]byte, readBufferBytes)
+	buffer := takeReadBuffer()
+	defer readBuffers.Put(buffer)
 	total := int64(0)
 	last := exchange.now()
 	meter := exchange.newEventMeter(response)
 	for {
-		count, err := reader.Read(buffer)
+		count, err := reader.Read(buffer[:])
 		now := exchange.now()
 		exchange.longestGap = max(exchange.longestGap, now.Sub(last))
 		last = now
@@ -273,7 +279,9 @@
 			if writeErr := writer.writeFlushed(ready); writeErr != nil {
 				return total, writeErr
 			}
-			meter.wrote(exchange.now().Sub(now))
+			if meter != nil {
+				meter.wrote(exchange.now().Sub(now))
+			}
 		}
 		if ended {
 			return total, endErr
@@ -284,6 +292,16 @@
 	}
 }
 
+// readBuffers holds the buffers of streams that have ended. A new one would have to be cleared.
+var readBuffers sync.Pool
+
+func takeReadBuffer() *[readBufferBytes]byte {
+	if buffer, ok := readBuffers.Get().(*[readBufferBytes]byte); ok {
+		return buffer
+	}
+	return new([readBufferBytes]byte)
+}
+
 // holdPending holds the memory of an incomplete event that a stream's buffers don't hold.
 func (exchange *exchange) holdPending(bytes int) {
 	if more := int64(bytes) - readBufferBytes - exchange.pendingHeld; more > 0 {
--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,10 +15,12 @@
 // reads or writes.
 type callerWatch struct {
 	exchange *exchange
-	// interrupt makes the read or write that is under way fail. stalled, if it is not nil, is
-	// called when one has taken stallDelay.
-	interrupt func()
-	stalled   func()
+	// reads reports whether the caller is read from, not written to.
+	reads bool
+	// stalled, if it is not nil, is called when a read or write has taken stallDelay.
+	stalled func()
+	// place is guarded by the mutex of transfers.
+	place transferPlace
 	// mutex guards the fields below. The mutex of stalls may be taken while it is held.
 	mutex sync.Mutex
 	// active reports whether a read or write is under way, began when it began, waiting
@@ -29,11 +32,10 @@
 	silenceTimer *time.Timer
 }
 
-// watch calls transfer, which may wait for the caller. Without a bound for memory nothing is
-// watched.
-func (callerWatch *callerWatch) watch(transfer func()) {
+// begin watches a read or write, which may wait for the caller, until finish is called.
+// Without a bound for memory nothing is watched.
+func (callerWatch *callerWatch) begin() {
 	if callerWatch.exchange.relay.config.Memory.Limit() == 0 {
-		transfer()
 		return
 	}
 	began := callerWatch.exchange.now()
@@ -41,12 +43,13 @@
 	callerWatch.active, callerWatch.began = true, began
 	callerWatch.mutex.Unlock()
 	callerWatch.exchange.relay.transfers.begin(callerWatch, began)
-	defer callerWatch.finish()
-	transfer()
 }
 
 // finish ends the watch of a read or write.
 func (callerWatch *callerWatch) finish() {
+	if callerWatch.exchange.relay.config.Memory.Limit() == 0 {
+		return
+	}
 	callerWatch.exchange.relay.transfers.end(callerWatch)
 	callerWatch.mutex.Lock()
 	defer callerWatch.mutex.Unlock()
@@ -97,5 +100,11 @@
 	event.SlowCallerEnded.Log(relay.config.Log, logrus.Fields{
 		"request": callerWatch.exchange.info.ID, "seconds": callerWatch.exchange.now().Sub(callerWatch.began).Seconds(),
 	})
-	callerWatch.interrupt()
+	controller := http.NewResponseController(callerWatch.exchange.writer)
+	// An error means that the connection has ended already.
+	if callerWatch.reads {
+		_ = controller.SetReadDeadline(interruptedAt)
+	} else {
+		_ = controller.SetWriteDeadline(interruptedAt)
+	}
 }
--- a/relay/events.go
+++ b/relay/events.go
@@ -130,7 +130,9 @@
 type eventBuffer struct {
 	stream  *stream
 	scanner eventScanner
+	// pending begins with the taken bytes that add has returned.
 	pending []byte
+	taken   int
 	// begun reports whether the run has shown an event, or any byte if its events can't be
 	// told apart.
 	begun bool
@@ -151,6 +153,7 @@
 		buffer.begun = buffer.begun || len(data) > 0
 		return data, nil
 	}
+	buffer.dropTaken()
 	before, ready := len(buffer.pending), 0
 	var defect error
 	buffer.scanner.scan(data, func(end int, event streamEvent) bool {
@@ -184,9 +187,14 @@
 		buffer.stream.wholeEvents = false
 		ready = len(buffer.pending)
 	}
-	result := bytes.Clone(buffer.pending[:ready])
-	buffer.pending = append(buffer.pending[:0], buffer.pending[ready:]...)
-	return result, nil
+	buffer.taken = ready
+	return buffer.pending[:ready:ready], nil
+}
+
+// dropTaken removes what add has returned.
+func (buffer *eventBuffer) dropTaken() {
+	buffer.pending = append(buffer.pending[:0], buffer.pending[buffer.taken:]...)
+	buffer.taken = 0
 }
 
 // finish returns what is left to be forwarded at the end of the run, or an error if the
@@ -198,6 +206,6 @@
 	case buffer.stream.format == formatEvents && buffer.scanner.midEvent():
 		return nil, &midEventError{}
 	default:
-		return buffer.pending, nil
+		return buffer.pending[buffer.taken:], nil
 	}
 }
--- a/relay/readahead.go
+++ b/relay/readahead.go
@@ -23,7 +23,7 @@
 	// mutex guards the fields below.
 	mutex sync.Mutex
 	// ahead reports whether the goroutine runs or has run, stopping whether it is to end.
-	// done is closed at its end.
+	// done is closed at its end; it is nil if the goroutine has not run.
 	ahead    bool
 	stopping bool
 	done     chan struct{}
@@ -33,12 +33,12 @@
 	// err is the error that ended the response.
 	err error
 	// changed is signalled when something was read or taken.
-	changed *sync.Cond
+	changed sync.Cond
 }
 
 func (exchange *exchange) newAheadReader(response *responseReader) *aheadReader {
-	reader := &aheadReader{response: response, exchange: exchange, done: make(chan struct{})}
-	reader.changed = sync.NewCond(&reader.mutex)
+	reader := &aheadReader{response: response, exchange: exchange}
+	reader.changed.L = &reader.mutex
 	return reader
 }
 
@@ -47,7 +47,7 @@
 	aheadReader.mutex.Lock()
 	defer aheadReader.mutex.Unlock()
 	if !aheadReader.ahead && !aheadReader.stopping {
-		aheadReader.ahead = true
+		aheadReader.ahead, aheadReader.done = true, make(chan struct{})
 		go aheadReader.run()
 	}
 }
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -48,6 +48,9 @@
 
 // recordEnd records the error with which reading ended, if it says something about the server.
 func (responseReader *responseReader) recordEnd(err error) {
+	if err == nil {
+		return
+	}
 	var brokenError *trunk.BrokenError
 	ended := errors.Is(err, io.EOF) && responseReader.EndsWithConnection
 	switch {
