pool: list a query's unusable servers in one pass

Cause: for each placement that the coordinator decides, Unusable and Closed each asked the gate for all restrictions and went through the servers of all services. Change: Unusable returns both, from one pass over the servers of the service, in the order of their IDs instead of that of a map. Deployments without scheduled services do not call it.

--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/permit"
 	"github.com/basilkeel/basilkeel/pool"
 )
 
@@ -67,3 +68,21 @@
 	}
 	return servers, now
 }
+
+// BenchmarkUnusable measures what a scheduled request tells the coordinator of its servers,
+// with none and with a twelfth of them closed for now.
+func BenchmarkUnusable(b *testing.B) {
+	for _, closed := range []int{0, 60} {
+		b.Run(fmt.Sprintf("700-%d", closed), func(b *testing.B) {
+			servers, now := newBenchmarkPool(700)
+			for _, server := range servers.Servers(now)[:closed] {
+				servers.Gate().Observe(server.Identity(), permit.Limited{PerSecond: 1}, now, now)
+				servers.Gate().Close(server.Identity(), time.Second, now)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				servers.Unusable(pool.Query{Service: "notes", Model: "m3", Domain: "a"}, now)
+			}
+		})
+	}
+}
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -137,9 +137,9 @@
 	servers.SetColdStarts(map[names.Service]pool.ColdStart{"service": {Span: 3 * time.Second, PerSecond: 19}}, now)
 	g.Expect(servers.Gate().Admit(server.Identity(), now)).To(Equal(permit.Closed{}), "requests may have been sent until now")
 	g.Expect(servers.Pick(pool.Query{Service: "service"}, now)).To(BeAssignableToTypeOf(pool.Full{}))
-	g.Expect(servers.Closed(pool.Query{Service: "service"}, now)).To(ConsistOf(names.BackendServer("s")))
-	g.Expect(servers.Closed(pool.Query{Service: "other"}, now)).To(BeEmpty())
-	g.Expect(servers.Closed(pool.Query{Service: "service", Tried: []names.BackendServer{"s"}}, now)).To(BeEmpty(), "it may not run the request later either")
+	g.Expect(servers.Unusable(pool.Query{Service: "service"}, now).Closed).To(ConsistOf(names.BackendServer("s")))
+	g.Expect(servers.Unusable(pool.Query{Service: "other"}, now).Closed).To(BeEmpty())
+	g.Expect(servers.Unusable(pool.Query{Service: "service", Tried: []names.BackendServer{"s"}}, now).Closed).To(BeEmpty(), "it may not run the request later either")
 	servers.SetColdStarts(nil, now)
 	g.Expect(servers.Gate().Admit(server.Identity(), now)).To(Equal(permit.Free{}))
 }
--- a/pool/evacuate_test.go
+++ b/pool/evacuate_test.go
@@ -43,7 +43,7 @@
 			_, usable := pool.UsableServer("e1", 1, epoch)
 			g.Expect(usable).To(Equal(each.usable))
 			if each.servers[0] == near {
-				excluded, _ := pool.Unusable(query, epoch)
+				excluded := pool.Unusable(query, epoch).Excluded
 				g.Expect(excluded).To(Or(ContainElement(names.BackendServer("e1")), Satisfy(func([]names.BackendServer) bool { return each.usable })))
 			}
 			g.Expect(pool.Servers(epoch)).To(HaveLen(len(each.servers)), "they are not gone")
--- a/pool/homes_test.go
+++ b/pool/homes_test.go
@@ -15,10 +15,10 @@
 	pool := newPool(engine("e1", "m"), engine("e2", "other"), engine("e3", "m"))
 	confined := query
 	confined.Confined = true
-	excluded, _ := pool.Unusable(confined, epoch)
+	excluded := pool.Unusable(confined, epoch).Excluded
 	g.Expect(excluded).To(ConsistOf(names.BackendServer("e1"), names.BackendServer("e3")))
 	pool.RecordMissingModel("e3", "m", epoch)
-	excluded, _ = pool.Unusable(query, epoch)
+	excluded = pool.Unusable(query, epoch).Excluded
 	g.Expect(excluded).To(ConsistOf(names.BackendServer("e3")), "one that has denied to hold the model")
 }
 
@@ -44,11 +44,11 @@
 			confined := query
 			confined.Confined, confined.Domains = true, each.domains
 			g.Expect(picked(pool, confined, epoch)).To(Equal(each.want))
-			excluded, _ := pool.Unusable(confined, epoch)
+			excluded := pool.Unusable(confined, epoch).Excluded
 			g.Expect(excluded).To(ConsistOf(each.excluded))
 			pool.RecordFailure("e2", true, epoch)
 			g.Expect(picked(pool, confined, epoch)).To(Equal(each.want), "also when its server is ejected")
-			excluded, _ = pool.Unusable(query, epoch)
+			excluded = pool.Unusable(query, epoch).Excluded
 			g.Expect(excluded).To(BeEmpty(), "other requests are not restricted")
 		})
 	}
--- a/pool/use.go
+++ b/pool/use.go
@@ -118,46 +118,44 @@
 	return member.server, true
 }
 
-// Unusable returns the servers with the model that a query must not get, and all those that
-// have failed lately. The coordinator offers no others, unless it knows of copies that this
-// instance does not know of; what it offers is checked. In a large fleet those that lack the
-// model would be most of what is sent.
-func (pool *Pool) Unusable(query Query, now time.Time) (excluded, failing []names.BackendServer) {
+// Unusable are the servers that a query must not get.
+type Unusable struct {
+	// Excluded are those with the model that it must not get, and Closed those of them that
+	// are excluded only because their rates are used up, or because they have just become
+	// cold, with or without the model.
+	Excluded []names.BackendServer
+	Closed   []names.BackendServer
+	// Failing are all those that have failed lately.
+	Failing []names.BackendServer
+}
+
+// Unusable returns the servers that a query must not get. The coordinator offers no others,
+// unless it knows of copies that this instance does not know of; what it offers is checked. In
+// a large fleet those that lack the model would be most of what is sent.
+func (pool *Pool) Unusable(query Query, now time.Time) Unusable {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	var unusable Unusable
 	restrictions := pool.config.Gate.Restrictions(now)
-	for id, member := range pool.members {
-		if member.server.Service != query.Service {
-			continue
+	for _, member := range pool.byService[query.Service] {
+		id := member.server.ID
+		closed := restrictions[member.server.Identity()] == permit.RestrictionClosed
+		barred := pool.barred(member, &query, now)
+		if closed && !barred {
+			unusable.Closed = append(unusable.Closed, id)
 		}
 		switch {
 		case member.refusesModel(query.Model, now):
-			excluded = append(excluded, id)
-		case pool.barred(member, &query, now), restrictions[member.server.Identity()] == permit.RestrictionClosed:
+			unusable.Excluded = append(unusable.Excluded, id)
+		case barred, closed:
 			if member.listsModel(query.Model, now) {
-				excluded = append(excluded, id)
+				unusable.Excluded = append(unusable.Excluded, id)
 			}
 		case member.ejected(now), member.silent(now):
-			failing = append(failing, id)
-		}
-	}
-	return excluded, failing
-}
-
-// Closed returns the servers that [Pool.Unusable] excludes only because their rates are used
-// up, or because they have just become cold.
-func (pool *Pool) Closed(query Query, now time.Time) []names.BackendServer {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	var closed []names.BackendServer
-	for server, restriction := range pool.config.Gate.Restrictions(now) {
-		member, found := pool.members[server.ID]
-		if restriction == permit.RestrictionClosed && found && member.server.Identity() == server &&
-			member.server.Service == query.Service && !pool.barred(member, &query, now) {
-			closed = append(closed, server.ID)
+			unusable.Failing = append(unusable.Failing, id)
 		}
 	}
-	return closed
+	return unusable
 }
 
 // barred reports whether a server of the query's service must not get it, whatever its rate.
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -151,9 +151,8 @@
 	if exchange.account != nil {
 		request.Account = exchange.account.Name
 	}
-	request.Excluded, request.Failing = config.Pool.Unusable(exchange.query(), now)
-	request.Closed = config.Pool.Closed(exchange.query(), now)
-	request.Excluded = append(request.Excluded, unusable...)
+	known := config.Pool.Unusable(exchange.query(), now)
+	request.Excluded, request.Failing, request.Closed = slices.Concat(known.Excluded, unusable), known.Failing, known.Closed
 	digest := xxhash.New()
 	for index, id := range exchange.info.SharedParts {
 		// The separator keeps the IDs of different parts apart.
