--- a/relay/answer.go
+++ b/relay/answer.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -25,6 +26,8 @@
 	// copyBytes of a response are read ahead even if no memory is free: forwarding it as it
 	// arrives needs a buffer of that size as well.
 	copyBytes = 32 << 10
+	// doneFields is the number of fields that the log of a request usually has.
+	doneFields = 14
 )
 
 // forwardWhole forwards a response after reading it completely, unless it is larger than
@@ -54,7 +57,11 @@
 	exchange.body = nil
 	exchange.memory.ReleaseAll(memory.Body, exchange.now())
 	exchange.writer.WriteHeader(response.Status)
-	exchange.recordDone(response.Status, exchange.writePieces(exchange.newCallerWriter(nil), body))
+	var writer io.Writer = exchange.writer
+	if body.Len() > unsentBytes {
+		writer = exchange.newCallerWriter(nil)
+	}
+	exchange.recordDone(response.Status, exchange.writePieces(writer, body))
 	return true
 }
 
@@ -64,6 +71,10 @@
 	var body memory.Pieces
 	for read := int64(0); read <= maxBufferedBytes; {
 		size := min(memory.NextPieceBytes(read), maxBufferedBytes+1-read)
+		if response.Length >= 0 {
+			// The end may only show in a read after the last byte.
+			size = min(size, max(response.Length-read, 1))
+		}
 		if read < copyBytes {
 			exchange.memory.Hold(memory.Response, size)
 		} else if !exchange.memory.TryHold(memory.Response, size) {
@@ -151,7 +162,8 @@
 func (exchange *exchange) recordDone(status int, bytes int64) {
 	exchange.count("done", "")
 	exchange.recordDuration()
-	fields := logrus.Fields{"status": status, "bytes": bytes}
+	fields := make(logrus.Fields, doneFields)
+	fields["status"], fields["bytes"] = status, bytes
 	if reason := exchange.lateReason(); reason != "" && status < http.StatusBadRequest {
 		exchange.count("late", reason)
 		fields["late"] = string(reason)
@@ -236,12 +248,13 @@
 	reader := exchange.newAheadReader(response)
 	defer reader.stop()
 	writer := exchange.newCallerWriter(reader.start)
-	buffer := make([]byte, readBufferBytes)
+	buffer := takeReadBuffer()
+	defer readBuffers.Put(buffer)
 	total := int64(0)
 	last := exchange.now()
 	meter := exchange.newEventMeter(response)
 	for {
-		count, err := reader.Read(buffer)
+		count, err := reader.Read(buffer[:])
 		now := exchange.now()
 		exchange.longestGap = max(exchange.longestGap, now.Sub(last))
 		last = now
@@ -266,7 +279,9 @@
 			if writeErr := writer.writeFlushed(ready); writeErr != nil {
 				return total, writeErr
 			}
-			meter.wrote(exchange.now().Sub(now))
+			if meter != nil {
+				meter.wrote(exchange.now().Sub(now))
+			}
 		}
 		if ended {
 			return total, endErr
@@ -277,6 +292,16 @@
 	}
 }
 
+// readBuffers holds the buffers of streams that have ended. A new one would have to be cleared.
+var readBuffers sync.Pool
+
+func takeReadBuffer() *[readBufferBytes]byte {
+	if buffer, ok := readBuffers.Get().(*[readBufferBytes]byte); ok {
+		return buffer
+	}
+	return new([readBufferBytes]byte)
+}
+
 // holdPending holds the memory of an incomplete event that a stream's buffers don't hold.
 func (exchange *exchange) holdPending(bytes int) {
 	if more := int64(bytes) - readBufferBytes - exchange.pendingHeld; more > 0 {
