relay, copies: refuse requests whose model cannot be loaded in time

Change: the coordinator's reply states when the model is expected to be loaded (CoordPlaceReply.wait_milliseconds, zero from older ones); a request that would end before that is refused at once with that Retry-After. basilkeel where says the same.

--- a/coord/place.go
+++ b/coord/place.go
@@ -51,13 +51,29 @@
 	// Only the calls that are answered count: those beyond must not keep others from it.
 	term.placeCalls.Add(1, now)
 	decision := scheduler.Place(request, now)
-	if placed, isPlaced := decision.(sched.Placed); isPlaced {
+	switch placed := decision.(type) {
+	case sched.Placed:
 		term.coldRates.recordPlaced(placed, now)
+	case sched.NoCopy:
+		decision = sched.NoCopy{Ready: term.readyAfter(service, request.Model, snapshot)}
 	}
 	metrics.GetOrRegisterCounter("coord.place."+outcomeOf(decision), coordinator.config.Metrics).Inc(1)
 	return decision, nil
 }
 
+// readyAfter returns the expected time until a model that no engine of a service holds is loaded,
+// or zero if that is unknown.
+func (term *term) readyAfter(service names.Service, model names.Model, snapshot *policy.Snapshot) time.Duration {
+	configured := snapshot.Service(service)
+	if configured == nil || configured.Engine == nil {
+		return 0
+	}
+	if _, known := configured.Engine.Models[model]; !known {
+		return 0
+	}
+	return term.dispatcher.ReadyAfter(service, model, configured.Engine)
+}
+
 // overloaded reports whether the coordinator is asked to schedule more requests than it can.
 // It is called with the coordinator's mutex held.
 func (coordinator *Coordinator) overloaded(term *term, now time.Time) bool {
@@ -308,7 +324,9 @@
 		reply.WaitMilliseconds = decision.Wait.Milliseconds()
 	case sched.Refused:
 		reply.WaitMilliseconds, reply.Load = decision.RetryAfter.Milliseconds(), decision.Load
-	case sched.NoCopy, sched.NoServer, sched.Unscheduled:
+	case sched.NoCopy:
+		reply.WaitMilliseconds = decision.Ready.Milliseconds()
+	case sched.NoServer, sched.Unscheduled:
 	}
 	return reply
 }
@@ -328,7 +346,7 @@
 	case outcomeRefused:
 		return sched.Refused{RetryAfter: wait, Load: reply.GetLoad()}, nil
 	case outcomeNoCopy:
-		return sched.NoCopy{}, nil
+		return sched.NoCopy{Ready: wait}, nil
 	case outcomeNoServer:
 		return sched.NoServer{}, nil
 	case outcomeUnscheduled:
--- a/coord/place_test.go
+++ b/coord/place_test.go
@@ -33,7 +33,7 @@
 		sched.Placed{Server: "e1", Incarnation: 7, Wait: 20 * time.Millisecond, AdapterMissing: true, Load: 0.5, First: 60 * time.Millisecond, UnreadTokens: 700, Idle: true},
 		sched.Later{Wait: 25 * time.Millisecond},
 		sched.Refused{RetryAfter: 700 * time.Millisecond, Load: 1},
-		sched.NoCopy{},
+		sched.NoCopy{Ready: 4 * time.Second},
 		sched.NoServer{},
 		sched.Unscheduled{},
 	}
--- a/copies/steps.go
+++ b/copies/steps.go
@@ -149,3 +149,34 @@
 	}
 	return later.Waiting == 0 && later.Work <= lostDemandFraction*demand.Work
 }
+
+// ReadyAfter returns the expected time until an engine of a service holds a model, if none
+// does: by a load that runs, or by one that is still to be ordered. It returns zero if no
+// engine can load it.
+func (dispatcher *Dispatcher) ReadyAfter(service names.Service, model names.Model, engine *policy.Engine) time.Duration {
+	earliest, now := time.Duration(0), dispatcher.config.Clock.Now()
+	for _, tracker := range dispatcher.trackersOf(service) {
+		if dispatcher.evacuated(tracker) {
+			continue
+		}
+		if ready, possible := tracker.readyAfter(model, engine, now); possible && (earliest == 0 || ready < earliest) {
+			earliest = max(ready, time.Millisecond)
+		}
+	}
+	return earliest
+}
+
+// readyAfter returns the expected time until the engine holds a model, and whether it can
+// load it.
+func (tracker *Tracker) readyAfter(model names.Model, engine *policy.Engine, now time.Time) (time.Duration, bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	switch {
+	case tracker.server.Draining || tracker.fenced || tracker.loading != "" && tracker.loading != model:
+		return 0, false
+	case tracker.loading == model && !tracker.readyAt.IsZero():
+		return tracker.readyAt.Sub(now), true
+	default:
+		return tracker.loadTime(model, engine), true
+	}
+}
--- a/copies/steps_test.go
+++ b/copies/steps_test.go
@@ -274,3 +274,19 @@
 		})
 	}
 }
+
+// TestReadyAfter guards against requests that wait for a model for longer than its load can
+// take, and against those that are refused although it may be loaded soon.
+func TestReadyAfter(t *testing.T) {
+	g := NewWithT(t)
+	engine := &streamingEngine{fakeEngine: newFakeEngine("a"), loadTime: 5 * time.Second}
+	dispatcher := newStreamingDispatcher(engine, "a")
+	readyAfter := func() time.Duration { return dispatcher.ReadyAfter("notes", "c", engineSpec()) }
+	g.Expect(readyAfter()).To(Equal(1050*time.Millisecond), "the time after which a load counts as done")
+	dispatcher.StartStep(context.Background(), copies.Step{Server: engineID, Load: "c"}, engineSpec())
+	dispatcher.Wait()
+	engine.clock.After(250 * time.Millisecond)
+	g.Expect(readyAfter()).To(And(BeNumerically(">", 600*time.Millisecond), BeNumerically("<=", 800*time.Millisecond)))
+	g.Expect(dispatcher.ReadyAfter("notes", "b", engineSpec())).To(BeZero(), "the engine accepts no other load")
+	g.Expect(dispatcher.ReadyAfter("other", "c", engineSpec())).To(BeZero())
+}
--- a/policy/route.go
+++ b/policy/route.go
@@ -64,6 +64,20 @@
 	return route.Targets[len(route.Targets)-1].Service
 }
 
+const (
+	// minStreamPatience is the least time without an event after which callers give a
+	// stream up. Where objectives are longer they wait for objectivePatience times that to
+	// the first event, or for gapPatience times that between events.
+	minStreamPatience = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// StreamPatience returns how long callers wait for an event of a stream.
+func (route *Route) StreamPatience() time.Duration {
+	return max(minStreamPatience, objectivePatience*route.Objective, gapPatience*route.GapObjective)
+}
+
 // Repeatable reports whether a request may run more than once.
 func (route *Route) Repeatable() bool {
 	return route.Kind == KindSafe || (route.Kind == KindStream && route.Resumable)
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/sched"
 )
@@ -68,7 +69,7 @@
 			exchange.countScheduling("refused")
 			return nil, refusalBy(decision)
 		case sched.NoCopy:
-			return pool.NoCopy{}, nil
+			return pool.NoCopy{}, exchange.refuseLongLoad(decision)
 		case sched.NoServer:
 			return pool.NoServer{}, nil
 		case sched.Unscheduled:
@@ -78,6 +79,20 @@
 	return exchange.pickUnscheduled(unscheduledUndecided), nil
 }
 
+// refuseLongLoad refuses a request whose model cannot be loaded before the request ends: by
+// its deadline, or as callers give up streams that have no event yet. The caller can come
+// back when the model is loaded. It returns nil if the request may wait.
+func (exchange *exchange) refuseLongLoad(noCopy sched.NoCopy) *refusal {
+	until := exchange.deadline
+	if leaves := exchange.started.Add(exchange.route.StreamPatience()); exchange.route.Kind == policy.KindStream && leaves.Before(until) {
+		until = leaves
+	}
+	if !exchange.now().Add(noCopy.Ready).After(until) {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonModelNotLoaded, retryAfter: noCopy.Ready}
+}
+
 // Reasons for which the entry chooses a server itself although the requests of the service
 // are scheduled.
 const (
--- a/relay/schedule_test.go
+++ b/relay/schedule_test.go
@@ -81,6 +81,7 @@
 		{name: "later than the deadline", answer: decision(sched.Later{Wait: time.Hour}), reason: relay.ReasonTimeUp, most: 1},
 		{name: "placed later than the deadline", answer: decision(sched.Placed{Server: "notes-1", Wait: time.Hour}), reason: relay.ReasonTimeUp, most: 1},
 		{name: "refused", answer: decision(sched.Refused{RetryAfter: 700 * time.Millisecond}), reason: relay.ReasonServersFull, most: 1},
+		{name: "no copy before the caller gives up", answer: decision(sched.NoCopy{Ready: 9 * time.Second}), reason: relay.ReasonModelNotLoaded, most: 1},
 		{name: "no server", answer: decision(sched.NoServer{}), reason: relay.ReasonNoServer, most: 1},
 	}
 	for _, each := range cases {
--- a/relay/where.go
+++ b/relay/where.go
@@ -197,7 +197,11 @@
 		case sched.Refused:
 			location.Verdict = refusalBy(decision).verdict()
 		case sched.NoCopy:
-			location.Verdict = exchange.verdictOn(pool.NoCopy{})
+			if refusal := exchange.refuseLongLoad(decision); refusal != nil {
+				location.Verdict = refusal.verdict()
+			} else {
+				location.Verdict = exchange.verdictOn(pool.NoCopy{})
+			}
 		case sched.NoServer:
 			location.Verdict = exchange.verdictOn(pool.NoServer{})
 		default:
--- a/relay/where_test.go
+++ b/relay/where_test.go
@@ -126,6 +126,10 @@
 		{name: "placed on an unusable one", decision: sched.Placed{Server: "gone"}, want: relay.VerdictSend{Server: "notes-b", Domain: "b"}, unscheduled: "unusable"},
 		{name: "later", decision: sched.Later{Wait: time.Second}, want: relay.VerdictWait{Reason: relay.ReasonServersFull, Wait: time.Second}},
 		{name: "refused", decision: sched.Refused{RetryAfter: time.Second, Load: 1}, want: relay.VerdictRefuse{Status: 503, Reason: relay.ReasonServersFull, RetryAfter: time.Second, LeastLoad: 1}},
+		{
+			name: "no copy before the caller gives up", decision: sched.NoCopy{Ready: 9 * time.Second},
+			want: relay.VerdictRefuse{Status: 503, Reason: relay.ReasonModelNotLoaded, RetryAfter: 9 * time.Second},
+		},
 		{name: "no copy", decision: sched.NoCopy{}, want: relay.VerdictRefuse{Status: 503, Reason: relay.ReasonModelNotLoaded, RetryAfter: 1500 * time.Millisecond}},
 		{name: "no server", decision: sched.NoServer{}, want: relay.VerdictRefuse{Status: 503, Reason: relay.ReasonNoServer, RetryAfter: 1500 * time.Millisecond}},
 		{name: "overloaded", decision: sched.Unscheduled{}, want: relay.VerdictSend{Server: "notes-b", Domain: "b"}, unscheduled: "overloaded"},
--- a/sched/request.go
+++ b/sched/request.go
@@ -83,7 +83,10 @@
 }
 
 // NoCopy reports that no usable engine holds the model.
-type NoCopy struct{}
+type NoCopy struct {
+	// Ready is the expected time until one does, or zero if that is unknown.
+	Ready time.Duration
+}
 
 // NoServer reports that no engine of the service is usable.
 type NoServer struct{}
