soak: play a service whose servers are cold after a start

Cause: the soak did not cover cold servers (docs/load.md, 4.2 and 7.4). Change: two servers of a service with coldStartS 3 and coldPerS 8, a route to it whose requests may run once, and a disturbance that begins a cold period of a server that runs. The check counts the requests that reach a cold server in any second, other than those answered 421; 17 are allowed. A cold period that begins while the store fails, or within 1.5 s of the end of an entry, counts once neither has happened for 1.5 s, as nothing tells of it sooner (docs/design/cold.md).

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -30,9 +30,10 @@
 	kindOrder  routeKind = "order"
 	kindDraft  routeKind = "draft"
 	kindResume routeKind = "resume"
+	kindCold   routeKind = "cold"
 )
 
-var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume}
+var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume, kindCold}
 
 func (routeKind routeKind) streaming() bool { return routeKind == kindDraft || routeKind == kindResume }
 
@@ -44,6 +45,8 @@
 		return service == lookService || service == spareService
 	case kindOrder:
 		return service == orderService
+	case kindCold:
+		return service == coldService
 	default:
 		return service == engineService
 	}
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -53,6 +53,7 @@
 	models   []string
 	adapters []string
 	conns    map[net.Conn]bool
+	cold     coldPeriod
 }
 
 func newBackend(soak *soak, service string, number int) *backend {
@@ -69,6 +70,9 @@
 	}
 	backend.reincarnate(service, true)
 	go backend.accept()
+	if service == coldService {
+		go backend.renew()
+	}
 	return backend
 }
 
@@ -82,6 +86,11 @@
 	}
 	backend.service, backend.born, backend.draining, backend.gone = service, time.Now().UnixMilli(), false, false
 	backend.accepted, backend.models, backend.adapters = 0, []string{backend.home}, nil
+	backend.cold = coldPeriod{}
+	if service == coldService {
+		now := time.Now()
+		backend.cold = coldPeriod{cause: fmt.Sprintf("started, renamed=%t", renamed), since: now, until: now.Add(coldStart)}
+	}
 	backend.mutex.Unlock()
 	if renamed && old != "" {
 		backend.soak.store.put("servers/"+old, nil)
@@ -104,27 +113,29 @@
 	for conn := range backend.conns {
 		conn.Close()
 	}
-	backend.mutex.Unlock()
 	backend.soak.store.put("servers/"+id, nil)
+	backend.mutex.Unlock()
 }
 
 // register writes the server's entry of the registry.
 func (backend *backend) register() {
 	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	if backend.gone {
+		return
+	}
 	state := "ready"
 	if backend.draining {
 		state = "draining"
 	}
 	entry := map[string]any{
 		"service": backend.service, "address": backend.listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 16,
-		"state": state, "coldLeftMs": 0, "born": backend.born, "seq": time.Now().UnixMilli(),
+		"state": state, "coldLeftMs": max(time.Until(backend.cold.until).Milliseconds(), 0), "born": backend.born, "seq": time.Now().UnixMilli(),
 	}
 	if backend.service == engineService {
 		entry["stage"], entry["models"] = "unified", backend.held()
 	}
-	key := "servers/" + backend.id
-	backend.mutex.Unlock()
-	backend.soak.store.put(key, entry)
+	backend.soak.store.put("servers/"+backend.id, entry)
 }
 
 // held describes what an engine holds. The caller holds mutex.
@@ -391,6 +402,7 @@
 	if expected := request.Header.Get("X-Expect-Instance"); expected != id {
 		return refuse(http.StatusMisdirectedRequest)
 	}
+	backend.checkCold(time.Now())
 	if service == engineService && request.RequestURI == "/report" {
 		return backend.report(), true
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,7 @@
 	seedFlag     = flag.Uint64("soak.seed", 1, "seed of the soak")
 	durationFlag = flag.Duration("soak.duration", 45*time.Second, "time during which requests are sent")
 	entriesFlag  = flag.Int("soak.entries", 4, "number of entry processes")
-	serversFlag  = flag.Int("soak.servers", 12, "number of backend servers")
+	serversFlag  = flag.Int("soak.servers", 14, "number of backend servers")
 	callersFlag  = flag.Int("soak.callers", 24, "number of callers")
 	binaryFlag   = flag.String("soak.binary", "", "program to run; the default is built from this module")
 	logsFlag     = flag.String("soak.logs", "", "directory for the logs of the entries; the default is removed")
@@ -162,6 +162,13 @@
 	servers    []*backend
 	callers    sync.WaitGroup
 	disturbers sync.WaitGroup
+	// over is closed at the end of the test.
+	over chan struct{}
+	// outages is held for reading while the store fails, and for writing by operators who
+	// need it to work.
+	outages sync.RWMutex
+	// disturbed is the last time, in Unix nanoseconds, at which an entry was ended.
+	disturbed atomic.Int64
 	// mutex guards version and serializes the publication of configurations.
 	mutex   sync.Mutex
 	version int
@@ -172,7 +179,7 @@
 	binary := program(t)
 	soak := &soak{
 		t: t, random: newRandom(*seedFlag), store: newKeyValue(), ledger: newLedger(), routeTimeout: 3 * time.Second,
-		modes: callerModes, kinds: routeKinds, disturbances: allDisturbances,
+		modes: callerModes, kinds: routeKinds, over: make(chan struct{}), disturbances: allDisturbances,
 	}
 	logs := *logsFlag
 	if logs == "" {
@@ -182,6 +189,7 @@
 		for _, entry := range soak.entries {
 			entry.kill()
 		}
+		close(soak.over)
 		soak.store.setMode(storeRefusing)
 		soak.store.server.CloseClientConnections()
 		soak.store.server.Close()
@@ -191,6 +199,8 @@
 	})
 	soak.publish(soak.random)
 	services := []string{engineService, engineService, engineService, lookService, orderService, lookService, engineService, orderService, spareService}
+	services = append(services, services[:3]...)
+	services = append(services, coldService, coldService)
 	for number := range *serversFlag {
 		soak.servers = append(soak.servers, newBackend(soak, services[number%len(services)], number))
 	}
@@ -230,6 +240,7 @@
 		"routes": []map[string]any{
 			route(kindLook, "safe", 2, map[string]any{"trafficSplit": []map[string]any{{"service": lookService, "weight": 100 - split/2}, {"service": spareService, "weight": split / 2}}}),
 			route(kindOrder, "unsafe", 2, map[string]any{"service": orderService}),
+			route(kindCold, "unsafe", 2, map[string]any{"service": coldService}),
 			route(kindDraft, "streaming", 2, map[string]any{"service": engineService, "sticky": true, "resumable": false, "gapAimMs": 250}),
 			route(kindResume, "streaming", 3, map[string]any{"service": engineService, "sticky": true, "resumable": true, "gapAimMs": 250}),
 			route(routeKind(fmt.Sprintf("new%d", soak.version)), "safe", 1, map[string]any{"service": lookService}),
@@ -242,6 +253,7 @@
 			{"name": lookService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": spareService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": orderService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
+			{"name": coldService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerSecond},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000}},
@@ -314,21 +326,28 @@
 		case disturbConfiguration:
 			soak.publish(random)
 		case disturbStore:
+			soak.outages.RLock()
 			soak.store.setMode(storeMode(1 + random.IntN(int(storeModes)-1)))
 			soak.pause(time.Duration(random.IntN(4000)) * time.Millisecond)
 			soak.store.setMode(storeSound)
+			soak.outages.RUnlock()
 		case disturbRestore:
 			copied := soak.store.copy()
 			soak.pause(time.Duration(random.IntN(4000)) * time.Millisecond)
+			soak.outages.RLock()
 			soak.store.setMode(storeRefusing)
 			soak.pause(time.Duration(random.IntN(2000)) * time.Millisecond)
 			soak.store.restore(copied, time.Duration(random.IntN(1500))*time.Millisecond)
+			soak.outages.RUnlock()
 		case disturbDrain:
 			server.replace(true, true, random)
 		case disturbCrash:
 			server.replace(false, random.IntN(2) == 0, random)
 		case disturbIncarnation:
 			server.reincarnate(server.usual, random.IntN(2) == 0)
+		case disturbCold:
+			server = soak.coldServers()[random.IntN(len(soak.coldServers()))]
+			server.becomeCold(time.Duration(2000+random.IntN(2000)) * time.Millisecond)
 		case disturbAddress:
 			server.reincarnate([]string{lookService, orderService, engineService, spareService}[random.IntN(4)], true)
 			soak.pause(time.Duration(random.IntN(3000)) * time.Millisecond)
@@ -352,11 +371,12 @@
 	disturbCrash         disturbance = "a server crashes and returns"
 	disturbIncarnation   disturbance = "a new incarnation keeps the connections"
 	disturbAddress       disturbance = "another service has the address for a while"
+	disturbCold          disturbance = "a server becomes cold again"
 )
 
 var allDisturbances = []disturbance{
 	disturbStop, disturbStop, disturbKill, disturbCoordinator, disturbHangUp, disturbConfiguration, disturbStore, disturbRestore, disturbDrain,
-	disturbCrash, disturbIncarnation, disturbAddress,
+	disturbCrash, disturbIncarnation, disturbAddress, disturbCold, disturbCold,
 }
 
 // coordinator returns the entry that is the coordinator, or any.
@@ -463,6 +483,7 @@
 	command, ended := entry.command, entry.ended
 	entry.expected = true
 	entry.mutex.Unlock()
+	entry.soak.disturbed.Store(time.Now().UnixNano())
 	if command == nil {
 		return
 	}
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -60,6 +60,25 @@
 	// all keys.
 	era      int
 	readings int
+	// rewriting counts the restorations after which what was lost is not written again yet.
+	// lastFailure is when the service last began to work.
+	rewriting   int
+	lastFailure time.Time
+}
+
+// works reports whether the service answers with current data. The caller holds mutex.
+func (keyValue *keyValue) works() bool {
+	return keyValue.rewriting == 0 && (keyValue.mode == storeSound || keyValue.mode == storeSlow)
+}
+
+// failedAt returns the last time at which the service did not work.
+func (keyValue *keyValue) failedAt() time.Time {
+	keyValue.mutex.Lock()
+	defer keyValue.mutex.Unlock()
+	if !keyValue.works() {
+		return time.Now()
+	}
+	return keyValue.lastFailure
 }
 
 // storeCopy is a copy of what the service holds.
@@ -85,6 +104,7 @@
 	lost := keyValue.items
 	keyValue.revision, keyValue.items, keyValue.history, keyValue.leases = from.revision, from.items, from.history, from.leases
 	keyValue.era++
+	keyValue.rewriting++
 	for id, lease := range keyValue.leases {
 		lease.expires = time.Now().Add(lease.ttl)
 		keyValue.leases[id] = lease
@@ -94,6 +114,8 @@
 	time.Sleep(rewriteAfter)
 	keyValue.mutex.Lock()
 	defer keyValue.mutex.Unlock()
+	keyValue.rewriting--
+	keyValue.lastFailure = time.Now()
 	foreign := func(key string) bool { return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/") }
 	for key, item := range lost {
 		if foreign(key) && keyValue.items[key].Revision <= from.revision && !bytes.Equal(keyValue.items[key].Value, item.Value) {
@@ -130,6 +152,9 @@
 func (keyValue *keyValue) setMode(mode storeMode) {
 	keyValue.mutex.Lock()
 	defer keyValue.mutex.Unlock()
+	if !keyValue.works() {
+		keyValue.lastFailure = time.Now()
+	}
 	keyValue.mode = mode
 	close(keyValue.moded)
 	keyValue.moded = make(chan struct{})
