soak: evacuate zones, and confine a route and an account to homes

Change: servers are in four zones, one of which the settings do not map to a region. A disturbance writes op/evacuate/ZONE for 5 to 10 s; half of the zone's cold servers are cold when it ends. From evacuateMs after the write, and 4 s after the store last failed (an entry is connected then), nothing may reach a server of the zone, orders to engines included. A new service has a route with a home, and a second account has another home; nothing may run outside of both.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -31,13 +31,16 @@
 	kindDraft  routeKind = "draft"
 	kindResume routeKind = "resume"
 	kindCold   routeKind = "cold"
+	kindHome   routeKind = "home"
 )
 
-var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume, kindCold}
+var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume, kindCold, kindHome}
 
 func (routeKind routeKind) streaming() bool { return routeKind == kindDraft || routeKind == kindResume }
 
-func (routeKind routeKind) repeatable() bool { return routeKind == kindLook || routeKind == kindResume }
+func (routeKind routeKind) repeatable() bool {
+	return routeKind == kindLook || routeKind == kindResume || routeKind == kindHome
+}
 
 func (routeKind routeKind) allows(service string) bool {
 	switch routeKind {
@@ -47,6 +50,8 @@
 		return service == orderService
 	case kindCold:
 		return service == coldService
+	case kindHome:
+		return service == homeService
 	default:
 		return service == engineService
 	}
@@ -154,6 +159,10 @@
 	asked := &asked{
 		key:  fmt.Sprintf("q%d-%012x", caller.soak.number.Add(1), random.Uint64()>>16),
 		kind: caller.soak.kinds[random.IntN(len(caller.soak.kinds))], mode: caller.mode, method: http.MethodPost,
+		tenant: tenantName,
+	}
+	if random.IntN(8) == 0 {
+		asked.tenant = confinedTenant
 	}
 	asked.target = fmt.Sprintf("/%s/%s?key=%s", asked.kind, asked.key[1:4], asked.key)
 	if random.IntN(30) != 0 {
@@ -180,7 +189,7 @@
 // format enters a request into the ledger and returns it as it is sent.
 func (caller *caller) format(asked *asked, version string) string {
 	caller.soak.ledger.ask(asked)
-	header := fmt.Sprintf("Host: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\n", callerHost, keyHeader, asked.key, tenantKey, 1000+caller.random.IntN(3000))
+	header := fmt.Sprintf("Host: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\n", callerHost, keyHeader, asked.key, tenantKeys[asked.tenant], 1000+caller.random.IntN(3000))
 	if asked.id != "" {
 		header += "X-Attempt-Id: " + asked.id + "\r\n"
 	}
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -27,6 +27,7 @@
 	method string
 	target string
 	kind   routeKind
+	tenant string
 	model  string
 	body   []byte
 	// mode is how the caller behaves.
@@ -92,19 +93,22 @@
 
 // begin records that a server runs a request and checks that it may. It returns nil if no
 // caller sent the request. The body is nil if the server has not read it yet.
-func (ledger *ledger) begin(server, service string, request *http.Request, body []byte, plan func(asked *asked, number int) run) *run {
+func (ledger *ledger) begin(server, service, zone string, request *http.Request, body []byte, plan func(asked *asked, number int) run) *run {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	asked := ledger.requests[request.Header.Get(keyHeader)]
 	if asked == nil || asked.method != request.Method || asked.target != request.RequestURI || (body != nil && !bytes.Equal(asked.body, body)) ||
 		asked.id != request.Header.Get("X-Attempt-Id") || asked.model != request.Header.Get("X-Model") ||
-		request.Header.Get("X-Tenant") != tenantName || request.Header.Get("Authorization") != "" {
+		request.Header.Get("X-Tenant") != asked.tenant || request.Header.Get("Authorization") != "" {
 		ledger.addFault("UNASKED", "server %s got %s %s with header %v", server, request.Method, request.RequestURI, request.Header)
 		return nil
 	}
 	if !asked.kind.allows(service) {
 		ledger.addFault("ROUTE", "%s of kind %s runs at service %s", asked.key, asked.kind, service)
 	}
+	if !inHome(asked, zone) {
+		ledger.addFault("HOME", "%s [%s %s] of %s runs at %s in %s", asked.key, asked.kind, asked.mode, asked.tenant, server, zone)
+	}
 	if asked.refused != 0 {
 		ledger.addFault("REFUSED: runs later", "%s [%s %s] was answered %d and runs at %s", asked.key, asked.kind, asked.mode, asked.refused, server)
 	}
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -42,6 +42,8 @@
 	usual string
 	// home is the model that an engine holds at its start.
 	home string
+	// zone is its failure domain.
+	zone string
 	// mutex guards all fields below.
 	mutex    sync.Mutex
 	id       string
@@ -63,7 +65,10 @@
 	}
 	backend := &backend{
 		soak: soak, listener: listener, random: soak.random.fork(), usual: service, conns: map[net.Conn]bool{},
-		home: engineModels[number%len(engineModels)],
+		home: engineModels[number%len(engineModels)], zone: zoneNames[number%(len(zoneNames)-1)],
+	}
+	if number == 15 {
+		backend.zone = zoneNames[len(zoneNames)-1]
 	}
 	if number%3 != 2 {
 		backend.stutters = 0.3
@@ -129,7 +134,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": backend.service, "address": backend.listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 16,
+		"service": backend.service, "address": backend.listener.Addr().String(), "zone": backend.zone, "version": "v1", "slots": 16,
 		"state": state, "coldLeftMs": max(time.Until(backend.cold.until).Milliseconds(), 0), "born": backend.born, "seq": time.Now().UnixMilli(),
 	}
 	if backend.service == engineService {
@@ -403,6 +408,7 @@
 		return refuse(http.StatusMisdirectedRequest)
 	}
 	backend.checkCold(time.Now())
+	backend.checkEvacuated(request, time.Now())
 	if service == engineService && request.RequestURI == "/report" {
 		return backend.report(), true
 	}
@@ -419,7 +425,7 @@
 		return refuse(http.StatusTooManyRequests)
 	}
 	var planned answer
-	begun := backend.soak.ledger.begin(id, service, request, body, func(asked *asked, number int) run {
+	begun := backend.soak.ledger.begin(id, service, backend.zone, request, body, func(asked *asked, number int) run {
 		var run run
 		run, planned = planRun(request, asked, number, random)
 		return run
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,7 @@
 	seedFlag     = flag.Uint64("soak.seed", 1, "seed of the soak")
 	durationFlag = flag.Duration("soak.duration", 45*time.Second, "time during which requests are sent")
 	entriesFlag  = flag.Int("soak.entries", 4, "number of entry processes")
-	serversFlag  = flag.Int("soak.servers", 14, "number of backend servers")
+	serversFlag  = flag.Int("soak.servers", 17, "number of backend servers")
 	callersFlag  = flag.Int("soak.callers", 24, "number of callers")
 	binaryFlag   = flag.String("soak.binary", "", "program to run; the default is built from this module")
 	logsFlag     = flag.String("soak.logs", "", "directory for the logs of the entries; the default is removed")
@@ -169,6 +169,7 @@
 	outages sync.RWMutex
 	// disturbed is the last time, in Unix nanoseconds, at which an entry was ended.
 	disturbed atomic.Int64
+	zones     zones
 	// mutex guards version and serializes the publication of configurations.
 	mutex   sync.Mutex
 	version int
@@ -200,7 +201,7 @@
 	soak.publish(soak.random)
 	services := []string{engineService, engineService, engineService, lookService, orderService, lookService, engineService, orderService, spareService}
 	services = append(services, services[:3]...)
-	services = append(services, coldService, coldService)
+	services = append(services, coldService, coldService, homeService, homeService, homeService)
 	for number := range *serversFlag {
 		soak.servers = append(soak.servers, newBackend(soak, services[number%len(services)], number))
 	}
@@ -241,6 +242,7 @@
 			route(kindLook, "safe", 2, map[string]any{"trafficSplit": []map[string]any{{"service": lookService, "weight": 100 - split/2}, {"service": spareService, "weight": split / 2}}}),
 			route(kindOrder, "unsafe", 2, map[string]any{"service": orderService}),
 			route(kindCold, "unsafe", 2, map[string]any{"service": coldService}),
+			route(kindHome, "safe", 2, map[string]any{"service": homeService, "allowedRegions": []string{homeRegion}}),
 			route(kindDraft, "streaming", 2, map[string]any{"service": engineService, "sticky": true, "resumable": false, "gapAimMs": 250}),
 			route(kindResume, "streaming", 3, map[string]any{"service": engineService, "sticky": true, "resumable": true, "gapAimMs": 250}),
 			route(routeKind(fmt.Sprintf("new%d", soak.version)), "safe", 1, map[string]any{"service": lookService}),
@@ -253,10 +255,14 @@
 			{"name": lookService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": spareService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": orderService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
+			{"name": homeService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": coldService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerSecond},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []map[string]any{
+			{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000},
+			{"name": confinedTenant, "apiKeys": []string{confinedKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000, "allowedRegions": []string{confinedRegion}},
+		},
 	})
 }
 
@@ -292,7 +298,7 @@
 	_ = conn.SetDeadline(time.Now().Add(responseTimeout))
 	caller := &caller{soak: soak, random: newRandom(uint64(soak.number.Add(1))), mode: "ordinary"}
 	asked := caller.draw()
-	asked.kind, asked.method, asked.model = kind, http.MethodPost, ""
+	asked.kind, asked.tenant, asked.method, asked.model = kind, tenantName, http.MethodPost, ""
 	asked.target = "/" + route + "/last"
 	if kind.streaming() {
 		asked.model = engineModels[0]
@@ -345,6 +351,8 @@
 			server.replace(false, random.IntN(2) == 0, random)
 		case disturbIncarnation:
 			server.reincarnate(server.usual, random.IntN(2) == 0)
+		case disturbZone:
+			soak.evacuate(random)
 		case disturbCold:
 			server = soak.coldServers()[random.IntN(len(soak.coldServers()))]
 			server.becomeCold(time.Duration(2000+random.IntN(2000)) * time.Millisecond)
@@ -372,11 +380,12 @@
 	disturbIncarnation   disturbance = "a new incarnation keeps the connections"
 	disturbAddress       disturbance = "another service has the address for a while"
 	disturbCold          disturbance = "a server becomes cold again"
+	disturbZone          disturbance = "a zone is evacuated for a while"
 )
 
 var allDisturbances = []disturbance{
 	disturbStop, disturbStop, disturbKill, disturbCoordinator, disturbHangUp, disturbConfiguration, disturbStore, disturbRestore, disturbDrain,
-	disturbCrash, disturbIncarnation, disturbAddress, disturbCold, disturbCold,
+	disturbCrash, disturbIncarnation, disturbAddress, disturbCold, disturbCold, disturbZone, disturbZone,
 }
 
 // coordinator returns the entry that is the coordinator, or any.
@@ -421,13 +430,15 @@
 role: "entry"
 ip: %q
 zone: "zone-a"
+region: "north"
+zones: {%s}
 listenAddrs: {front: "%s", ready: "%s", control: "%s"}
 portRange: [%d, %d]
 limits: {cpuShare: 1, cores: 1, memoryMb: 300, linkMbps: 1000}
 heartbeatMs: 1200
-bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5}
+bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5, evacuateMs: %d}
 platform: {address: %q, form: "kv", ttlMinMs: 1000}
-`, entry.name, entry.ip, entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, entry.soak.store.address())
+`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, evacuateTime.Milliseconds(), entry.soak.store.address())
 	if err := os.WriteFile(entry.settingsPath()+".new", []byte(settings), 0o600); err != nil {
 		entry.soak.t.Error(err)
 	}
