soak: schedule the requests to engines

Cause: no route of the soak made the coordinator schedule requests (docs/load.md, 6.1 and 7.4). Change: a third streaming route has an objective of 8 s, the others have 0.3 to 0.8 s, so that the requests to engines are scheduled; some later versions of the policy give it 2 s and end that while requests run. Engines state their load, prompts have 20 to 5,120 tokens. The checks for requests that run twice or that were refused cover the route. A play in which the coordinator placed no request at all fails.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -32,11 +32,14 @@
 	kindResume routeKind = "resume"
 	kindCold   routeKind = "cold"
 	kindHome   routeKind = "home"
+	kindLate   routeKind = "late"
 )
 
-var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume, kindCold, kindHome}
+var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume, kindCold, kindHome, kindLate}
 
-func (routeKind routeKind) streaming() bool { return routeKind == kindDraft || routeKind == kindResume }
+func (routeKind routeKind) streaming() bool {
+	return routeKind == kindDraft || routeKind == kindResume || routeKind == kindLate
+}
 
 func (routeKind routeKind) repeatable() bool {
 	return routeKind == kindLook || routeKind == kindResume || routeKind == kindHome
@@ -194,7 +197,7 @@
 		header += "X-Attempt-Id: " + asked.id + "\r\n"
 	}
 	if asked.model != "" {
-		header += "X-Model: " + asked.model + "\r\nX-Token-Count: 20,30\r\n"
+		header += fmt.Sprintf("X-Model: %s\r\nX-Token-Count: %d,30\r\n", asked.model, 20<<caller.random.IntN(9))
 	}
 	start := asked.method + " " + asked.target + " HTTP/" + version + "\r\n" + header
 	switch {
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -435,6 +435,9 @@
 	}
 	planned.header = echo + "X-Server-Stamp: " + begun.stamp + "\r\n"
 	planned.head = request.Method == http.MethodHead
+	if service == engineService {
+		planned.header += fmt.Sprintf("X-Instance-Load: %d,%d,16,%d\r\n", 1+random.IntN(4), random.IntN(2), 80+random.IntN(60))
+	}
 	if random.IntN(60) == 0 {
 		// The request has run, and its response is lost, at times without a sign of it.
 		if random.IntN(3) == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,8 +120,12 @@
 		stopped.Go(func() { entry.stop(syscall.SIGTERM) })
 	}
 	stopped.Wait()
+	placed := 0
 	for _, entry := range soak.entries {
-		entry.checkLog()
+		placed += entry.checkLog()
+	}
+	if placed == 0 {
+		soak.ledger.fault("UNSCHEDULED", "the coordinator chose the engine of no request")
 	}
 	soak.ledger.report(soak.t)
 }
@@ -222,6 +226,12 @@
 	defer soak.mutex.Unlock()
 	soak.version += 1 + random.IntN(5)
 	split := random.IntN(100)
+	// The requests to engines are scheduled while the longest objective is ten times the
+	// shortest; it is in the first version.
+	lateObjective := 8 * time.Second
+	if len(soak.servers) > 0 && random.IntN(3) == 0 {
+		lateObjective = 2 * time.Second
+	}
 	route := func(kind routeKind, protocol string, attempts int, more map[string]any) map[string]any {
 		route := map[string]any{
 			"name": "r-" + string(kind), "host": callerHost, "pathPrefix": "/" + string(kind) + "/", "kind": protocol,
@@ -245,6 +255,7 @@
 			route(kindHome, "safe", 2, map[string]any{"service": homeService, "allowedRegions": []string{homeRegion}}),
 			route(kindDraft, "streaming", 2, map[string]any{"service": engineService, "sticky": true, "resumable": false, "gapAimMs": 250}),
 			route(kindResume, "streaming", 3, map[string]any{"service": engineService, "sticky": true, "resumable": true, "gapAimMs": 250}),
+			route(kindLate, "streaming", 2, map[string]any{"service": engineService, "gapAimMs": 250, "targetLatencyMs": lateObjective.Milliseconds(), "priority": 2}),
 			route(routeKind(fmt.Sprintf("new%d", soak.version)), "safe", 1, map[string]any{"service": lookService}),
 		},
 		"services": []map[string]any{
@@ -508,8 +519,9 @@
 	}
 }
 
-// checkLog checks that no process of the entry has panicked or found a data race.
-func (entry *entry) checkLog() {
+// checkLog checks that no process of the entry has panicked or found a data race. It
+// returns how many of its requests the coordinator has placed.
+func (entry *entry) checkLog() int {
 	data, err := os.ReadFile(filepath.Join(entry.logs, entry.name+".log"))
 	if err != nil {
 		entry.soak.t.Error(err)
@@ -519,6 +531,7 @@
 			entry.soak.ledger.fault("PANIC", "%s wrote:\n%s", entry.name, data[at:min(at+3000, len(data))])
 		}
 	}
+	return bytes.Count(data, []byte(`"expectedFirstMs":`))
 }
 
 // kill kills the process without waiting for its end.
