soak: slow callers, and a check of the memory that entries use

Cause: no caller of the soak was slow with large messages, and nothing checked the memory of processes (docs/load.md, 2.1, 2.2 and 7.4). Change: a disturbance has 40 callers send bodies of 4 MiB to one entry, whose last kilobyte follows after 0.5 to 5.5 s, while 40 others read a response of 1,000 KiB as slowly. Entries have 144 MB instead of 300. The peak of each process's resident memory (VmHWM, read every 200 ms) may not exceed that; what the kernel holds for sockets is not counted.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -167,6 +167,9 @@
 	if random.IntN(8) == 0 {
 		asked.tenant = confinedTenant
 	}
+	if caller.mode == slowMode {
+		asked.kind = kindLook
+	}
 	asked.target = fmt.Sprintf("/%s/%s?key=%s", asked.kind, asked.key[1:4], asked.key)
 	if random.IntN(30) != 0 {
 		asked.id = asked.key[len(asked.key)-12:]
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -73,6 +73,13 @@
 	ledger.counts[name]++
 }
 
+// most records the largest number of a kind.
+func (ledger *ledger) most(name string, number int64) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.counts[name] = max(ledger.counts[name], int(number))
+}
+
 // fault records a broken rule.
 func (ledger *ledger) fault(class, format string, args ...any) {
 	ledger.mutex.Lock()
@@ -122,6 +129,15 @@
 	return &run
 }
 
+// drop releases the bodies of a request whose response has been checked.
+func (ledger *ledger) drop(asked *asked) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	for index := range asked.runs {
+		asked.runs[index].body = nil
+	}
+}
+
 // checkBody checks a body that a server has read after its response.
 func (ledger *ledger) checkBody(request *http.Request, body []byte) {
 	ledger.mutex.Lock()
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -475,6 +475,9 @@
 	case 1:
 		size = 1300 << 10
 	}
+	if asked.mode == slowMode {
+		size = slowBytes
+	}
 	planned.body = "all of the run " + stamp + strings.Repeat(" +", size/2)
 	switch random.IntN(10) {
 	case 0, 1:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -269,7 +269,7 @@
 			{"name": homeService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": coldService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerSecond},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{
 			{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000},
 			{"name": confinedTenant, "apiKeys": []string{confinedKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000, "allowedRegions": []string{confinedRegion}},
@@ -362,6 +362,8 @@
 			server.replace(false, random.IntN(2) == 0, random)
 		case disturbIncarnation:
 			server.reincarnate(server.usual, random.IntN(2) == 0)
+		case disturbSlow:
+			soak.callSlowly(ctx, entry, random)
 		case disturbZone:
 			soak.evacuate(random)
 		case disturbCold:
@@ -392,11 +394,12 @@
 	disturbAddress       disturbance = "another service has the address for a while"
 	disturbCold          disturbance = "a server becomes cold again"
 	disturbZone          disturbance = "a zone is evacuated for a while"
+	disturbSlow          disturbance = "many callers send and read slowly"
 )
 
 var allDisturbances = []disturbance{
 	disturbStop, disturbStop, disturbKill, disturbCoordinator, disturbHangUp, disturbConfiguration, disturbStore, disturbRestore, disturbDrain,
-	disturbCrash, disturbIncarnation, disturbAddress, disturbCold, disturbCold, disturbZone, disturbZone,
+	disturbCrash, disturbIncarnation, disturbAddress, disturbCold, disturbCold, disturbZone, disturbZone, disturbSlow, disturbSlow,
 }
 
 // coordinator returns the entry that is the coordinator, or any.
@@ -445,11 +448,11 @@
 zones: {%s}
 listenAddrs: {front: "%s", ready: "%s", control: "%s"}
 portRange: [%d, %d]
-limits: {cpuShare: 1, cores: 1, memoryMb: 300, linkMbps: 1000}
+limits: {cpuShare: 1, cores: 1, memoryMb: %d, linkMbps: 1000}
 heartbeatMs: 1200
 bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5, evacuateMs: %d}
 platform: {address: %q, form: "kv", ttlMinMs: 1000}
-`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, evacuateTime.Milliseconds(), entry.soak.store.address())
+`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, memoryMegabytes, evacuateTime.Milliseconds(), entry.soak.store.address())
 	if err := os.WriteFile(entry.settingsPath()+".new", []byte(settings), 0o600); err != nil {
 		entry.soak.t.Error(err)
 	}
@@ -478,6 +481,7 @@
 	entry.mutex.Lock()
 	entry.command, entry.ended, entry.expected = command, ended, false
 	entry.mutex.Unlock()
+	go entry.checkMemory(command.Process.Pid, ended)
 	go func() {
 		err := command.Wait()
 		entry.mutex.Lock()
