--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -30,13 +30,20 @@
 	kindOrder  routeKind = "order"
 	kindDraft  routeKind = "draft"
 	kindResume routeKind = "resume"
+	kindCold   routeKind = "cold"
+	kindHome   routeKind = "home"
+	kindLate   routeKind = "late"
 )
 
-var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume}
+var routeKinds = []routeKind{kindLook, kindOrder, kindDraft, kindResume, kindCold, kindHome, kindLate}
 
-func (routeKind routeKind) streaming() bool { return routeKind == kindDraft || routeKind == kindResume }
+func (routeKind routeKind) streaming() bool {
+	return routeKind == kindDraft || routeKind == kindResume || routeKind == kindLate
+}
 
-func (routeKind routeKind) repeatable() bool { return routeKind == kindLook || routeKind == kindResume }
+func (routeKind routeKind) repeatable() bool {
+	return routeKind == kindLook || routeKind == kindResume || routeKind == kindHome
+}
 
 func (routeKind routeKind) allows(service string) bool {
 	switch routeKind {
@@ -44,6 +51,10 @@
 		return service == lookService || service == spareService
 	case kindOrder:
 		return service == orderService
+	case kindCold:
+		return service == coldService
+	case kindHome:
+		return service == homeService
 	default:
 		return service == engineService
 	}
@@ -151,6 +162,13 @@
 	asked := &asked{
 		key:  fmt.Sprintf("q%d-%012x", caller.soak.number.Add(1), random.Uint64()>>16),
 		kind: caller.soak.kinds[random.IntN(len(caller.soak.kinds))], mode: caller.mode, method: http.MethodPost,
+		tenant: tenantName,
+	}
+	if random.IntN(8) == 0 {
+		asked.tenant = confinedTenant
+	}
+	if caller.mode == slowMode {
+		asked.kind = kindLook
 	}
 	asked.target = fmt.Sprintf("/%s/%s?key=%s", asked.kind, asked.key[1:4], asked.key)
 	if random.IntN(30) != 0 {
@@ -177,12 +195,12 @@
 // format enters a request into the ledger and returns it as it is sent.
 func (caller *caller) format(asked *asked, version string) string {
 	caller.soak.ledger.ask(asked)
-	header := fmt.Sprintf("Host: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\n", callerHost, keyHeader, asked.key, tenantKey, 1000+caller.random.IntN(3000))
+	header := fmt.Sprintf("Host: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\n", callerHost, keyHeader, asked.key, tenantKeys[asked.tenant], 1000+caller.random.IntN(3000))
 	if asked.id != "" {
 		header += "X-Attempt-Id: " + asked.id + "\r\n"
 	}
 	if asked.model != "" {
-		header += "X-Model: " + asked.model + "\r\nX-Token-Count: 20,30\r\n"
+		header += fmt.Sprintf("X-Model: %s\r\nX-Token-Count: %d,30\r\n", asked.model, 20<<caller.random.IntN(9))
 	}
 	start := asked.method + " " + asked.target + " HTTP/" + version + "\r\n" + header
 	switch {
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -42,6 +42,8 @@
 	usual string
 	// home is the model that an engine holds at its start.
 	home string
+	// zone is its failure domain.
+	zone string
 	// mutex guards all fields below.
 	mutex    sync.Mutex
 	id       string
@@ -53,6 +55,7 @@
 	models   []string
 	adapters []string
 	conns    map[net.Conn]bool
+	cold     coldPeriod
 }
 
 func newBackend(soak *soak, service string, number int) *backend {
@@ -62,13 +65,19 @@
 	}
 	backend := &backend{
 		soak: soak, listener: listener, random: soak.random.fork(), usual: service, conns: map[net.Conn]bool{},
-		home: engineModels[number%len(engineModels)],
+		home: engineModels[number%len(engineModels)], zone: zoneNames[number%(len(zoneNames)-1)],
+	}
+	if number == 15 {
+		backend.zone = zoneNames[len(zoneNames)-1]
 	}
 	if number%3 != 2 {
 		backend.stutters = 0.3
 	}
 	backend.reincarnate(service, true)
 	go backend.accept()
+	if service == coldService {
+		go backend.renew()
+	}
 	return backend
 }
 
@@ -82,6 +91,11 @@
 	}
 	backend.service, backend.born, backend.draining, backend.gone = service, time.Now().UnixMilli(), false, false
 	backend.accepted, backend.models, backend.adapters = 0, []string{backend.home}, nil
+	backend.cold = coldPeriod{}
+	if service == coldService {
+		now := time.Now()
+		backend.cold = coldPeriod{cause: fmt.Sprintf("started, renamed=%t", renamed), since: now, until: now.Add(coldStart)}
+	}
 	backend.mutex.Unlock()
 	if renamed && old != "" {
 		backend.soak.store.put("servers/"+old, nil)
@@ -104,27 +118,29 @@
 	for conn := range backend.conns {
 		conn.Close()
 	}
-	backend.mutex.Unlock()
 	backend.soak.store.put("servers/"+id, nil)
+	backend.mutex.Unlock()
 }
 
 // register writes the server's entry of the registry.
 func (backend *backend) register() {
 	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	if backend.gone {
+		return
+	}
 	state := "ready"
 	if backend.draining {
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": backend.service, "address": backend.listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 16,
-		"state": state, "coldLeftMs": 0, "born": backend.born, "seq": time.Now().UnixMilli(),
+		"service": backend.service, "address": backend.listener.Addr().String(), "zone": backend.zone, "version": "v1", "slots": 16,
+		"state": state, "coldLeftMs": max(time.Until(backend.cold.until).Milliseconds(), 0), "born": backend.born, "seq": time.Now().UnixMilli(),
 	}
 	if backend.service == engineService {
 		entry["stage"], entry["models"] = "unified", backend.held()
 	}
-	key := "servers/" + backend.id
-	backend.mutex.Unlock()
-	backend.soak.store.put(key, entry)
+	backend.soak.store.put("servers/"+backend.id, entry)
 }
 
 // held describes what an engine holds. The caller holds mutex.
@@ -391,6 +407,8 @@
 	if expected := request.Header.Get("X-Expect-Instance"); expected != id {
 		return refuse(http.StatusMisdirectedRequest)
 	}
+	backend.checkCold(time.Now())
+	backend.checkEvacuated(request, time.Now())
 	if service == engineService && request.RequestURI == "/report" {
 		return backend.report(), true
 	}
@@ -407,7 +425,7 @@
 		return refuse(http.StatusTooManyRequests)
 	}
 	var planned answer
-	begun := backend.soak.ledger.begin(id, service, request, body, func(asked *asked, number int) run {
+	begun := backend.soak.ledger.begin(id, service, backend.zone, request, body, func(asked *asked, number int) run {
 		var run run
 		run, planned = planRun(request, asked, number, random)
 		return run
@@ -417,6 +435,9 @@
 	}
 	planned.header = echo + "X-Server-Stamp: " + begun.stamp + "\r\n"
 	planned.head = request.Method == http.MethodHead
+	if service == engineService {
+		planned.header += fmt.Sprintf("X-Instance-Load: %d,%d,16,%d\r\n", 1+random.IntN(4), random.IntN(2), 80+random.IntN(60))
+	}
 	if random.IntN(60) == 0 {
 		// The request has run, and its response is lost, at times without a sign of it.
 		if random.IntN(3) == 0 {
@@ -454,6 +475,9 @@
 	case 1:
 		size = 1300 << 10
 	}
+	if asked.mode == slowMode {
+		size = slowBytes
+	}
 	planned.body = "all of the run " + stamp + strings.Repeat(" +", size/2)
 	switch random.IntN(10) {
 	case 0, 1:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,7 @@
 	seedFlag     = flag.Uint64("soak.seed", 1, "seed of the soak")
 	durationFlag = flag.Duration("soak.duration", 45*time.Second, "time during which requests are sent")
 	entriesFlag  = flag.Int("soak.entries", 4, "number of entry processes")
-	serversFlag  = flag.Int("soak.servers", 12, "number of backend servers")
+	serversFlag  = flag.Int("soak.servers", 17, "number of backend servers")
 	callersFlag  = flag.Int("soak.callers", 24, "number of callers")
 	binaryFlag   = flag.String("soak.binary", "", "program to run; the default is built from this module")
 	logsFlag     = flag.String("soak.logs", "", "directory for the logs of the entries; the default is removed")
@@ -120,8 +120,12 @@
 		stopped.Go(func() { entry.stop(syscall.SIGTERM) })
 	}
 	stopped.Wait()
+	placed := 0
 	for _, entry := range soak.entries {
-		entry.checkLog()
+		placed += entry.checkLog()
+	}
+	if placed == 0 {
+		soak.ledger.fault("UNSCHEDULED", "the coordinator chose the engine of no request")
 	}
 	soak.ledger.report(soak.t)
 }
@@ -162,6 +166,14 @@
 	servers    []*backend
 	callers    sync.WaitGroup
 	disturbers sync.WaitGroup
+	// over is closed at the end of the test.
+	over chan struct{}
+	// outages is held for reading while the store fails, and for writing by operators who
+	// need it to work.
+	outages sync.RWMutex
+	// disturbed is the last time, in Unix nanoseconds, at which an entry was ended.
+	disturbed atomic.Int64
+	zones     zones
 	// mutex guards version and serializes the publication of configurations.
 	mutex   sync.Mutex
 	version int
@@ -172,7 +184,7 @@
 	binary := program(t)
 	soak := &soak{
 		t: t, random: newRandom(*seedFlag), store: newKeyValue(), ledger: newLedger(), routeTimeout: 3 * time.Second,
-		modes: callerModes, kinds: routeKinds, disturbances: allDisturbances,
+		modes: callerModes, kinds: routeKinds, over: make(chan struct{}), disturbances: allDisturbances,
 	}
 	logs := *logsFlag
 	if logs == "" {
@@ -182,6 +194,7 @@
 		for _, entry := range soak.entries {
 			entry.kill()
 		}
+		close(soak.over)
 		soak.store.setMode(storeRefusing)
 		soak.store.server.CloseClientConnections()
 		soak.store.server.Close()
@@ -190,7 +203,10 @@
 		}
 	})
 	soak.publish(soak.random)
+	go soak.store.probe(soak.over)
 	services := []string{engineService, engineService, engineService, lookService, orderService, lookService, engineService, orderService, spareService}
+	services = append(services, services[:3]...)
+	services = append(services, coldService, coldService, homeService, homeService, homeService)
 	for number := range *serversFlag {
 		soak.servers = append(soak.servers, newBackend(soak, services[number%len(services)], number))
 	}
@@ -211,6 +227,12 @@
 	defer soak.mutex.Unlock()
 	soak.version += 1 + random.IntN(5)
 	split := random.IntN(100)
+	// The requests to engines are scheduled while the longest objective is ten times the
+	// shortest; it is in the first version.
+	lateObjective := 8 * time.Second
+	if len(soak.servers) > 0 && random.IntN(3) == 0 {
+		lateObjective = 2 * time.Second
+	}
 	route := func(kind routeKind, protocol string, attempts int, more map[string]any) map[string]any {
 		route := map[string]any{
 			"name": "r-" + string(kind), "host": callerHost, "pathPrefix": "/" + string(kind) + "/", "kind": protocol,
@@ -230,8 +252,11 @@
 		"routes": []map[string]any{
 			route(kindLook, "safe", 2, map[string]any{"trafficSplit": []map[string]any{{"service": lookService, "weight": 100 - split/2}, {"service": spareService, "weight": split / 2}}}),
 			route(kindOrder, "unsafe", 2, map[string]any{"service": orderService}),
+			route(kindCold, "unsafe", 2, map[string]any{"service": coldService}),
+			route(kindHome, "safe", 2, map[string]any{"service": homeService, "allowedRegions": []string{homeRegion}}),
 			route(kindDraft, "streaming", 2, map[string]any{"service": engineService, "sticky": true, "resumable": false, "gapAimMs": 250}),
 			route(kindResume, "streaming", 3, map[string]any{"service": engineService, "sticky": true, "resumable": true, "gapAimMs": 250}),
+			route(kindLate, "streaming", 2, map[string]any{"service": engineService, "gapAimMs": 250, "targetLatencyMs": lateObjective.Milliseconds(), "priority": 2}),
 			route(routeKind(fmt.Sprintf("new%d", soak.version)), "safe", 1, map[string]any{"service": lookService}),
 		},
 		"services": []map[string]any{
@@ -242,9 +267,14 @@
 			{"name": lookService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": spareService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": orderService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
+			{"name": homeService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
+			{"name": coldService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerSecond},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []map[string]any{
+			{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000},
+			{"name": confinedTenant, "apiKeys": []string{confinedKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000, "allowedRegions": []string{confinedRegion}},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000}},
 	})
 }
 
@@ -280,7 +310,7 @@
 	_ = conn.SetDeadline(time.Now().Add(responseTimeout))
 	caller := &caller{soak: soak, random: newRandom(uint64(soak.number.Add(1))), mode: "ordinary"}
 	asked := caller.draw()
-	asked.kind, asked.method, asked.model = kind, http.MethodPost, ""
+	asked.kind, asked.tenant, asked.method, asked.model = kind, tenantName, http.MethodPost, ""
 	asked.target = "/" + route + "/last"
 	if kind.streaming() {
 		asked.model = engineModels[0]
@@ -314,21 +344,32 @@
 		case disturbConfiguration:
 			soak.publish(random)
 		case disturbStore:
+			soak.outages.RLock()
 			soak.store.setMode(storeMode(1 + random.IntN(int(storeModes)-1)))
 			soak.pause(time.Duration(random.IntN(4000)) * time.Millisecond)
 			soak.store.setMode(storeSound)
+			soak.outages.RUnlock()
 		case disturbRestore:
 			copied := soak.store.copy()
 			soak.pause(time.Duration(random.IntN(4000)) * time.Millisecond)
+			soak.outages.RLock()
 			soak.store.setMode(storeRefusing)
 			soak.pause(time.Duration(random.IntN(2000)) * time.Millisecond)
 			soak.store.restore(copied, time.Duration(random.IntN(1500))*time.Millisecond)
+			soak.outages.RUnlock()
 		case disturbDrain:
 			server.replace(true, true, random)
 		case disturbCrash:
 			server.replace(false, random.IntN(2) == 0, random)
 		case disturbIncarnation:
 			server.reincarnate(server.usual, random.IntN(2) == 0)
+		case disturbSlow:
+			soak.callSlowly(ctx, entry, random)
+		case disturbZone:
+			soak.evacuate(random)
+		case disturbCold:
+			server = soak.coldServers()[random.IntN(len(soak.coldServers()))]
+			server.becomeCold(time.Duration(2000+random.IntN(2000)) * time.Millisecond)
 		case disturbAddress:
 			server.reincarnate([]string{lookService, orderService, engineService, spareService}[random.IntN(4)], true)
 			soak.pause(time.Duration(random.IntN(3000)) * time.Millisecond)
@@ -352,11 +393,14 @@
 	disturbCrash         disturbance = "a server crashes and returns"
 	disturbIncarnation   disturbance = "a new incarnation keeps the connections"
 	disturbAddress       disturbance = "another service has the address for a while"
+	disturbCold          disturbance = "a server becomes cold again"
+	disturbZone          disturbance = "a zone is evacuated for a while"
+	disturbSlow          disturbance = "many callers send and read slowly"
 )
 
 var allDisturbances = []disturbance{
 	disturbStop, disturbStop, disturbKill, disturbCoordinator, disturbHangUp, disturbConfiguration, disturbStore, disturbRestore, disturbDrain,
-	disturbCrash, disturbIncarnation, disturbAddress,
+	disturbCrash, disturbIncarnation, disturbAddress, disturbCold, disturbCold, disturbZone, disturbZone, disturbSlow, disturbSlow,
 }
 
 // coordinator returns the entry that is the coordinator, or any.
@@ -401,13 +445,15 @@
 role: "entry"
 ip: %q
 zone: "zone-a"
+region: "north"
+zones: {%s}
 listenAddrs: {front: "%s", ready: "%s", control: "%s"}
 portRange: [%d, %d]
-limits: {cpuShare: 1, cores: 1, memoryMb: 300, linkMbps: 1000}
+limits: {cpuShare: 1, cores: 1, memoryMb: %d, linkMbps: 1000}
 heartbeatMs: 1200
-bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5}
+bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5, evacuateMs: %d}
 platform: {address: %q, form: "kv", ttlMinMs: 1000}
-`, entry.name, entry.ip, entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, entry.soak.store.address())
+`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, memoryMegabytes, evacuateTime.Milliseconds(), entry.soak.store.address())
 	if err := os.WriteFile(entry.settingsPath()+".new", []byte(settings), 0o600); err != nil {
 		entry.soak.t.Error(err)
 	}
@@ -436,6 +482,7 @@
 	entry.mutex.Lock()
 	entry.command, entry.ended, entry.expected = command, ended, false
 	entry.mutex.Unlock()
+	go entry.checkMemory(command.Process.Pid, ended)
 	go func() {
 		err := command.Wait()
 		entry.mutex.Lock()
@@ -463,6 +510,7 @@
 	command, ended := entry.command, entry.ended
 	entry.expected = true
 	entry.mutex.Unlock()
+	entry.soak.disturbed.Store(time.Now().UnixNano())
 	if command == nil {
 		return
 	}
@@ -476,8 +524,9 @@
 	}
 }
 
-// checkLog checks that no process of the entry has panicked or found a data race.
-func (entry *entry) checkLog() {
+// checkLog checks that no process of the entry has panicked or found a data race. It
+// returns how many of its requests the coordinator has placed.
+func (entry *entry) checkLog() int {
 	data, err := os.ReadFile(filepath.Join(entry.logs, entry.name+".log"))
 	if err != nil {
 		entry.soak.t.Error(err)
@@ -487,6 +536,7 @@
 			entry.soak.ledger.fault("PANIC", "%s wrote:\n%s", entry.name, data[at:min(at+3000, len(data))])
 		}
 	}
+	return bytes.Count(data, []byte(`"expectedFirstMs":`))
 }
 
 // kill kills the process without waiting for its end.
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -60,6 +60,57 @@
 	// all keys.
 	era      int
 	readings int
+	// rewriting counts the restorations after which what was lost is not written again yet.
+	// lastFailure is when the service last began to work.
+	rewriting   int
+	lastFailure time.Time
+	// probed is when the probe that is under way began, or zero.
+	probed time.Time
+}
+
+const (
+	probeInterval = 200 * time.Millisecond
+	// maxAnswerTime is the time after which a service that does not answer has failed.
+	maxAnswerTime = time.Second
+)
+
+// probe calls the service over and over. On a busy machine the stand-ins may not run for
+// seconds: entries cannot reach the service then, and servers read requests late.
+func (keyValue *keyValue) probe(over <-chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(probeInterval):
+		}
+		began := time.Now()
+		keyValue.mutex.Lock()
+		keyValue.probed = began
+		keyValue.mutex.Unlock()
+		if response, err := http.Get(keyValue.server.URL + "/kv-key?key=op/config"); err == nil {
+			response.Body.Close()
+		}
+		keyValue.mutex.Lock()
+		if keyValue.probed = (time.Time{}); time.Since(began) > maxAnswerTime {
+			keyValue.lastFailure = time.Now()
+		}
+		keyValue.mutex.Unlock()
+	}
+}
+
+// works reports whether the service answers with current data. The caller holds mutex.
+func (keyValue *keyValue) works() bool {
+	return keyValue.rewriting == 0 && (keyValue.mode == storeSound || keyValue.mode == storeSlow)
+}
+
+// failedAt returns the last time at which the service did not work.
+func (keyValue *keyValue) failedAt() time.Time {
+	keyValue.mutex.Lock()
+	defer keyValue.mutex.Unlock()
+	if !keyValue.works() || !keyValue.probed.IsZero() && time.Since(keyValue.probed) > maxAnswerTime {
+		return time.Now()
+	}
+	return keyValue.lastFailure
 }
 
 // storeCopy is a copy of what the service holds.
@@ -85,6 +136,7 @@
 	lost := keyValue.items
 	keyValue.revision, keyValue.items, keyValue.history, keyValue.leases = from.revision, from.items, from.history, from.leases
 	keyValue.era++
+	keyValue.rewriting++
 	for id, lease := range keyValue.leases {
 		lease.expires = time.Now().Add(lease.ttl)
 		keyValue.leases[id] = lease
@@ -94,6 +146,8 @@
 	time.Sleep(rewriteAfter)
 	keyValue.mutex.Lock()
 	defer keyValue.mutex.Unlock()
+	keyValue.rewriting--
+	keyValue.lastFailure = time.Now()
 	foreign := func(key string) bool { return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/") }
 	for key, item := range lost {
 		if foreign(key) && keyValue.items[key].Revision <= from.revision && !bytes.Equal(keyValue.items[key].Value, item.Value) {
@@ -130,6 +184,9 @@
 func (keyValue *keyValue) setMode(mode storeMode) {
 	keyValue.mutex.Lock()
 	defer keyValue.mutex.Unlock()
+	if !keyValue.works() {
+		keyValue.lastFailure = time.Now()
+	}
 	keyValue.mode = mode
 	close(keyValue.moded)
 	keyValue.moded = make(chan struct{})
