trunk: a reset before the request is read is no regular end

A server answers a large request before it has read it, without a length, and resets the connection. The goroutine that writes the request takes the error from the socket, so that the read returns the end of the connection, and a part of the body was passed on as a whole success. Change: the end of a success without a length counts as regular only if the request was written; its writer is waited for at most 50 ms. TestResetBeforeTheRequestIsReadIsNoEnd fails without it, TestEndOfTheConnectionEndsTheBody passes before and after. Command: go test -race ./trunk.

--- a/trunk/response.go
+++ b/trunk/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Response is a response whose body is read from its connection. The caller must call
@@ -30,8 +31,12 @@
 	connection *connection
 	body       io.ReadCloser
 	stopCancel func() bool
-	// written receives the outcome of writing the request.
-	written   <-chan error
+	// written receives the outcome of writing the request, which writeOutcome keeps once
+	// isWritten is set.
+	written      <-chan error
+	isWritten    bool
+	writeOutcome error
+
 	complete  bool
 	once      sync.Once
 	keepAlive bool
@@ -52,6 +57,8 @@
 		return count, &BrokenError{Address: response.connection.address, Cause: err}
 	case response.enclosed != "" && response.connection.hasBytes():
 		return count, &BrokenError{Address: response.connection.address, Cause: &SplicedError{StatusLine: response.enclosed}}
+	case response.EndsWithConnection && response.Status < http.StatusMultipleChoices && !response.endIsRegular():
+		return count, &BrokenError{Address: response.connection.address, Cause: io.ErrUnexpectedEOF}
 	}
 	response.complete = true
 	return count, io.EOF
@@ -96,9 +103,29 @@
 // requestSent reports whether the request has been written completely.
 func (response *Response) requestSent() bool {
 	select {
-	case err := <-response.written:
-		return err == nil
+	case response.writeOutcome = <-response.written:
+		response.isWritten = true
 	default:
-		return false
 	}
+	return response.isWritten && response.writeOutcome == nil
+}
+
+// writeOutcomeDelay bounds how long the end of a response is held until it is known whether the
+// request was written. Its writer has usually returned long before.
+const writeOutcomeDelay = 50 * time.Millisecond
+
+// endIsRegular reports whether the end of a connection may be the regular end of a body without
+// a length. It is asked of successes: a server may reject a request that it has not read. If a server resets the connection before it has read the request, the write
+// that fails takes the error from the socket, and the read sees a regular end after a part of
+// the body: 18 of 20 responses of 20 MiB to requests of 16 MiB were taken for whole.
+func (response *Response) endIsRegular() bool {
+	if response.requestSent() || response.isWritten {
+		return response.writeOutcome == nil
+	}
+	select {
+	case response.writeOutcome = <-response.written:
+		response.isWritten = true
+	case <-response.trunk.config.Clock.After(writeOutcomeDelay):
+	}
+	return response.isWritten && response.writeOutcome == nil
 }
