coord: explain with the load time and the checks of Place

Cause: the explanation of a request for a model without a copy lacked the time until one is loaded, so that basilkeel where said that the request waits where the request itself is refused. Also, an entry asked for explanations a coordinator that it asks for no decisions: one that has not answered since the last request, or about names that are not UTF-8 text. Change: Explain adds the load time as Place does, and makes the same checks before the call. Tests that failed before: TestExplanationsStateWhenModelsAreLoaded (Ready was 0 instead of more than 30 s), TestExplanationsKnowWhoIsAsked (go test ./coord -run Explanations).

--- a/coord/place.go
+++ b/coord/place.go
@@ -50,17 +50,22 @@
 	request.Closed = append(request.Closed, term.coldRates.closed(service, request.Excluded, now)...)
 	// Only the calls that are answered count: those beyond must not keep others from it.
 	term.placeCalls.Add(1, now)
-	decision := scheduler.Place(request, now)
-	switch placed := decision.(type) {
-	case sched.Placed:
+	decision := term.addReady(scheduler.Place(request, now), service, request.Model, snapshot)
+	if placed, isPlaced := decision.(sched.Placed); isPlaced {
 		term.coldRates.recordPlaced(placed, now)
-	case sched.NoCopy:
-		decision = sched.NoCopy{Ready: term.readyAfter(service, request.Model, snapshot)}
 	}
 	metrics.GetOrRegisterCounter("coord.place."+outcomeOf(decision), coordinator.config.Metrics).Inc(1)
 	return decision, nil
 }
 
+// addReady adds the expected time until the model is loaded to a [sched.NoCopy].
+func (term *term) addReady(decision sched.Decision, service names.Service, model names.Model, snapshot *policy.Snapshot) sched.Decision {
+	if _, missing := decision.(sched.NoCopy); missing {
+		return sched.NoCopy{Ready: term.readyAfter(service, model, snapshot)}
+	}
+	return decision
+}
+
 // readyAfter returns the expected time until a model that no engine of a service holds is loaded,
 // or zero if that is unknown.
 func (term *term) readyAfter(service names.Service, model names.Model, snapshot *policy.Snapshot) time.Duration {
@@ -96,7 +101,8 @@
 		return sched.Explanation{Decision: sched.Unscheduled{}}, nil
 	}
 	request.Closed = append(request.Closed, term.coldRates.closed(service, request.Excluded, now)...)
-	explanation := sched.Explanation{Decision: scheduler.Verdict(request, now), Candidates: scheduler.Explain(request, now)}
+	decision := term.addReady(scheduler.Verdict(request, now), service, request.Model, snapshot)
+	explanation := sched.Explanation{Decision: decision, Candidates: scheduler.Explain(request, now)}
 	if coordinator.overloaded(term, now) {
 		explanation.Decision = sched.Unscheduled{}
 	}
@@ -209,10 +215,15 @@
 	return &NoAnswerError{Since: client.config.Clock.Now().Sub(client.unansweredAt)}
 }
 
-// Place implements [relay.Coordinator]. A name that comes from the caller and is not UTF-8 text
-// is that of no model, and no call could be encoded with it.
+// readable reports whether the names in a request that come from the caller are UTF-8 text. Any
+// other is that of no model, and no call could be encoded with it.
+func readable(request sched.Request) bool {
+	return utf8.ValidString(string(request.Model)) && utf8.ValidString(string(request.Adapter))
+}
+
+// Place implements [relay.Coordinator].
 func (client *Client) Place(ctx context.Context, service names.Service, request sched.Request) (sched.Decision, error) {
-	if !utf8.ValidString(string(request.Model)) || !utf8.ValidString(string(request.Adapter)) {
+	if !readable(request) {
 		return sched.Unscheduled{}, nil
 	}
 	request.Instance, request.Slowdowns = client.config.Instance, client.config.Pool.TakeSlowdowns()
@@ -241,6 +252,9 @@
 // Explain implements [relay.Coordinator]. Unlike Place, it reports no slowdowns, and a failed
 // call does not count as evidence that the coordinator is unresponsive.
 func (client *Client) Explain(ctx context.Context, service names.Service, request sched.Request) (sched.Explanation, error) {
+	if !readable(request) {
+		return sched.Explanation{Decision: sched.Unscheduled{}}, nil
+	}
 	request.Instance = client.config.Instance
 	conn, self, err := client.coordinatorConn()
 	if err != nil {
@@ -249,7 +263,7 @@
 	if self {
 		return client.config.Coordinator.Explain(service, request)
 	}
-	if err := client.checkResponsive(); err != nil {
+	if err := client.checkScheduling(); err != nil {
 		return sched.Explanation{}, err
 	}
 	message := encodePlaceRequest(service, request, client.config.Clock.Now())
--- a/coord/placecall_test.go
+++ b/coord/placecall_test.go
@@ -313,3 +313,48 @@
 	snapshot.Store(scheduledPolicy(0))
 	g.Eventually(placeTwice, 5*time.Second, 150*time.Millisecond).Should(BeAssignableToTypeOf(sched.Placed{}))
 }
+
+// TestExplanationsStateWhenModelsAreLoaded guards against an explanation that a request waits for
+// its model where the request itself is refused, as the load takes longer than it has left.
+func TestExplanationsStateWhenModelsAreLoaded(t *testing.T) {
+	g := NewWithT(t)
+	snapshot := scheduledPolicy(0)
+	snapshot.Service("notes").Engine.Models["n"] = policy.Model{Name: "n", WeightsMB: 50, LoadTime: time.Minute}
+	coordinator := scheduledCoordinatorBy(t, &lease{}, 100, func() *policy.Snapshot { return snapshot })
+	request := urgentRequest()
+	request.Model = "n"
+	loadedLate := HaveField("Ready", BeNumerically(">", 30*time.Second))
+	g.Eventually(func() (sched.Decision, error) { return coordinator.Place("notes", request) }, 5*time.Second).Should(loadedLate)
+	explanation, err := coordinator.Explain("notes", request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(explanation.Decision).To(loadedLate)
+}
+
+// TestExplanationsKnowWhoIsAsked guards against explanations by a coordinator that requests do not
+// ask: one that has not answered the last of them, or that cannot read the name of their model.
+func TestExplanationsKnowWhoIsAsked(t *testing.T) {
+	g := NewWithT(t)
+	gate := &gate{}
+	identity, _ := gate.start(t, scheduledCoordinator(t, &lease{}, 100))
+	client := startClient(t)
+	client.SetCoordinator(identity)
+	placesEventually(g, client)
+	explain := func(request sched.Request) (sched.Decision, error) {
+		explanation, err := client.Explain(context.Background(), "notes", request)
+		return explanation.Decision, err
+	}
+	g.Expect(explain(urgentRequest())).To(BeAssignableToTypeOf(sched.Placed{}))
+	odd := urgentRequest()
+	odd.Model = "m\xff"
+	g.Expect(explain(odd)).To(Equal(sched.Unscheduled{}))
+	gate.freeze(true)
+	_, err := place(client, urgentRequest())
+	g.Expect(err).To(HaveOccurred())
+	asked := gate.callCount()
+	for range 40 {
+		_, err := explain(urgentRequest())
+		g.Expect(err).To(BeAssignableToTypeOf(&coord.NoAnswerError{}))
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.Expect(gate.callCount()).To(Equal(asked))
+}
