relay: explain with the homes and accounts that requests have

An account in the question counted (or was refused as unknown) on open routes, where requests have none. Change: choose and Where use one check of what the coordinator offers, and Where ignores the account where requests need no key. Tests that failed before: TestWhereAsksTheCoordinator/placed_outside_of_the_homes (unscheduled was empty instead of "unusable"), TestWhereIsWhatHappens/an_account_at_an_open_route (401 instead of a server) (go test ./relay -run Where).

--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -50,9 +50,7 @@
 			if !exchange.wait(ctx, decision.Wait) {
 				return nil, timeUp()
 			}
-			server, usable := exchange.relay.config.Pool.UsableServer(decision.Server, decision.Incarnation, exchange.now())
-			query := exchange.query()
-			if usable && query.Permits(server) && !slices.Contains(exchange.tried, server.ID) {
+			if server, usable := exchange.usableServer(decision); usable {
 				exchange.countScheduling("placed")
 				exchange.scheduled = &decision
 				return pool.Chosen{Server: server, Load: decision.Load, AdapterMissing: decision.AdapterMissing, Alternatives: 1}, nil
@@ -79,6 +77,18 @@
 	return exchange.pickUnscheduled(unscheduledUndecided), nil
 }
 
+// usableServer returns the server that the coordinator offers. It returns false if the request
+// must not get it: the coordinator may know of copies that this entry does not know of and thus
+// has not excluded.
+func (exchange *exchange) usableServer(placed sched.Placed) (*pool.Server, bool) {
+	server, usable := exchange.relay.config.Pool.UsableServer(placed.Server, placed.Incarnation, exchange.now())
+	query := exchange.query()
+	if !usable || !query.Permits(server) || slices.Contains(exchange.tried, server.ID) {
+		return nil, false
+	}
+	return server, true
+}
+
 // refuseLongLoad refuses a request whose model cannot be loaded before the request ends: by
 // its deadline, or as callers give up streams that have no event yet. The caller can come
 // back when the model is loaded. It returns nil if the request may wait.
--- a/relay/where.go
+++ b/relay/where.go
@@ -23,7 +23,8 @@
 	// Service is one of the route's targets. If it is empty, the one that gets most requests
 	// is meant.
 	Service names.Service
-	// Account is the client account, or empty for none.
+	// Account is the client account, or empty for none. It has no effect where requests need no
+	// key.
 	Account names.ClientAccount
 	Model   names.Model
 	Adapter names.Adapter
@@ -143,7 +144,7 @@
 		most := slices.MaxFunc(exchange.route.Targets, func(a, b policy.Target) int { return cmp.Compare(a.Weight, b.Weight) })
 		exchange.service = most.Service
 	}
-	if question.Account != "" {
+	if question.Account != "" && snapshot.NeedsKeys() && !exchange.route.Open {
 		accounts := snapshot.Accounts()
 		index := slices.IndexFunc(accounts, func(account *policy.Account) bool { return account.Name == question.Account })
 		if index < 0 {
@@ -183,7 +184,7 @@
 		}
 		switch decision := explanation.Decision.(type) {
 		case sched.Placed:
-			server, usable := exchange.relay.config.Pool.UsableServer(decision.Server, decision.Incarnation, exchange.now())
+			server, usable := exchange.usableServer(decision)
 			if !usable {
 				unusable = append(unusable, decision.Server)
 				continue
--- a/relay/where_test.go
+++ b/relay/where_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -40,6 +41,10 @@
 				}
 			},
 		},
+		{
+			name: "an account at an open route", question: relay.Question{Path: "/open/1", Model: "notes", Account: "nobody"},
+			want: relay.VerdictSend{Server: "notes-b", Domain: "b"},
+		},
 		{
 			name: "stopping", question: relay.Question{Model: "notes"}, want: relay.VerdictRefuse{Status: 503, Reason: relay.ReasonStopping, RetryAfter: 50 * time.Millisecond},
 			before: func(fixture *fixture) { fixture.relay.RejectRequests() },
@@ -62,13 +67,14 @@
 		t.Run(each.name, func(t *testing.T) {
 			g := NewWithT(t)
 			home, far := route("draft", policy.KindStream, "notes"), route("far", policy.KindStream, "notes")
-			home.Homes, far.Homes = []names.Region{"south"}, []names.Region{"nowhere"}
-			fixture, _ := newHomesFixture(t, ok, home, far)
+			open := route("open", policy.KindStream, "notes")
+			home.Homes, far.Homes, open.Homes, open.Open = []names.Region{"south"}, []names.Region{"nowhere"}, []names.Region{"south"}, true
+			fixture, _ := newHomesFixture(t, ok, home, far, open)
 			if each.before != nil {
 				each.before(fixture)
 			}
 			question := each.question
-			question.Host, question.Account = "desk.example", "crew"
+			question.Host, question.Account = "desk.example", cmp.Or(question.Account, "crew")
 			if question.Path == "" {
 				question.Path = "/draft/1?x=1"
 			}
@@ -124,6 +130,7 @@
 	}{
 		{name: "placed", decision: sched.Placed{Server: "notes-b", Wait: time.Second, First: 70, Load: 0.5}, want: relay.VerdictSend{Server: "notes-b", Domain: "b", Wait: time.Second, First: 70, Load: 0.5}},
 		{name: "placed on an unusable one", decision: sched.Placed{Server: "gone"}, want: relay.VerdictSend{Server: "notes-b", Domain: "b"}, unscheduled: "unusable"},
+		{name: "placed outside of the homes", decision: sched.Placed{Server: "notes-a"}, want: relay.VerdictSend{Server: "notes-b", Domain: "b"}, unscheduled: "unusable"},
 		{name: "later", decision: sched.Later{Wait: time.Second}, want: relay.VerdictWait{Reason: relay.ReasonServersFull, Wait: time.Second}},
 		{name: "refused", decision: sched.Refused{RetryAfter: time.Second, Load: 1}, want: relay.VerdictRefuse{Status: 503, Reason: relay.ReasonServersFull, RetryAfter: time.Second, LeastLoad: 1}},
 		{
