pool: drop the lists of services that have no server left

Cause: a service whose last server went or moved to another service left an empty list for good. Change: the list goes with its last server. The test also goes through the sums of requests while a server changes its service and incarnation. Test that failed before: TestListsOfServicesEnd (go test ./pool).

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -186,9 +186,13 @@
 
 // unlist removes a member from those of its service. The caller holds the mutex.
 func (pool *Pool) unlist(member *member) {
-	listed := pool.byService[member.server.Service]
+	service := member.server.Service
+	listed := pool.byService[service]
 	if index, found := place(listed, member); found {
-		pool.byService[member.server.Service] = slices.Delete(listed, index, index+1)
+		pool.byService[service] = slices.Delete(listed, index, index+1)
+	}
+	if len(pool.byService[service]) == 0 {
+		delete(pool.byService, service)
 	}
 }
 
