relay: end only callers that still wait

Cause: the slowest caller is taken from the list before it is ended. If it read in between and the next write had begun, that write was ended, although the caller had just read. Change: a read or write is ended only if it has itself taken stallDelay. Test that failed before: TestCallerThatReadsAgainIsNotEnded (go test ./relay).

--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -88,11 +88,12 @@
 	}
 }
 
-// end makes the read or write that is under way fail.
+// end makes the read or write that is under way fail. One that has begun since the watch was
+// found to wait is not meant.
 func (callerWatch *callerWatch) end() {
 	callerWatch.mutex.Lock()
 	defer callerWatch.mutex.Unlock()
-	if !callerWatch.active {
+	if !callerWatch.waiting {
 		return
 	}
 	relay := callerWatch.exchange.relay
