node: name nobody as deciding about a request that is not admitted

Change: the relay states whether the request was admitted. Test that failed before: TestWhereEndpoint/a_name_that_is_no_account (go test ./node -run Where).

--- a/node/where.go
+++ b/node/where.go
@@ -161,9 +161,10 @@
 		report.Targets = append(report.Targets, WhereTarget{Service: string(target.Service), Weight: target.Weight})
 	}
 	switch {
+	case !location.Admitted:
 	case location.Scheduled && location.Unscheduled == "":
 		report.DecidedBy, report.Unit = "coordinator", UnitMilliseconds
-	case location.Route != "" && location.Service != "":
+	default:
 		report.DecidedBy, report.Unit = "entry", UnitLoad
 	}
 	for _, engine := range location.Engines {
--- a/node/where_test.go
+++ b/node/where_test.go
@@ -86,6 +86,8 @@
 			g.Expect(json.Unmarshal(body, &report)).To(Succeed())
 			g.Expect(report.Verdict).To(Equal(each.want))
 			if each.want.Kind != VerdictSend {
+				g.Expect(report.DecidedBy).To(BeEmpty(), "it is not admitted")
+				g.Expect(report.Unit).To(BeEmpty())
 				return
 			}
 			g.Expect(report.Route).To(Equal("draft"))
--- a/relay/where.go
+++ b/relay/where.go
@@ -39,6 +39,9 @@
 	Route   string
 	Service names.Service
 	Targets []policy.Target
+	// Admitted reports whether a server is looked for. Otherwise only Verdict, a
+	// [VerdictRefuse], is set of the fields below.
+	Admitted bool
 	// Scheduled reports whether the service's requests are scheduled. Unscheduled is why the
 	// entry chooses by itself nevertheless; it is empty if the coordinator decides.
 	Scheduled   bool
@@ -113,7 +116,7 @@
 		location.Route, location.Targets = exchange.route.Name, exchange.route.Targets
 	}
 	location.Service = exchange.service
-	if location.Verdict == nil {
+	if location.Admitted = location.Verdict == nil; location.Admitted {
 		exchange.locate(ctx, &location)
 	}
 	return location
