relay: wait for a model whose load time is unknown

Cause: coordinators of the version before, and coordinators that know of no engine that can load the model, state no time until it is loaded. After Route.StreamPatience the entry took that for a load that ends too late and refused the stream without Retry-After, which tells the caller not to return. Change: such a request waits as before. Test: TestUnknownLoadsAreWaitedFor (503 before the change). Command: go test ./relay -run 'TestUnknownLoadsAreWaitedFor|TestSchedulingDecisions|TestWhere'

--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -81,13 +81,14 @@
 
 // refuseLongLoad refuses a request whose model cannot be loaded before the request ends: by
 // its deadline, or as callers give up streams that have no event yet. The caller can come
-// back when the model is loaded. It returns nil if the request may wait.
+// back when the model is loaded. It returns nil if the request may wait, also if the time of
+// the load is unknown.
 func (exchange *exchange) refuseLongLoad(noCopy sched.NoCopy) *refusal {
 	until := exchange.deadline
 	if leaves := exchange.started.Add(exchange.route.StreamPatience()); exchange.route.Kind == policy.KindStream && leaves.Before(until) {
 		until = leaves
 	}
-	if !exchange.now().Add(noCopy.Ready).After(until) {
+	if noCopy.Ready <= 0 || !exchange.now().Add(noCopy.Ready).After(until) {
 		return nil
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonModelNotLoaded, retryAfter: noCopy.Ready}
--- a/relay/schedule_test.go
+++ b/relay/schedule_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// TestUnknownLoadsAreWaitedFor guards against requests that are refused, and told not to
+// return, since their caller may have given up, although it is unknown when their model is
+// loaded: coordinators of the version before do not state it.
+func TestUnknownLoadsAreWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	urgent, slow := route("draft", policy.KindStream, "notes"), route("slow", policy.KindStream, "notes")
+	urgent.GapObjective, slow.GapObjective, slow.Objective = 100*time.Millisecond, 100*time.Millisecond, 10*urgent.Objective
+	urgent.Timeout = time.Minute
+	fixture := newFixture(t, urgent, slow)
+	coordinator := &scriptedCoordinator{fakeCoordinator: fixture.coordinator, answer: func(request sched.Request) (sched.Decision, error) {
+		if request.Elapsed < urgent.StreamPatience()+300*time.Millisecond {
+			return sched.NoCopy{}, nil
+		}
+		return sched.Placed{Server: "notes-1"}, nil
+	}}
+	fixture.relay.SetCoordinator(coordinator)
+	fixture.server("notes-1", "notes", ok)
+	g.Expect(fixture.call(http.MethodPost, "/draft/1", "", map[string]string{"Model": "notes"}).status).To(Equal(http.StatusOK))
+}
+
 // unscheduledReason returns why the entry chose the server of the logged request itself.
 func (fixture *fixture) unscheduledReason() string {
 	found := ""
