copies: count a model that an engine holds as ready

Cause: the scheduler learns of a finished load at its next update of engines, 100 ms to some 600 ms later in a large fleet, and answers "no copy" until then, as it does while an entry excludes the only engine with the model for a short time. ReadyAfter then stated the time of a whole new load at that engine (6.7 s from the weight store), and the entry refused requests that could run at once. Change: ReadyAfter states a millisecond if an engine holds the model, so that the request waits as it did before. Test: TestReadyAfter (1.05 s before the change). Command: go test ./copies -run TestReadyAfter

--- a/copies/steps.go
+++ b/copies/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -150,9 +151,9 @@
 	return later.Waiting == 0 && later.Work <= lostDemandFraction*demand.Work
 }
 
-// ReadyAfter returns the expected time until an engine of a service holds a model, if none
-// does: by a load that runs, or by one that is still to be ordered. It returns zero if no
-// engine can load it.
+// ReadyAfter returns the expected time until an engine of a service holds a model: a
+// millisecond if one does already, otherwise by a load that runs, or by one that is still to
+// be ordered. It returns zero if no engine can load it.
 func (dispatcher *Dispatcher) ReadyAfter(service names.Service, model names.Model, engine *policy.Engine) time.Duration {
 	earliest, now := time.Duration(0), dispatcher.config.Clock.Now()
 	for _, tracker := range dispatcher.trackersOf(service) {
@@ -172,7 +173,13 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	switch {
-	case tracker.server.Draining || tracker.fenced || tracker.loading != "" && tracker.loading != model:
+	case tracker.server.Draining || tracker.fenced:
+		return 0, false
+	case slices.Contains(tracker.models, model) && !slices.Contains(tracker.unloading, model):
+		// The scheduler learns of a load up to half a second later, and an entry excludes
+		// engines for short times only.
+		return 0, true
+	case tracker.loading != "" && tracker.loading != model:
 		return 0, false
 	case tracker.loading == model && !tracker.readyAt.IsZero():
 		return tracker.readyAt.Sub(now), true
--- a/copies/steps_test.go
+++ b/copies/steps_test.go
@@ -276,13 +276,15 @@
 }
 
 // TestReadyAfter guards against requests that wait for a model for longer than its load can
-// take, and against those that are refused although it may be loaded soon.
+// take, and against those that are refused although it may be loaded soon or already is: the
+// scheduler learns of that later.
 func TestReadyAfter(t *testing.T) {
 	g := NewWithT(t)
 	engine := &streamingEngine{fakeEngine: newFakeEngine("a"), loadTime: 5 * time.Second}
 	dispatcher := newStreamingDispatcher(engine, "a")
 	readyAfter := func() time.Duration { return dispatcher.ReadyAfter("notes", "c", engineSpec()) }
 	g.Expect(readyAfter()).To(Equal(1050*time.Millisecond), "the time after which a load counts as done")
+	g.Expect(dispatcher.ReadyAfter("notes", "a", engineSpec())).To(Equal(time.Millisecond), "loaded")
 	dispatcher.StartStep(context.Background(), copies.Step{Server: engineID, Load: "c"}, engineSpec())
 	dispatcher.Wait()
 	engine.clock.After(250 * time.Millisecond)
