copies: do not predict loads while those of a former coordinator may run

Cause: a new coordinator does not know which model an engine is loading for its predecessor. ReadyAfter stated the time of a whole new load, and entries refused requests whose model would have been loaded within the time they could wait. Change: ReadyAfter states no time until each engine's state has been known in this term, or a load that began before it would have ended, or the engine has restarted.

--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -102,7 +102,7 @@
 		tracker, found := dispatcher.trackers[server.ID]
 		switch {
 		case !found:
-			dispatcher.trackers[server.ID] = newTracker(server)
+			dispatcher.trackers[server.ID] = newTracker(server, now)
 		case !tracker.syncServer(server, now):
 			event.IncarnationOutdated.Log(dispatcher.config.Log, logrus.Fields{"server": string(server.ID), "born": server.Incarnation})
 		}
--- a/copies/steps.go
+++ b/copies/steps.go
@@ -27,6 +27,7 @@
 	// is asked whether it is done, loadPollPause the pause between two such reports. Loads
 	// take 0.6 to 1.6 of the usual time.
 	earliestLoadFraction = 0.6
+	longestLoadFraction  = 1.6
 	loadPollPause        = 200 * time.Millisecond
 	// lostDemandFraction is the fraction of the demand that a step was planned for below
 	// which it is canceled.
@@ -153,13 +154,17 @@
 
 // ReadyAfter returns the expected time until an engine of a service holds a model: a
 // millisecond if one does already, otherwise by a load that runs, or by one that is still to
-// be ordered. It returns zero if no engine can load it.
+// be ordered. It returns zero if no engine can load it, or if an engine may be executing an
+// order of a former coordinator, whose load may end at any time.
 func (dispatcher *Dispatcher) ReadyAfter(service names.Service, model names.Model, engine *policy.Engine) time.Duration {
 	earliest, now := time.Duration(0), dispatcher.config.Clock.Now()
 	for _, tracker := range dispatcher.trackersOf(service) {
 		if dispatcher.evacuated(tracker) {
 			continue
 		}
+		if tracker.mayRunFormerLoad(model, engine, now) {
+			return 0
+		}
 		if ready, possible := tracker.readyAfter(model, engine, now); possible && (earliest == 0 || ready < earliest) {
 			earliest = max(ready, time.Millisecond)
 		}
@@ -167,6 +172,19 @@
 	return earliest
 }
 
+// mayRunFormerLoad reports whether the engine may be executing a load of a model that a former
+// coordinator has ordered: its state has not been known in this term, and such a load would
+// not have ended yet.
+func (tracker *Tracker) mayRunFormerLoad(model names.Model, engine *policy.Engine, now time.Time) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if tracker.reported || tracker.foundAt.IsZero() {
+		return false
+	}
+	longest := time.Duration(float64(tracker.loadTime(model, engine)) * longestLoadFraction)
+	return now.Sub(tracker.foundAt) < longest
+}
+
 // readyAfter returns the expected time until the engine holds a model, and whether it can
 // load it.
 func (tracker *Tracker) readyAfter(model names.Model, engine *policy.Engine, now time.Time) (time.Duration, bool) {
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -18,6 +18,9 @@
 	// mutex guards all below.
 	mutex  sync.Mutex
 	server *pool.Server
+	// foundAt is when this term's registry first listed the engine. It is zero once the engine
+	// has restarted: it executes no orders from before this term then.
+	foundAt time.Time
 	// delistedAt is when the registry dropped the engine, or zero while it is listed.
 	// outdatedAt is since when the registry has listed an older incarnation, or zero.
 	delistedAt time.Time
@@ -79,8 +82,8 @@
 	fenced bool
 }
 
-func newTracker(server *pool.Server) *Tracker {
-	tracker := &Tracker{orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{}}
+func newTracker(server *pool.Server, now time.Time) *Tracker {
+	tracker := &Tracker{foundAt: now, orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{}}
 	tracker.useRegistry(server)
 	return tracker
 }
@@ -144,7 +147,7 @@
 	tracker.outdatedAt = time.Time{}
 	if !tracker.isIncarnation(server.Incarnation, server.Address) {
 		tracker.consistent, tracker.pending, tracker.reported, tracker.busySeen = false, false, false, false
-		tracker.loading, tracker.unloading, tracker.accepted = "", nil, 0
+		tracker.loading, tracker.unloading, tracker.accepted, tracker.foundAt = "", nil, 0, time.Time{}
 		tracker.reportedCount, tracker.reportedCountAt, tracker.withheldUntil, tracker.acceptedAt = 0, time.Time{}, time.Time{}, time.Time{}
 		tracker.loadedAt, tracker.unloadedAt = map[names.Model]time.Time{}, map[names.Model]time.Time{}
 		tracker.adapterLoadedAt = map[pool.Adapter]time.Time{}
