copies: do not take old reports for the outcome of unanswered orders

Cause: an engine's report is some hundred milliseconds old as a whole, its count of accepted orders included. After an order without an answer, a report from before that order with the count that had been stable before settled that the engine had not executed it. The engine counted as known with its former models, and as nothing queries a known engine, entries sent requests for a model that it had unloaded until another order failed. Change: a report with the count from before the order settles its outcome only if it was requested 400 ms (reportStableAfter) after the last attempt. Test: TestOldReportsAnswerNoOrders (known at the first query before the change). Command: go test ./copies

--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -602,7 +602,7 @@
 	defer tracker.mutex.Unlock()
 	tracker.recordUnanswered(request, now)
 	if tracker.isIncarnation(request.Incarnation, request.Address) {
-		tracker.pending = true
+		tracker.pending, tracker.unansweredAt = true, now
 	}
 }
 
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -35,6 +35,8 @@
 	// that it may or may not have changed them.
 	consistent bool
 	pending    bool
+	// unansweredAt is when the last attempt of an order ended without an answer.
+	unansweredAt time.Time
 	// reported reports whether the incarnation has been consistent before. From then on
 	// the registry's lists of models and adapters are older than these.
 	reported bool
@@ -234,6 +236,10 @@
 		tracker.reportedCount, tracker.reportedCountAt = engineReport.Accepted, now
 	}
 	stable := !engineReport.Busy && asked.Sub(tracker.reportedCountAt) >= reportStableAfter
+	if tracker.pending && engineReport.Accepted == tracker.accepted {
+		// A report from before the order says nothing of it.
+		stable = stable && asked.Sub(tracker.unansweredAt) >= reportStableAfter
+	}
 	if tracker.consistent && engineReport.Accepted == tracker.accepted && (!tracker.pending || !stable) {
 		if tracker.loading != "" && slices.Contains(engineReport.Models, tracker.loading) {
 			tracker.finishLoad(now)
--- a/copies/unanswered_test.go
+++ b/copies/unanswered_test.go
@@ -165,6 +165,42 @@
 	}
 }
 
+// TestOldReportsAnswerNoOrders guards against a report from before an order without an answer
+// that makes its engine count as known: entries would send requests for a model that it has
+// unloaded, until another order fails.
+func TestOldReportsAnswerNoOrders(t *testing.T) {
+	g := NewWithT(t)
+	engine := &interruptedEngine{fakeEngine: newFakeEngine("a", "b")}
+	ctx, cancel := context.WithCancel(context.Background())
+	engine.after = cancel
+	dispatcher := copies.NewDispatcher(copies.DispatcherConfig{
+		Engines: engine, Clock: clock.NewService(clock.ServiceConfig{Clock: engine.clock}),
+		Log: discardLogger(), Holder: "entry", Term: func() int64 { return 1 },
+	})
+	dispatcher.SyncRegistry(serversWith("a", "b"), epoch)
+	query := func() {
+		dispatcher.QueryUnknown(context.Background(), "notes")
+		dispatcher.Wait()
+	}
+	for range 3 {
+		query()
+	}
+	g.Expect(dispatcher.Holdings("notes")[0].Busy).To(BeFalse())
+	engine.clock.After(time.Minute)
+	engine.fate = func() fate { return fateReplyLost }
+	dispatcher.StartStep(ctx, copies.Step{Server: engineID, Unload: []names.Model{"b"}, Load: "c"}, engineSpec())
+	dispatcher.Wait()
+	g.Expect(engine.held()).To(ConsistOf(names.Model("a")))
+	query()
+	g.Expect(dispatcher.Holdings("notes")[0].Busy).To(BeTrue(), "the report may be from before the order")
+	for range 8 {
+		query()
+	}
+	holding := dispatcher.Holdings("notes")[0]
+	g.Expect(holding.Busy).To(BeFalse())
+	g.Expect(holding.Models).To(ConsistOf(names.Model("a")))
+}
+
 // TestLateOrdersMeetTheNextIncarnation guards against an order that got no answer, arrives
 // after the engine's restart and finds the count that it expects, but no room, also if the
 // registry does not list the restart yet.
