--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -102,7 +102,7 @@
 		tracker, found := dispatcher.trackers[server.ID]
 		switch {
 		case !found:
-			dispatcher.trackers[server.ID] = newTracker(server)
+			dispatcher.trackers[server.ID] = newTracker(server, now)
 		case !tracker.syncServer(server, now):
 			event.IncarnationOutdated.Log(dispatcher.config.Log, logrus.Fields{"server": string(server.ID), "born": server.Incarnation})
 		}
@@ -602,7 +602,7 @@
 	defer tracker.mutex.Unlock()
 	tracker.recordUnanswered(request, now)
 	if tracker.isIncarnation(request.Incarnation, request.Address) {
-		tracker.pending = true
+		tracker.pending, tracker.unansweredAt = true, now
 	}
 }
 
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -18,6 +18,9 @@
 	// mutex guards all below.
 	mutex  sync.Mutex
 	server *pool.Server
+	// foundAt is when this term's registry first listed the engine. It is zero once the engine
+	// has restarted: it executes no orders from before this term then.
+	foundAt time.Time
 	// delistedAt is when the registry dropped the engine, or zero while it is listed.
 	// outdatedAt is since when the registry has listed an older incarnation, or zero.
 	delistedAt time.Time
@@ -32,6 +35,8 @@
 	// that it may or may not have changed them.
 	consistent bool
 	pending    bool
+	// unansweredAt is when the last attempt of an order ended without an answer.
+	unansweredAt time.Time
 	// reported reports whether the incarnation has been consistent before. From then on
 	// the registry's lists of models and adapters are older than these.
 	reported bool
@@ -79,8 +84,8 @@
 	fenced bool
 }
 
-func newTracker(server *pool.Server) *Tracker {
-	tracker := &Tracker{orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{}}
+func newTracker(server *pool.Server, now time.Time) *Tracker {
+	tracker := &Tracker{foundAt: now, orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{}}
 	tracker.useRegistry(server)
 	return tracker
 }
@@ -144,7 +149,7 @@
 	tracker.outdatedAt = time.Time{}
 	if !tracker.isIncarnation(server.Incarnation, server.Address) {
 		tracker.consistent, tracker.pending, tracker.reported, tracker.busySeen = false, false, false, false
-		tracker.loading, tracker.unloading, tracker.accepted = "", nil, 0
+		tracker.loading, tracker.unloading, tracker.accepted, tracker.foundAt = "", nil, 0, time.Time{}
 		tracker.reportedCount, tracker.reportedCountAt, tracker.withheldUntil, tracker.acceptedAt = 0, time.Time{}, time.Time{}, time.Time{}
 		tracker.loadedAt, tracker.unloadedAt = map[names.Model]time.Time{}, map[names.Model]time.Time{}
 		tracker.adapterLoadedAt = map[pool.Adapter]time.Time{}
@@ -231,6 +236,10 @@
 		tracker.reportedCount, tracker.reportedCountAt = engineReport.Accepted, now
 	}
 	stable := !engineReport.Busy && asked.Sub(tracker.reportedCountAt) >= reportStableAfter
+	if tracker.pending && engineReport.Accepted == tracker.accepted {
+		// A report from before the order says nothing of it.
+		stable = stable && asked.Sub(tracker.unansweredAt) >= reportStableAfter
+	}
 	if tracker.consistent && engineReport.Accepted == tracker.accepted && (!tracker.pending || !stable) {
 		if tracker.loading != "" && slices.Contains(engineReport.Models, tracker.loading) {
 			tracker.finishLoad(now)
