--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -184,6 +184,8 @@
 	// when they were last given the engines, and placeCalls the rate of their calls.
 	schedulers    map[names.Service]*sched.Scheduler
 	enginesReadAt time.Time
+	// loadTimes holds the expected times until models without a copy are loaded.
+	loadTimes map[loadKey]loadTime
 	// schedulerPolicy is the version of the policy, which is immutable, that the schedulers are
 	// configured by.
 	schedulerPolicy *policy.Snapshot
--- a/coord/place.go
+++ b/coord/place.go
@@ -50,7 +50,7 @@
 	request.Closed = append(request.Closed, term.coldRates.closed(service, request.Excluded, now)...)
 	// Only the calls that are answered count: those beyond must not keep others from it.
 	term.placeCalls.Add(1, now)
-	decision := term.addReady(scheduler.Place(request, now), service, request.Model, snapshot)
+	decision := term.addReady(scheduler.Place(request, now), service, request.Model, snapshot, now)
 	if placed, isPlaced := decision.(sched.Placed); isPlaced {
 		term.coldRates.recordPlaced(placed, now)
 	}
@@ -59,16 +59,16 @@
 }
 
 // addReady adds the expected time until the model is loaded to a [sched.NoCopy].
-func (term *term) addReady(decision sched.Decision, service names.Service, model names.Model, snapshot *policy.Snapshot) sched.Decision {
+func (term *term) addReady(decision sched.Decision, service names.Service, model names.Model, snapshot *policy.Snapshot, now time.Time) sched.Decision {
 	if _, missing := decision.(sched.NoCopy); missing {
-		return sched.NoCopy{Ready: term.readyAfter(service, model, snapshot)}
+		return sched.NoCopy{Ready: term.readyAfter(service, model, snapshot, now)}
 	}
 	return decision
 }
 
 // readyAfter returns the expected time until a model that no engine of a service holds is loaded,
 // or zero if that is unknown.
-func (term *term) readyAfter(service names.Service, model names.Model, snapshot *policy.Snapshot) time.Duration {
+func (term *term) readyAfter(service names.Service, model names.Model, snapshot *policy.Snapshot, now time.Time) time.Duration {
 	configured := snapshot.Service(service)
 	if configured == nil || configured.Engine == nil {
 		return 0
@@ -76,7 +76,33 @@
 	if _, known := configured.Engine.Models[model]; !known {
 		return 0
 	}
-	return term.dispatcher.ReadyAfter(service, model, configured.Engine)
+	key := loadKey{service: service, model: model}
+	if ready, found := term.loadTimes[key]; found && now.Sub(ready.at) < loadTimePeriod {
+		return ready.after
+	}
+	if term.loadTimes == nil {
+		term.loadTimes = map[loadKey]loadTime{}
+	}
+	after := term.dispatcher.ReadyAfter(service, model, configured.Engine)
+	term.loadTimes[key] = loadTime{at: now, after: after}
+	return after
+}
+
+// loadTimePeriod is how long an expected time until a model is loaded is used again. It is
+// computed from all engines: that takes 0.3 to 0.5 ms with 3,000 servers, and is asked for by
+// each request for a model without a copy.
+const loadTimePeriod = 100 * time.Millisecond
+
+// loadKey identifies a model of a service.
+type loadKey struct {
+	service names.Service
+	model   names.Model
+}
+
+// loadTime is the time until a model is expected to be loaded, as computed at a time.
+type loadTime struct {
+	at    time.Time
+	after time.Duration
 }
 
 // overloaded reports whether the coordinator is asked to schedule more requests than it can.
@@ -101,7 +127,7 @@
 		return sched.Explanation{Decision: sched.Unscheduled{}}, nil
 	}
 	request.Closed = append(request.Closed, term.coldRates.closed(service, request.Excluded, now)...)
-	decision := term.addReady(scheduler.Verdict(request, now), service, request.Model, snapshot)
+	decision := term.addReady(scheduler.Verdict(request, now), service, request.Model, snapshot, now)
 	explanation := sched.Explanation{Decision: decision, Candidates: scheduler.Explain(request, now)}
 	if coordinator.overloaded(term, now) {
 		explanation.Decision = sched.Unscheduled{}
