coord: look up the current term in one place

Five methods began with the same seven lines. lockTerm replaces them and currentTerm, which nothing else called. The map of load times is made with the term instead of at the first call. No change of behaviour. Command: go test ./coord

--- a/coord/coordinator.go
+++ b/coord/coordinator.go
@@ -245,6 +245,7 @@
 		requestRates: map[names.Service]*rate.Meter{},
 
 		schedulers: map[names.Service]*sched.Scheduler{},
+		loadTimes:  map[loadKey]loadTime{},
 		placeCalls: rate.NewMeter(placeCallsHalfLife),
 
 		holdings:   newHoldings(),
@@ -281,16 +282,20 @@
 	return number
 }
 
-// currentTerm returns the current term if this entry holds its lease, or if the lease
-// has expired only because the platform's service does not answer. Otherwise it fails
-// with a *[NotCoordinatingError]. It is called with the mutex held.
-func (coordinator *Coordinator) currentTerm(snapshot *policy.Snapshot) (*term, error) {
+// lockTerm locks the mutex and returns the current term, with the policy and the time, if
+// this entry holds its lease, or if the lease has expired only because the platform's
+// service does not answer. Otherwise it fails with a *[NotCoordinatingError], and the mutex
+// is not locked.
+func (coordinator *Coordinator) lockTerm() (*term, *policy.Snapshot, time.Time, error) {
+	now, snapshot := coordinator.config.Clock.Now(), coordinator.config.Policy()
+	coordinator.mutex.Lock()
 	term := coordinator.term
 	if term == nil || snapshot == nil ||
 		(coordinator.config.Term() != term.number && coordinator.config.UnconfirmedTerm() != term.number) {
-		return nil, &NotCoordinatingError{Instance: coordinator.config.Instance}
+		coordinator.mutex.Unlock()
+		return nil, nil, now, &NotCoordinatingError{Instance: coordinator.config.Instance}
 	}
-	return term, nil
+	return term, snapshot, now, nil
 }
 
 // hasMajority reports whether a majority of the entries of the last minute reports to
@@ -380,14 +385,11 @@
 // Exchange stores an entry's report and returns the reply. It fails with a
 // *[NotCoordinatingError].
 func (coordinator *Coordinator) Exchange(report Report) (Reply, error) {
-	now := coordinator.config.Clock.Now()
-	snapshot := coordinator.config.Policy()
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	term, err := coordinator.currentTerm(snapshot)
+	term, snapshot, now, err := coordinator.lockTerm()
 	if err != nil {
 		return Reply{}, err
 	}
+	defer coordinator.mutex.Unlock()
 	modelLoads, invalid := modelLoadsOf(report)
 	if invalid > 0 {
 		metrics.GetOrRegisterCounter("coord.modelLoads.invalid", coordinator.config.Metrics).Inc(int64(invalid))
@@ -438,14 +440,11 @@
 // them, and otherwise returns how long to wait. It fails with a *[NotCoordinatingError]
 // or an *[UnknownAccountError].
 func (coordinator *Coordinator) Borrow(name names.ClientAccount, cost float64) (time.Duration, bool, error) {
-	now := coordinator.config.Clock.Now()
-	snapshot := coordinator.config.Policy()
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	term, err := coordinator.currentTerm(snapshot)
+	term, snapshot, now, err := coordinator.lockTerm()
 	if err != nil {
 		return 0, false, err
 	}
+	defer coordinator.mutex.Unlock()
 	for _, account := range snapshot.Accounts() {
 		if account.Name == name {
 			term.lender.SetExclusive(coordinator.config.Term() == term.number)
--- a/coord/grants.go
+++ b/coord/grants.go
@@ -48,14 +48,11 @@
 
 // grant answers such a request in the current term. It fails with a *[NotCoordinatingError].
 func (coordinator *Coordinator) grant(answer func(term *term, now time.Time) (time.Duration, bool)) (time.Duration, bool, error) {
-	now := coordinator.config.Clock.Now()
-	snapshot := coordinator.config.Policy()
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	term, err := coordinator.currentTerm(snapshot)
+	term, _, now, err := coordinator.lockTerm()
 	if err != nil {
 		return 0, false, err
 	}
+	defer coordinator.mutex.Unlock()
 	wait, granted := answer(term, now)
 	return wait, granted, nil
 }
--- a/coord/place.go
+++ b/coord/place.go
@@ -34,14 +34,11 @@
 
 // Place schedules one attempt of a request. It fails with a *[NotCoordinatingError].
 func (coordinator *Coordinator) Place(service names.Service, request sched.Request) (sched.Decision, error) {
-	now := coordinator.config.Clock.Now()
-	snapshot := coordinator.config.Policy()
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	term, err := coordinator.currentTerm(snapshot)
+	term, snapshot, now, err := coordinator.lockTerm()
 	if err != nil {
 		return nil, err
 	}
+	defer coordinator.mutex.Unlock()
 	scheduler := coordinator.scheduler(term, service, snapshot, now)
 	if scheduler == nil || coordinator.overloaded(term, now) {
 		metrics.GetOrRegisterCounter("coord.place.unscheduled", coordinator.config.Metrics).Inc(1)
@@ -80,9 +77,6 @@
 	if ready, found := term.loadTimes[key]; found && now.Sub(ready.at) < loadTimePeriod {
 		return ready.after
 	}
-	if term.loadTimes == nil {
-		term.loadTimes = map[loadKey]loadTime{}
-	}
 	after := term.dispatcher.ReadyAfter(service, model, configured.Engine)
 	term.loadTimes[key] = loadTime{at: now, after: after}
 	return after
@@ -114,14 +108,11 @@
 // Explain returns what [Coordinator.Place] would decide, and the candidates, the best first.
 // It reserves nothing. It fails with a *[NotCoordinatingError].
 func (coordinator *Coordinator) Explain(service names.Service, request sched.Request) (sched.Explanation, error) {
-	now := coordinator.config.Clock.Now()
-	snapshot := coordinator.config.Policy()
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	term, err := coordinator.currentTerm(snapshot)
+	term, snapshot, now, err := coordinator.lockTerm()
 	if err != nil {
 		return sched.Explanation{}, err
 	}
+	defer coordinator.mutex.Unlock()
 	scheduler := coordinator.scheduler(term, service, snapshot, now)
 	if scheduler == nil {
 		return sched.Explanation{Decision: sched.Unscheduled{}}, nil
