relay, copies, permit, pool, node: one piece of code where two said the same

- relay: admit and where (admitDry) share the checks of the policy in force (currentPolicy) and of deadline and homes (bound).
A check of a meter for nil that its only caller makes is gone.
- copies: the models without a copy are counted when a plan changes them, not for each engine that a step might evict from.
- permit: Issue and Available restart a bucket by the same method.
- pool: AssumeCold was called by a test only; the test ends an evacuation instead, which is what calls it in the product, and fails without that.
- node: what is logged of a server contains its incarnation, which was kept a second time.
Commands: go test ./relay ./copies ./permit ./pool ./node

--- a/copies/view.go
+++ b/copies/view.go
@@ -35,6 +35,8 @@
 	unloading int
 	// largestMB is the size of the largest model.
 	largestMB float64
+	// missing is the number of models without a copy.
+	missing int
 	// holders lists the engines that hold or load a model and do not drain; loads is
 	// the load of each engine.
 	holders map[names.Model][]int
@@ -120,9 +122,15 @@
 	return usable
 }
 
-// computeLoads computes the holders and the capacity of each model, and the load and the
-// free memory of each engine.
+// computeLoads computes the holders and the capacity of each model, the number of models
+// without a copy, and the load and the free memory of each engine.
 func (view *view) computeLoads() {
+	view.missing = 0
+	for model := range view.input.Engine.Models {
+		if view.copies[model] == 0 {
+			view.missing++
+		}
+	}
 	view.holders, view.modelCapacity = map[names.Model][]int{}, map[names.Model]float64{}
 	for index, engine := range view.engines {
 		if engine.Draining {
@@ -273,7 +281,7 @@
 		return view.victimCost(victims[i], index) < view.victimCost(victims[j], index)
 	})
 	var unload []names.Model
-	loss, missing := 0.0, view.missingModels()
+	loss, missing := 0.0, view.missing
 	for _, victim := range victims {
 		if missingMB <= 0 {
 			break
@@ -365,17 +373,6 @@
 	return view.input.Scheduled && view.work[model] == 0 && view.input.Demand[model].Waiting == 0
 }
 
-// missingModels returns the number of models without a copy.
-func (view *view) missingModels() int {
-	missing := 0
-	for model := range view.input.Engine.Models {
-		if view.copies[model] == 0 {
-			missing++
-		}
-	}
-	return missing
-}
-
 // lastCopyLoss is added to the loss of a model's last copy, so that even that of a model
 // without requests is evicted after copies of models that have several.
 const lastCopyLoss = 1
--- a/node/registryhandler.go
+++ b/node/registryhandler.go
@@ -26,10 +26,8 @@
 	log   logrus.FieldLogger
 	// metrics is nil for the default registry.
 	metrics metrics.Registry
-	// known maps each server with an entry to its incarnation, and listed to what was logged
-	// of it.
-	known  map[names.BackendServer]int64
-	listed map[names.BackendServer]listing
+	// known maps each server with an entry to what was logged of it.
+	known map[names.BackendServer]listing
 	// removed holds the servers whose entries were removed lately.
 	removed map[names.BackendServer]removal
 	// outdated maps the servers whose entries are ignored, as they had been removed or
@@ -60,7 +58,7 @@
 func newRegistryHandler(servers *pool.Pool, clock *clock.Service, log logrus.FieldLogger) *registryHandler {
 	return &registryHandler{
 		pool: servers, clock: clock, log: log,
-		known: map[names.BackendServer]int64{}, listed: map[names.BackendServer]listing{}, removed: map[names.BackendServer]removal{}, outdated: map[names.BackendServer]store.Revision{},
+		known: map[names.BackendServer]listing{}, removed: map[names.BackendServer]removal{}, outdated: map[names.BackendServer]store.Revision{},
 	}
 }
 
@@ -123,7 +121,6 @@
 	if err != nil {
 		event.ServerEntryUnread.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": err.Error()})
 		delete(registryHandler.known, id)
-		delete(registryHandler.listed, id)
 		registryHandler.pool.Reject(id, registryHandler.clock.Now())
 		return
 	}
@@ -131,25 +128,24 @@
 		registryHandler.outdated[id] = entry.Revision()
 		return
 	}
-	registryHandler.known[id] = server.Incarnation
 	server.ListedAt = registryHandler.clock.Now()
 	if server.ColdFault != "" {
 		metrics.GetOrRegisterCounter(coldIgnoredMetric, registryHandler.metrics).Inc(1)
 		event.ColdLeftInvalid.Log(registryHandler.log, logrus.Fields{"server": string(id), "cause": server.ColdFault})
 	}
 	registryHandler.pool.Put(server)
-	registryHandler.logListed(server, entry.Revision())
+	registryHandler.record(server, entry.Revision())
 }
 
-// logListed logs a server's entry if it is new or has changed.
-func (registryHandler *registryHandler) logListed(server *pool.Server, revision store.Revision) {
+// record records what a server's entry states, and logs it if it is new or has changed.
+func (registryHandler *registryHandler) record(server *pool.Server, revision store.Revision) {
 	current := listing{
 		service: server.Service, address: server.Address, incarnation: server.Incarnation, draining: server.Draining, models: len(server.Models),
 	}
-	if former, found := registryHandler.listed[server.ID]; found && former == current {
+	if former, found := registryHandler.known[server.ID]; found && former == current {
 		return
 	}
-	registryHandler.listed[server.ID] = current
+	registryHandler.known[server.ID] = current
 	event.ServerListed.Log(registryHandler.log, logrus.Fields{
 		"server": string(server.ID), "service": string(server.Service), "address": server.Address, "draining": server.Draining,
 		"models": len(server.Models), "revision": revision.String(),
@@ -160,7 +156,7 @@
 // replaced by another one.
 func (registryHandler *registryHandler) hasEnded(id names.BackendServer, incarnation int64) bool {
 	if known, found := registryHandler.known[id]; found {
-		return known != incarnation
+		return known.incarnation != incarnation
 	}
 	removed, found := registryHandler.removed[id]
 	return found && removed.incarnation == incarnation
@@ -169,19 +165,18 @@
 // remove processes the removal of a server's entry.
 func (registryHandler *registryHandler) remove(id names.BackendServer) {
 	delete(registryHandler.outdated, id)
-	incarnation, known := registryHandler.known[id]
+	former, known := registryHandler.known[id]
 	if !known {
 		return
 	}
 	now := registryHandler.clock.Now()
 	delete(registryHandler.known, id)
-	delete(registryHandler.listed, id)
 	for each, removed := range registryHandler.removed {
 		if now.Sub(removed.at) > removalLifetime {
 			delete(registryHandler.removed, each)
 		}
 	}
-	registryHandler.removed[id] = removal{incarnation: incarnation, at: now}
+	registryHandler.removed[id] = removal{incarnation: former.incarnation, at: now}
 	registryHandler.pool.Remove(id, now)
 	event.ServerUnlisted.Log(registryHandler.log, logrus.Fields{"server": string(id)})
 }
--- a/node/relayfollow_test.go
+++ b/node/relayfollow_test.go
@@ -234,6 +234,39 @@
 	g.Consistently(unread, 200*time.Millisecond).Should(Equal(8))
 }
 
+// TestHeartbeatsAreNotLogged guards against a log that consists of the entries that servers
+// write every 1.2 s, and against one that lacks their changes.
+func TestHeartbeatsAreNotLogged(t *testing.T) {
+	g := NewWithT(t)
+	fakeStore := newFakeStore()
+	servers, logged := followRegistry(t, fakeStore)
+	write := func(seq int, address string) {
+		fakeStore.put("servers/i-1", fmt.Sprintf(`{"service":"notes","address":%q,"zone":"a","slots":8,"state":"ready","born":1700000000000,"seq":%d}`, address, seq))
+	}
+	// follow waits until all entries so far have been processed, by another server's entry.
+	others := 0
+	follow := func() {
+		others++
+		id := fmt.Sprintf("j-%d", others)
+		fakeStore.put("servers/"+id, serverEntry("10.0.0.2:80"))
+		g.Eventually(listedServers(servers), 5*time.Second).Should(ContainElement(id))
+	}
+	listed := func() int { return countEvents(logged, "serverListed") - others }
+	for seq := range 5 {
+		write(seq, "10.0.0.1:80")
+		follow()
+	}
+	g.Eventually(listed).Should(Equal(1))
+	write(5, "10.0.0.3:80")
+	follow()
+	g.Eventually(listed).Should(Equal(2))
+	fakeStore.remove("servers/i-1")
+	follow()
+	write(6, "10.0.0.3:80")
+	follow()
+	g.Eventually(listed).Should(Equal(3))
+}
+
 // TestUnreadableItemsLeaveTheOthersInUse adds items that cannot be decoded to the list
 // and the watch.
 func TestUnreadableItemsLeaveTheOthersInUse(t *testing.T) {
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -79,7 +79,7 @@
 	}
 	current, perSecond, most := issuer.bucket(server, cold, part, now)
 	if opensAt := issuer.begunAt.Add(coldWindow); cold.active(now) && now.Before(opensAt) {
-		current.level, current.refilledAt, current.perSecond = 0, opensAt, perSecond
+		current.restart(perSecond, opensAt)
 		return current.book(0, &current.nextTurn, opensAt) + opensAt.Sub(now), false
 	}
 	current.refill(perSecond, now)
@@ -106,7 +106,7 @@
 	cold = issuer.mergeCold(server, cold, now)
 	current, perSecond, most := issuer.bucket(server, cold, part, now)
 	if opensAt := issuer.begunAt.Add(coldWindow); now.Before(opensAt) {
-		current.level, current.refilledAt, current.perSecond = 0, opensAt, perSecond
+		current.restart(perSecond, opensAt)
 		return 0
 	}
 	current.refill(perSecond, now)
@@ -183,6 +183,11 @@
 	nextYieldingTurn time.Time
 }
 
+// restart empties the bucket, which is refilled from a later time on.
+func (bucket *bucket) restart(perSecond float64, at time.Time) {
+	bucket.level, bucket.refilledAt, bucket.perSecond = 0, at, perSecond
+}
+
 // refill adds the permits that have become due since the last refill, and sets the rate
 // from now on.
 func (bucket *bucket) refill(perSecond float64, now time.Time) {
--- a/pool/cold.go
+++ b/pool/cold.go
@@ -57,20 +57,9 @@
 	pool.registryRead = true
 }
 
-// AssumeCold assumes that the servers of a failure domain have become cold unobserved, such
-// as when the domain is used again. A later entry of a server that states its cold time ends
-// this.
-func (pool *Pool) AssumeCold(domain names.FailureDomain, now time.Time) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	for _, member := range pool.members {
-		if member.server.Domain == domain {
-			pool.assumeCold(member, now)
-		}
-	}
-}
-
-// assumeCold assumes that a server has become cold unobserved. The caller holds the mutex.
+// assumeCold assumes that a server has become cold unobserved, such as when its failure
+// domain is used again. A later entry of the server that states its cold time ends this. The
+// caller holds the mutex.
 func (pool *Pool) assumeCold(member *member, now time.Time) {
 	member.cold.assumedAt = now
 	pool.updateCold(member, false, now)
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -109,7 +109,8 @@
 				case event.sweep:
 					servers.Sweep(at(event.at))
 				case event.assume:
-					servers.AssumeCold("zone", at(event.at))
+					servers.SetEvacuated([]names.FailureDomain{"zone"}, at(event.at))
+					servers.SetEvacuated(nil, at(event.at))
 				default:
 					servers.Remove(event.server, at(event.at))
 				}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -167,13 +167,9 @@
 // admit looks up the route and the account, reads the body and charges the account.
 // It returns nil if the request is admitted.
 func (exchange *exchange) admit() *refusal {
-	relay := exchange.relay
-	snapshot := relay.snapshot.Load()
-	if relay.rejecting.Load() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
-	}
-	if snapshot == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNotReady, retryAfter: notReadyRetryAfter}
+	snapshot, refused := exchange.relay.currentPolicy()
+	if refused != nil {
+		return refused
 	}
 	exchange.policyVersion = snapshot.Version()
 	target := exchange.request.RequestURI
@@ -191,14 +187,7 @@
 			return &refusal{status: http.StatusUnauthorized, reason: ReasonUnknownKey}
 		}
 	}
-	exchange.deadline = exchange.started.Add(exchange.route.Timeout)
-	if exchange.info.Timeout > 0 && exchange.info.Timeout < exchange.route.Timeout {
-		exchange.deadline = exchange.started.Add(exchange.info.Timeout)
-	}
-	if exchange.outlastsDrain() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
-	}
-	if refusal := exchange.confine(); refusal != nil {
+	if refusal := exchange.bound(); refusal != nil {
 		return refusal
 	}
 	if refusal := exchange.readBody(snapshot.Limits().BodyBytes); refusal != nil {
@@ -214,6 +203,32 @@
 	return exchange.charge()
 }
 
+// currentPolicy returns the policy that requests are admitted by, or the refusal of all of
+// them.
+func (relay *Relay) currentPolicy() (*policy.Snapshot, *refusal) {
+	if relay.rejecting.Load() {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
+	}
+	snapshot := relay.snapshot.Load()
+	if snapshot == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: ReasonNotReady, retryAfter: notReadyRetryAfter}
+	}
+	return snapshot, nil
+}
+
+// bound sets the deadline and the failure domains of a request whose route and account are
+// known. It returns nil unless one of them makes the request impossible.
+func (exchange *exchange) bound() *refusal {
+	exchange.deadline = exchange.started.Add(exchange.route.Timeout)
+	if exchange.info.Timeout > 0 && exchange.info.Timeout < exchange.route.Timeout {
+		exchange.deadline = exchange.started.Add(exchange.info.Timeout)
+	}
+	if exchange.outlastsDrain() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
+	}
+	return exchange.confine()
+}
+
 // outlastsDrain reports whether the relay is draining and might have to end the request,
 // which must not be repeated, before its deadline. Streams are not meant, as they are much
 // shorter than their deadlines.
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -230,7 +230,7 @@
 
 // wrote records how long it took to write what arrived last to the caller.
 func (meter *eventMeter) wrote(elapsed time.Duration) {
-	if meter != nil && elapsed > stallDelay {
+	if elapsed > stallDelay {
 		meter.stalled = true
 	}
 }
--- a/relay/where.go
+++ b/relay/where.go
@@ -125,13 +125,9 @@
 // admitDry finds the route, the account and the service as admit does. It returns nil if the
 // request would be admitted, as far as the question tells.
 func (exchange *exchange) admitDry(question Question) *refusal {
-	relay := exchange.relay
-	snapshot := relay.snapshot.Load()
-	if relay.rejecting.Load() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
-	}
-	if snapshot == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNotReady, retryAfter: notReadyRetryAfter}
+	snapshot, refused := exchange.relay.currentPolicy()
+	if refused != nil {
+		return refused
 	}
 	if question.Host == "" {
 		exchange.route = snapshot.RouteTo(question.Service)
@@ -156,11 +152,7 @@
 		exchange.account = accounts[index]
 		exchange.cost = exchange.account.Cost(exchange.info.Tokens())
 	}
-	exchange.deadline = exchange.started.Add(exchange.route.Timeout)
-	if exchange.outlastsDrain() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
-	}
-	return exchange.confine()
+	return exchange.bound()
 }
 
 // locate determines the verdict about an admitted request, and its candidates.
