coord, relay: share what tests of calls and of slow callers repeat

Two tests of slow callers read a response by the same lines. Commands: go test -race ./coord -run 'Unreadable|Leave|Unconfirmed|Frozen|Lost|Explan|Overloaded', go test -race ./relay -run 'Slow|ServersDoNotWait'

--- a/coord/placecall_test.go
+++ b/coord/placecall_test.go
@@ -144,24 +144,30 @@
 	return coord.Identity{Instance: "edge-1", Address: listener.Addr().String(), Process: "1"}.Encode(), stop
 }
 
-// startClient returns the running client of an entry.
-func startClient(t *testing.T) *coord.Client {
+// newClient returns the client of an entry, which reports nothing before it runs.
+func newClient(t *testing.T) *coord.Client {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	snapshot := policy.NewSnapshot(policy.SnapshotConfig{Version: 1})
 	connections := conns.NewPool(conns.PoolConfig{Options: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}})
-	client := coord.NewClient(coord.ClientConfig{
+	t.Cleanup(connections.Close)
+	return coord.NewClient(coord.ClientConfig{
 		Instance: "edge-2", Self: "edge-2", Pool: pool.New(pool.Config{RegistryPeriod: time.Second}), Shares: share.NewLimiter(), Crashes: crash.NewTracker(),
 		Coordinator: newCoordinator(t, &lease{}), Policy: func() *policy.Snapshot { return snapshot }, Mirror: emptyMirror{}, Connections: connections,
 		Clock: clock.NewService(clock.ServiceConfig{}), Log: log, Metrics: metrics.NewRegistry(),
 	})
+}
+
+// startClient returns the running client of an entry.
+func startClient(t *testing.T) *coord.Client {
+	t.Helper()
+	client := newClient(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { client.Run(ctx) })
 	t.Cleanup(func() {
 		cancel()
-		connections.Close()
 		running.Wait()
 	})
 	return client
--- a/coord/unconfirmed_test.go
+++ b/coord/unconfirmed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -27,18 +26,13 @@
 // as confirmed ones, and against one that counts although another entry hears from the server.
 func TestOthersGetUnconfirmedSuspicions(t *testing.T) {
 	g := NewWithT(t)
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	server := grpc.NewServer()
-	coord.NewServer(newCoordinator(t, &lease{})).Register(server)
+	identity, _ := (&gate{}).start(t, newCoordinator(t, &lease{}))
 	connections := conns.NewPool(conns.PoolConfig{Options: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}})
 	snapshot := policy.NewSnapshot(policy.SnapshotConfig{Version: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
 		cancel()
-		server.Stop()
 		connections.Close()
 		running.Wait()
 	})
@@ -50,7 +44,7 @@
 			Instance: instance, Self: string(instance), Pool: servers, Shares: share.NewLimiter(), Crashes: tracker, Coordinator: newCoordinator(t, &lease{}),
 			Policy: func() *policy.Snapshot { return snapshot }, Mirror: emptyMirror{}, Connections: connections, Clock: timers, Log: log, Metrics: metrics.NewRegistry(),
 		})
-		client.SetCoordinator(coord.Identity{Instance: "edge-1", Address: listener.Addr().String(), Process: "1"}.Encode())
+		client.SetCoordinator(identity)
 		running.Go(func() { client.Run(ctx) })
 		return tracker, servers, func() []string {
 			var messages []string
--- a/relay/slowcaller_test.go
+++ b/relay/slowcaller_test.go
@@ -69,17 +69,23 @@
 			g.Eventually(func() int64 { return budget.Held(memory.Stream) }).WithTimeout(10 * time.Second).Should(BeNumerically(">", 8<<20))
 			time.Sleep(1500 * time.Millisecond)
 			g.Expect(cut.Load()).To(BeZero())
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			g.Expect(err).NotTo(HaveOccurred())
-			defer response.Body.Close()
-			read, err := io.Copy(io.Discard, response.Body)
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(read).To(BeNumerically(">=", 24<<20))
-			g.Eventually(func() int64 { return budget.Held(memory.Stream) + budget.Held(memory.Response) }).Should(BeZero())
+			expectWhole(g, conn, budget, 24<<20)
 		})
 	}
 }
 
+// expectWhole reads a response to its end and expects at least a number of bytes, and that
+// nothing is held for it afterwards.
+func expectWhole(g *WithT, conn io.Reader, budget *memory.Budget, least int) {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	read, err := io.Copy(io.Discard, response.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(BeNumerically(">=", least))
+	g.Eventually(func() int64 { return budget.Held(memory.Stream) + budget.Held(memory.Response) }).Should(BeZero())
+}
+
 // TestServersDoNotWaitForTheFirstPart guards against servers that wait while the part of a large
 // response that was read before any of it was forwarded goes to a slow caller.
 func TestServersDoNotWaitForTheFirstPart(t *testing.T) {
@@ -98,13 +104,7 @@
 	// The kernel takes less than what is read before any of it is forwarded.
 	g.Eventually(func() int64 { return ended.Load() + cut.Load() }).WithTimeout(10 * time.Second).Should(Equal(int64(1)))
 	g.Expect(cut.Load()).To(BeZero())
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer response.Body.Close()
-	read, err := io.Copy(io.Discard, response.Body)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(read).To(BeNumerically(">=", 16<<20))
-	g.Eventually(func() int64 { return budget.Held(memory.Stream) + budget.Held(memory.Response) }).Should(BeZero())
+	expectWhole(g, conn, budget, 16<<20)
 }
 
 // TestManySlowCallersDoNotKeepOthersOut guards against callers that request responses and read
