--- a/coord/replycodec_test.go
+++ b/coord/replycodec_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -53,22 +54,29 @@
 		message.GetRevision() == int64(entry.Revision()) && message.GetDeleted() == entry.Deleted()
 }
 
+// dialCoordinator returns a connection to a coordinator that shares the changes of a mirror.
+func dialCoordinator(t *testing.T, mirror coord.Mirror) *grpc.ClientConn {
+	t.Helper()
+	g := NewWithT(t)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	server := grpc.NewServer(coord.ServerOptions()...)
+	coord.NewServer(newCoordinatorOver(t, mirror)).Register(server)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient(listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
 // TestSharedChangesReachEachEntry guards against replies that former versions of the entries can't
 // read, and against an entry that is sent the changes of another one: a plain gRPC client, with and
 // without compression, gets just the reply that the coordinator made.
 func TestSharedChangesReachEachEntry(t *testing.T) {
 	for _, options := range [][]grpc.CallOption{nil, {grpc.UseCompressor(gzip.Name)}} {
 		t.Run(fmt.Sprintf("%d options", len(options)), func(t *testing.T) {
-			g := NewWithT(t)
-			listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			server := grpc.NewServer(coord.ServerOptions()...)
-			coord.NewServer(newCoordinatorOver(t, &countingMirror{})).Register(server)
-			go func() { _ = server.Serve(listener) }()
-			defer server.Stop()
-			conn, err := grpc.NewClient(listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
-			g.Expect(err).NotTo(HaveOccurred())
-			defer conn.Close()
+			conn := dialCoordinator(t, &countingMirror{})
 			var reports sync.WaitGroup
 			for entry := range 8 {
 				reports.Go(func() {
@@ -86,3 +94,35 @@
 		})
 	}
 }
+
+// restoredMirror is a mirror of a service that counts its revisions anew with other values once
+// it has been restored.
+type restoredMirror struct {
+	emptyMirror
+	restored atomic.Bool
+}
+
+// Since implements [coord.Mirror].
+func (restoredMirror *restoredMirror) Since(store.Revision) ([]store.Entry, store.Revision, bool, bool) {
+	var changes []store.Entry
+	for revision := store.Revision(1); revision <= 100; revision++ {
+		value := fmt.Sprintf("%d, restored: %t", revision, restoredMirror.restored.Load())
+		changes = append(changes, store.NewEntry(store.EntryConfig{Key: fmt.Sprint(revision), Value: []byte(value), Revision: revision}))
+	}
+	return changes, 100, true, true
+}
+
+// TestChangesOfARestoredServiceAreNotThoseKept guards against blocks of changes that are kept and
+// sent although the service was restored and has other values with the same revisions.
+func TestChangesOfARestoredServiceAreNotThoseKept(t *testing.T) {
+	g := NewWithT(t)
+	mirror := &restoredMirror{}
+	client := wire.NewCoordinationClient(dialCoordinator(t, mirror))
+	for _, restored := range []bool{false, false, true, true, false} {
+		mirror.restored.Store(restored)
+		reply, err := client.Exchange(context.Background(), &wire.CoordExchangeRequest{Instance: "edge-2"}, grpc.UseCompressor(gzip.Name))
+		g.Expect(err).NotTo(HaveOccurred())
+		expected, _, _, _ := mirror.Since(0)
+		g.Expect(slices.EqualFunc(reply.GetChanges(), expected, isChange)).To(BeTrue(), "restored: %t", restored)
+	}
+}
