--- a/review/stand2/crashpart.go
+++ b/review/stand2/crashpart.go
@@ -127,7 +127,7 @@
 				if count {
 					attempts[tried] = asked
 				}
-				fleet.record.line("%s is sent to %s, parts %s and one of its own", tried, entry.name, prefix)
+				fleet.record.line("%s is sent to %s, parts %.60s and one of its own", tried, entry.name, prefix)
 				mutex.Unlock()
 				status, retryAfter, reason := askStream(entry.front, tried, prefix+own, lmTimeout-time.Since(began))
 				mutex.Lock()
--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -28,7 +28,7 @@
 	loadTime  = 1200 * time.Millisecond
 )
 
-// engine stands in for a model runner. It keeps its address when it restarts, under another id.
+// engine stands in for a model runner. It restarts under another id and at another address, as its former port may be in use by then.
 type engine struct {
 	fleet   *fleet
 	name    string
@@ -51,14 +51,14 @@
 
 // serveEngine starts a model runner that holds models.
 func (fleet *fleet) serveEngine(name string, models []string, begins func(*engine, *http.Request) (int, bool)) *engine {
-	engine := &engine{fleet: fleet, name: name, address: "127.0.0.1:0", begins: begins}
+	engine := &engine{fleet: fleet, name: name, begins: begins}
 	engine.start(models)
 	return engine
 }
 
 // start begins an incarnation and its heartbeats.
 func (engine *engine) start(models []string) {
-	listener, err := net.Listen("tcp", engine.address)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		cannotRun("a runner can't listen: %v", err)
 	}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -83,13 +83,17 @@
 	})
 }
 
-func freePort() int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("%v", err)
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+// The entries' ports are the same on all of their addresses, which are free as each play has a network of its own.
+const (
+	frontPort = 8221
+	readyPort = 8224
+	firstPort = 7600
+	lastPort  = 7615
+)
+
+// entryIP returns the loopback address of an entry.
+func entryIP(number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250, number)
 }
 
 // entry is a process of the program.
@@ -107,21 +111,21 @@
 // start starts an entry with the command of the deploy file.
 func (fleet *fleet) start(name string, memoryMB int) *entry {
 	entry := &entry{fleet: fleet, name: name}
-	entry.front, entry.ready = fmt.Sprintf("127.0.0.1:%d", freePort()), fmt.Sprintf("127.0.0.1:%d", freePort())
-	inner := freePort()
+	ip := entryIP(len(fleet.entries) + 1)
+	entry.front, entry.ready = fmt.Sprintf("%s:%d", ip, frontPort), fmt.Sprintf("%s:%d", ip, readyPort)
 	settings := fmt.Sprintf(`nodeName: %q
 role: "edge"
-ip: "127.0.0.1"
+ip: %q
 zone: "zone-a"
 region: "north"
 zones: {zone-a: "north"}
-listenAddrs: {front: %q, ready: %q, control: "127.0.0.1:%d"}
+listenAddrs: {front: %q, ready: %q, control: "%s:%d"}
 portRange: [%d, %d]
 limits: {cpuShare: 1, cores: 1, memoryMb: %d, linkMbps: 1000}
 heartbeatMs: 1200
 bounds: {contactMs: 3000, graceS: %d, budgetRatio: 0.2, retrySlack: 54, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5}
 platform: {address: %q, form: "kv", ttlMinMs: 1000}
-`, name, entry.front, entry.ready, freePort(), inner, inner+1, memoryMB, graceS, fleet.store.address())
+`, name, ip, entry.front, entry.ready, ip, readyPort+1, firstPort, lastPort, memoryMB, graceS, fleet.store.address())
 	entry.settings = filepath.Join(fleet.folder, name+".yaml")
 	if err := os.WriteFile(entry.settings, []byte(settings), 0o600); err != nil {
 		cannotRun("%v", err)
