--- a/review/stand2/crashpart.go
+++ b/review/stand2/crashpart.go
@@ -24,6 +24,8 @@
 	// contact is contactMs on the sheet.
 	contact   = 3 * time.Second
 	lmTimeout = 12 * time.Second
+	// promptTokens is the size of each prompt. Its parts add up to it.
+	promptTokens = 6800
 )
 
 // attempt is a client attempt of a sound request.
@@ -117,7 +119,7 @@
 	send := func(prefix string, count bool) {
 		number++
 		id, entry := fmt.Sprintf("%015x", 0xabc0000+number), entries[number%len(entries)]
-		own := fmt.Sprintf("%x:250", 0xe440000+number*16)
+		own := fmt.Sprintf("%x:%d", 0xe440000+number*16, promptTokens-tokens(prefix))
 		clients.Go(func() {
 			began := time.Now()
 			for try := 1; try <= 2; try++ {
@@ -198,6 +200,20 @@
 	return float64(after.begun)/float64(after.sent) < float64(before.begun)/float64(before.sent)/2
 }
 
+// tokens adds up the tokens of a prompt's parts.
+func tokens(prefix string) int {
+	sum := 0
+	for part := range strings.SplitSeq(strings.TrimSuffix(prefix, ","), ",") {
+		_, size, _ := strings.Cut(part, ":")
+		number, err := strconv.Atoi(size)
+		if err != nil {
+			cannotRun("a part without a size: %q", part)
+		}
+		sum += number
+	}
+	return sum
+}
+
 // askStream sends a request for a stream on a connection of its own and reads the answer. The status is zero if that isn't whole.
 // The reason is the body of a failure.
 func askStream(address, id, prefix string, left time.Duration) (status int, retryAfter time.Duration, reason string) {
@@ -207,8 +223,8 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(left))
-	fmt.Fprintf(conn, "POST /lm/draft HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m0\r\nX-Token-Count: 6800,60\r\nX-Prompt-Prefix: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		host, id, prefix, left.Milliseconds(), key, len(id), id)
+	fmt.Fprintf(conn, "POST /lm/draft HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m0\r\nX-Token-Count: %d,60\r\nX-Prompt-Prefix: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		host, id, promptTokens, prefix, left.Milliseconds(), key, len(id), id)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, 0, ""
