crash: count only crashes of probes as failed probes

Nothing was wrong with the job's part, but a fourth crash made the entries wait 60 s before they probed it.

Cause: the coordinator inferred the crashes of probes from their times. From the fourth crash on, each that came 2 s or more after the former one was taken for that of a failed probe, and made the wait 30 times as long. The fourth crash here is that of a request sent before the quarantine.

The entry that sends a probe now marks the suspicions of its crash, in reports and in the record. requestSuspected names the probed part.

TestQuarantinedPartIsProbedSeldom and the fleet in virtual time report which of their crashes are those of probes, as entries do; their checks and bounds are the same.

--- a/coord/codec.go
+++ b/coord/codec.go
@@ -149,7 +149,7 @@
 	for _, suspicion := range suspicions {
 		sighting := &wire.CoordSighting{
 			Fingerprint: uint64(suspicion.Fingerprint), Server: suspicion.Server, AgeMilliseconds: now.Sub(suspicion.At).Milliseconds(),
-			Part: suspicion.Part, Cleared: suspicion.Cleared,
+			Part: suspicion.Part, Cleared: suspicion.Cleared, Probe: suspicion.Probe,
 		}
 		if suspicion.CountsAt.IsZero() {
 			confirmed = append(confirmed, sighting)
@@ -185,7 +185,7 @@
 	age := time.Duration(max(sighting.GetAgeMilliseconds(), 0)) * time.Millisecond
 	return crash.Suspicion{
 		Fingerprint: crash.Fingerprint(sighting.GetFingerprint()), Server: sighting.GetServer(), At: now.Add(-age),
-		Part: sighting.GetPart(), Cleared: sighting.GetCleared(),
+		Part: sighting.GetPart(), Cleared: sighting.GetCleared(), Probe: sighting.GetProbe(),
 	}
 }
 
--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -37,6 +37,7 @@
 type fleetRequest struct {
 	entry      int
 	parts      []crash.Fingerprint
+	probed     []crash.Fingerprint
 	answeredAt time.Time
 	endsAt     time.Time
 }
@@ -123,7 +124,7 @@
 		return
 	}
 	server := up[rapid.IntRange(0, len(up)-1).Draw(run.t, "server")]
-	request := &fleetRequest{entry: index, parts: parts}
+	request := &fleetRequest{entry: index, parts: parts, probed: quarantined}
 	if deadly {
 		request.endsAt = run.now.Add(deadlyTime)
 		if run.settledFor(fleetContact) {
@@ -153,7 +154,9 @@
 	for _, request := range server.waiting {
 		pending := pendingSuspicion{entry: request.entry, at: run.now.Add(confirmDelay)}
 		for _, part := range request.parts {
-			pending.found = append(pending.found, crash.Suspicion{Fingerprint: part, Part: true, Server: name, At: run.now})
+			pending.found = append(pending.found, crash.Suspicion{
+				Fingerprint: part, Part: true, Server: name, At: run.now, Probe: slices.Contains(request.probed, part),
+			})
 		}
 		run.suspect(pending)
 	}
--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -169,13 +169,13 @@
 	const part = crash.Fingerprint(7)
 	aggregator := crash.NewAggregator()
 	var known []crash.Suspicion
-	crashed := func(at time.Time) {
-		suspicion := crash.Suspicion{Fingerprint: part, Part: true, Server: strconv.Itoa(len(known)), At: at}
+	crashed := func(at time.Time, probe bool) {
+		suspicion := crash.Suspicion{Fingerprint: part, Part: true, Server: strconv.Itoa(len(known)), At: at, Probe: probe}
 		known = append(known, suspicion)
 		aggregator.Add([]crash.Suspicion{suspicion})
 	}
 	for index := range 3 {
-		crashed(epoch.Add(time.Duration(index) * time.Second))
+		crashed(epoch.Add(time.Duration(index)*time.Second), false)
 	}
 	start := epoch.Add(2 * time.Second)
 	var probedAt []time.Duration
@@ -186,7 +186,7 @@
 			continue
 		}
 		probedAt = append(probedAt, now.Sub(start))
-		crashed(now)
+		crashed(now, true)
 		// The coordinator is replaced by one that knows what the entries know.
 		aggregator = crash.NewAggregator()
 		aggregator.Add(known)
--- a/crash/probes.go
+++ b/crash/probes.go
@@ -4,9 +4,7 @@
 
 const (
 	// probeDelay is the time after the last crash of a quarantined part before a prompt
-	// may probe it. By then all requests that had been sent before the quarantine began are
-	// known to have crashed their servers or not. probeBackoff multiplies it for each
-	// crash that a probe has caused.
+	// may probe it. probeBackoff multiplies it for each crash of a probe.
 	probeDelay   = 2 * time.Second
 	probeBackoff = 30
 	// probeInterval is the least time between two probes, so that the result of one is
@@ -32,7 +30,7 @@
 		}
 	}
 	known := aggregator.suspects.bySubject[subject]
-	wait := max(known.lastCrash.Add(known.probeWait(now)).Sub(now), aggregator.probes[part].Add(probeInterval).Sub(now))
+	wait := max(known.lastCrash.Add(known.probeWait()).Sub(now), aggregator.probes[part].Add(probeInterval).Sub(now))
 	if wait > 0 {
 		return wait, false
 	}
@@ -40,14 +38,13 @@
 	return 0, true
 }
 
-// probeWait returns the time after the last crash before the part may be probed. Crashes
-// that came long after the former one are taken for those of probes, as a coordinator does
-// not know of its predecessor's probes.
-func (suspect *suspect) probeWait(now time.Time) time.Duration {
+// probeWait returns the time after the last crash before the part may be probed. The crashes
+// of former probes come with the suspicions, as a coordinator does not know of its
+// predecessor's probes.
+func (suspect *suspect) probeWait() time.Duration {
 	wait := probeDelay
-	crashes, _ := suspect.crashes(now)
-	for index := QuarantineThreshold; index < len(crashes); index++ {
-		if crashes[index].Sub(crashes[index-1]) >= probeDelay {
+	for _, ending := range suspect.servers {
+		if ending.probe {
 			wait *= probeBackoff
 		}
 		if wait > SuspicionLifetime {
--- a/crash/record.go
+++ b/crash/record.go
@@ -25,7 +25,8 @@
 	Part        bool   `json:"part,omitempty"`
 	Server      string `json:"server"`
 	// At is in Unix milliseconds.
-	At int64 `json:"at"`
+	At    int64 `json:"at"`
+	Probe bool  `json:"probe,omitempty"`
 }
 
 // Encode returns the record as JSON.
@@ -33,7 +34,7 @@
 	document := recordDocument{Suspicions: []suspicionDocument{}}
 	for _, suspicion := range record.suspicions {
 		document.Suspicions = append(document.Suspicions, suspicionDocument{
-			Fingerprint: suspicion.Fingerprint.String(), Part: suspicion.Part, Server: suspicion.Server, At: suspicion.At.UnixMilli(),
+			Fingerprint: suspicion.Fingerprint.String(), Part: suspicion.Part, Server: suspicion.Server, At: suspicion.At.UnixMilli(), Probe: suspicion.Probe,
 		})
 	}
 	return json.Marshal(document)
@@ -57,7 +58,7 @@
 		if at.After(now) {
 			at = now
 		}
-		record.suspicions = append(record.suspicions, Suspicion{Fingerprint: Fingerprint(fingerprint), Part: each.Part, Server: each.Server, At: at})
+		record.suspicions = append(record.suspicions, Suspicion{Fingerprint: Fingerprint(fingerprint), Part: each.Part, Server: each.Server, At: at, Probe: each.Probe})
 	}
 	return record, nil
 }
--- a/crash/suspects.go
+++ b/crash/suspects.go
@@ -62,6 +62,8 @@
 	// countsAt is when it counts, or began to count, without a confirmation, and zero if it
 	// is confirmed.
 	countsAt time.Time
+	// probe reports whether the server ran a probe of the part.
+	probe bool
 }
 
 func newSuspects(maxSubjects int) suspects {
@@ -104,18 +106,35 @@
 	if suspicion.Cleared {
 		return suspects.clear(subject, suspicion.At)
 	}
-	former, counts := known.servers[suspicion.Server]
-	_, waits := known.unconfirmed[suspicion.Server]
+	if !suspicion.At.After(known.clearedAt) {
+		return false
+	}
+	return known.addEnding(suspicion)
+}
+
+// addEnding stores the end of a server, and reports whether it or what the suspicion says of
+// it is new.
+func (suspect *suspect) addEnding(suspicion Suspicion) bool {
+	unconfirmed := !suspicion.CountsAt.IsZero()
+	counted, counts := suspect.servers[suspicion.Server]
+	waiting, waits := suspect.unconfirmed[suspicion.Server]
+	probe := suspicion.Probe && !counted.probe && !waiting.probe
 	switch {
-	case !suspicion.At.After(known.clearedAt), unconfirmed && (counts || waits), counts && former.countsAt.IsZero():
+	case counts && !unconfirmed && !counted.countsAt.IsZero():
+		counted.countsAt, counted.probe = time.Time{}, counted.probe || probe
+		suspect.servers[suspicion.Server] = counted
+	case counts && probe:
+		counted.probe = true
+		suspect.servers[suspicion.Server] = counted
+	case counts, waits && unconfirmed && !probe:
 		return false
+	case waits && unconfirmed:
+		waiting.probe = true
+		suspect.unconfirmed[suspicion.Server] = waiting
 	case unconfirmed:
-		known.unconfirmed[suspicion.Server] = ending{at: suspicion.At, countsAt: suspicion.CountsAt}
-	case counts:
-		former.countsAt = time.Time{}
-		known.servers[suspicion.Server] = former
+		suspect.unconfirmed[suspicion.Server] = ending{at: suspicion.At, countsAt: suspicion.CountsAt, probe: probe}
 	default:
-		known.count(suspicion.Server, ending{at: suspicion.At})
+		suspect.count(suspicion.Server, ending{at: suspicion.At, probe: waiting.probe || probe})
 	}
 	return true
 }
@@ -245,7 +264,10 @@
 
 // suspicion returns the suspicion of the end of a server under a subject.
 func (ending ending) suspicion(subject Subject, server string) Suspicion {
-	return Suspicion{Fingerprint: subject.Fingerprint, Part: subject.Part, Server: server, At: ending.at, CountsAt: ending.countsAt}
+	return Suspicion{
+		Fingerprint: subject.Fingerprint, Part: subject.Part, Server: server,
+		At: ending.at, CountsAt: ending.countsAt, Probe: ending.probe,
+	}
 }
 
 // takeCounted returns the unconfirmed suspicions that have begun to count since the last
--- a/crash/suspicion.go
+++ b/crash/suspicion.go
@@ -62,6 +62,8 @@
 	// Withdrawn reports whether the server proved to be alive, so that the unconfirmed
 	// suspicion does not count.
 	Withdrawn bool
+	// Probe reports whether the server ended under a probe of the part.
+	Probe bool
 }
 
 // Subject returns what the suspicion is about.
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -161,12 +161,15 @@
 	partIDs []string
 	// parts are those of them that may have crashed the server.
 	parts []crash.Fingerprint
+	// probedPart is the part that the request probed, or nil.
+	probedPart *crash.Fingerprint
 }
 
 // newSuspect returns the exchange's request as a suspect for a crash of server.
 func (exchange *exchange) newSuspect(server *pool.Server) suspect {
 	return suspect{
-		request: exchange.info.ID, fingerprint: exchange.fingerprint(), server: server, answered: exchange.answered, partIDs: exchange.info.SharedParts,
+		request: exchange.info.ID, fingerprint: exchange.fingerprint(), server: server, answered: exchange.answered,
+		partIDs: exchange.info.SharedParts, probedPart: exchange.probedPart,
 	}
 }
 
@@ -179,6 +182,9 @@
 	if len(suspect.partIDs) > 0 {
 		fields["parts"] = strings.Join(suspect.partIDs, ",")
 	}
+	if suspect.probedPart != nil {
+		fields["probed"] = suspect.probedPart.String()
+	}
 	return fields
 }
 
@@ -205,7 +211,8 @@
 	suspicions := make([]crash.Suspicion, 0, 1+len(suspect.parts))
 	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: crashedAt})
 	for _, part := range suspect.parts {
-		suspicions = append(suspicions, crash.Suspicion{Fingerprint: part, Part: true, Server: incarnation, At: crashedAt})
+		probe := suspect.probedPart != nil && *suspect.probedPart == part
+		suspicions = append(suspicions, crash.Suspicion{Fingerprint: part, Part: true, Server: incarnation, At: crashedAt, Probe: probe})
 	}
 	return suspicions
 }
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -104,6 +104,7 @@
 	pool        *pool.Pool
 	waitedFor   []names.Model
 	adapters    []pool.Adapter
+	grantProbes bool
 	denyLoans   bool
 	unreachable bool
 	onWait      func(model names.Model)
@@ -168,7 +169,9 @@
 }
 
 // Probe implements [relay.Coordinator].
-func (*fakeCoordinator) Probe(context.Context, crash.Fingerprint) (bool, error) { return false, nil }
+func (fakeCoordinator *fakeCoordinator) Probe(context.Context, crash.Fingerprint) (bool, error) {
+	return fakeCoordinator.grantProbes, nil
+}
 
 // AddDemand implements [relay.Coordinator].
 func (*fakeCoordinator) AddDemand(names.Service, names.Model, float64) {}
--- a/relay/unconfirmed_test.go
+++ b/relay/unconfirmed_test.go
@@ -89,6 +89,31 @@
 	g.Expect(fixture.call(http.MethodPost, "/look/1", "sound", nil).status).To(Equal(http.StatusOK))
 }
 
+// Guards against probes that crash servers every few seconds, as nobody knows that they were
+// probes.
+func TestCrashOfProbeIsReportedAsThat(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newFixture(t, route("draft", policy.KindStream, "notes"))
+	fixture.coordinator.grantProbes = true
+	fixture.server("engine-1", "notes", func(writer http.ResponseWriter, _ *http.Request) { hijack(writer).Close() })
+	deadly, other := crash.FingerprintOfPart("bad"), crash.FingerprintOfPart("other")
+	began := time.Now().Add(-time.Minute)
+	for index, server := range []string{"other-1", "other-2", "other-3"} {
+		fixture.crashes.Add(crash.Suspicion{Fingerprint: deadly, Part: true, Server: server, At: began.Add(time.Duration(index) * time.Second)})
+	}
+	fixture.crashes.Settle(began)
+	fixture.call(http.MethodPost, "/draft/1", "own", map[string]string{"Parts": "other,bad,own"})
+	suspicions, _ := fixture.crashes.Since(0)
+	probes := map[crash.Fingerprint]bool{}
+	for _, suspicion := range suspicions {
+		if strings.HasPrefix(suspicion.Server, "engine-1/") {
+			probes[suspicion.Fingerprint] = suspicion.Probe
+		}
+	}
+	g.Expect(probes).To(HaveKeyWithValue(deadly, true))
+	g.Expect(probes).To(HaveKeyWithValue(other, false))
+}
+
 // countEvents returns how many events with a name were logged.
 func countEvents(fixture *fixture, name string) int {
 	count := 0
