crash, coord, relay: probe prompts that have several quarantined parts

Cause: only a prompt with a single quarantined part could be a probe. The job's two parts come only together, so that nothing could clear them.

A probe is now asked for and granted for the set of a prompt's quarantined parts.

--- a/coord/client.go
+++ b/coord/client.go
@@ -84,7 +84,7 @@
 	ratesVersion  int64
 	// mutex guards all below.
 	mutex sync.Mutex
-	// probeAt maps quarantined parts to when to ask again whether one may be probed.
+	// probeAt maps sets of quarantined parts to when to ask again whether one may be probed.
 	probeAt map[crash.Fingerprint]time.Time
 	// leader is the coordinator's encoded [Identity], empty if there is none. conn is
 	// nil if the coordinator is this process, or if there is none.
--- a/coord/server.go
+++ b/coord/server.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/basilkeel/basilkeel/crash"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/wire"
@@ -82,7 +81,7 @@
 
 // Probe implements [wire.CoordinationServer].
 func (server *Server) Probe(_ context.Context, message *wire.CoordProbeRequest) (*wire.CoordProbeReply, error) {
-	wait, granted, err := server.coordinator.Probe(crash.Fingerprint(message.GetPart()))
+	wait, granted, err := server.coordinator.Probe(decodeProbe(message))
 	if err != nil {
 		return nil, encodeError(err)
 	}
--- a/crash/fingerprint.go
+++ b/crash/fingerprint.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"encoding/binary"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +23,16 @@
 	return Fingerprint(xxhash.Sum64String(id))
 }
 
+// FingerprintOfParts returns a value that identifies a set of parts, in whatever order.
+func FingerprintOfParts(parts []Fingerprint) Fingerprint {
+	digest := xxhash.New()
+	for _, part := range slices.Sorted(slices.Values(parts)) {
+		// Writing to a digest never fails.
+		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(part)))
+	}
+	return Fingerprint(digest.Sum64())
+}
+
 // String returns the fingerprint in hexadecimal digits, as logs show it.
 func (fingerprint Fingerprint) String() string { return strconv.FormatUint(uint64(fingerprint), 16) }
 
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,7 +34,7 @@
 	fingerprint := exchange.fingerprint()
 	parts := crashes.QuarantinedParts(exchange.sharedParts(), exchange.now())
 	switch {
-	case crashes.Quarantined(fingerprint) || len(parts) > 1:
+	case crashes.Quarantined(fingerprint):
 		return true
 	case crashes.NearQuarantine(fingerprint) && !exchange.relay.config.Coordinator.Reachable():
 		return true
@@ -42,27 +43,36 @@
 	case exchange.possibleRuns > 0:
 		return true
 	}
-	return !exchange.probes(parts[0])
+	return !exchange.probes(parts)
 }
 
-// probes reports whether the request, which no server may have run, probes a quarantined
-// part of its prompt.
-func (exchange *exchange) probes(part crash.Fingerprint) bool {
-	if exchange.probedPart != nil {
-		return *exchange.probedPart == part
+// probes reports whether the request, which no server may have run, probes the quarantined
+// parts of its prompt.
+func (exchange *exchange) probes(parts []crash.Fingerprint) bool {
+	if exchange.probedParts != nil {
+		return !slices.ContainsFunc(parts, func(part crash.Fingerprint) bool { return !slices.Contains(exchange.probedParts, part) })
 	}
-	granted, err := exchange.relay.config.Coordinator.Probe(exchange.request.Context(), part)
+	granted, err := exchange.relay.config.Coordinator.Probe(exchange.request.Context(), parts)
 	if err != nil {
 		exchange.cause = err
 	}
 	if !granted {
 		return false
 	}
-	exchange.probedPart = &part
-	event.QuarantineProbed.Log(exchange.relay.config.Log, logrus.Fields{"request": exchange.info.ID, "fingerprint": part.String()})
+	exchange.probedParts = parts
+	event.QuarantineProbed.Log(exchange.relay.config.Log, logrus.Fields{"request": exchange.info.ID, "parts": joinFingerprints(parts)})
 	return true
 }
 
+// joinFingerprints returns fingerprints as log events show them.
+func joinFingerprints(fingerprints []crash.Fingerprint) string {
+	texts := make([]string, 0, len(fingerprints))
+	for _, fingerprint := range fingerprints {
+		texts = append(texts, fingerprint.String())
+	}
+	return strings.Join(texts, ",")
+}
+
 // sharedParts returns the fingerprints of the parts that the request's prompt shares with
 // others.
 func (exchange *exchange) sharedParts() []crash.Fingerprint {
@@ -161,15 +171,15 @@
 	partIDs []string
 	// parts are those of them that may have crashed the server.
 	parts []crash.Fingerprint
-	// probedPart is the part that the request probed, or nil.
-	probedPart *crash.Fingerprint
+	// probedParts are the quarantined parts that the request probed.
+	probedParts []crash.Fingerprint
 }
 
 // newSuspect returns the exchange's request as a suspect for a crash of server.
 func (exchange *exchange) newSuspect(server *pool.Server) suspect {
 	return suspect{
 		request: exchange.info.ID, fingerprint: exchange.fingerprint(), server: server, answered: exchange.answered,
-		partIDs: exchange.info.SharedParts, probedPart: exchange.probedPart,
+		partIDs: exchange.info.SharedParts, probedParts: exchange.probedParts,
 	}
 }
 
@@ -182,8 +192,8 @@
 	if len(suspect.partIDs) > 0 {
 		fields["parts"] = strings.Join(suspect.partIDs, ",")
 	}
-	if suspect.probedPart != nil {
-		fields["probed"] = suspect.probedPart.String()
+	if len(suspect.probedParts) > 0 {
+		fields["probed"] = joinFingerprints(suspect.probedParts)
 	}
 	return fields
 }
@@ -211,8 +221,9 @@
 	suspicions := make([]crash.Suspicion, 0, 1+len(suspect.parts))
 	suspicions = append(suspicions, crash.Suspicion{Fingerprint: suspect.fingerprint, Server: incarnation, At: crashedAt})
 	for _, part := range suspect.parts {
-		probe := suspect.probedPart != nil && *suspect.probedPart == part
-		suspicions = append(suspicions, crash.Suspicion{Fingerprint: part, Part: true, Server: incarnation, At: crashedAt, Probe: probe})
+		suspicions = append(suspicions, crash.Suspicion{
+			Fingerprint: part, Part: true, Server: incarnation, At: crashedAt, Probe: slices.Contains(suspect.probedParts, part),
+		})
 	}
 	return suspicions
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -71,10 +71,10 @@
 	// the first event of a stream, or a whole response.
 	answered bool
 	// parts are the fingerprints of the parts that the prompt shares with others; nil means
-	// that they have not been computed. probedPart is the quarantined one that the request
-	// probes; nil means none.
-	parts      []crash.Fingerprint
-	probedPart *crash.Fingerprint
+	// that they have not been computed. probedParts are the quarantined ones that the request
+	// probes.
+	parts       []crash.Fingerprint
+	probedParts []crash.Fingerprint
 	// permit is the permit for the next attempt, if its server declares a request rate.
 	permit sendPermit
 	// scheduled is the reservation of the last attempt, or nil if the entry chose the server
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,9 +38,9 @@
 	// Permit applies for a permit for one request to a server that has declared a request
 	// rate. If there is none, it returns false and the time after which to apply again.
 	Permit(ctx context.Context, application permit.Application) (time.Duration, bool, error)
-	// Probe reports whether a request may be sent to one server although a part of its
-	// prompt is quarantined.
-	Probe(ctx context.Context, part crash.Fingerprint) (bool, error)
+	// Probe reports whether a request may be sent to one server although parts of its
+	// prompt are quarantined.
+	Probe(ctx context.Context, parts []crash.Fingerprint) (bool, error)
 	// AddDemand adds a request's estimated work, in engine seconds, to the demand for a
 	// model.
 	AddDemand(service names.Service, model names.Model, work float64)
