relay: do not take quiet servers for crashed ones

Cause: the end of such an answer may be that of its server. Silence for 1.5 s was taken for the proof, which is usual with little traffic, and such an answer never cleared its request.

After that silence the entry now opens a connection, which the next request uses. If the server does not accept it, it has crashed; if it does, it has only if the registry shows another incarnation until an entry would have expired. Otherwise the answer is complete and clears the request.

--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strings"
@@ -84,6 +85,15 @@
 	return exchange.parts
 }
 
+// unansweredParts returns the parts that may have crashed the server of the last attempt: none
+// if that had begun to answer.
+func (exchange *exchange) unansweredParts() []crash.Fingerprint {
+	if exchange.answered {
+		return nil
+	}
+	return exchange.sharedParts()
+}
+
 // recordAnswer records that the server has begun to answer.
 func (exchange *exchange) recordAnswer() {
 	exchange.answered = true
@@ -93,7 +103,7 @@
 }
 
 // recordCompletion records that a response is complete, which clears the request unless it
-// is no success or its end may be that of its server.
+// is no success or its end may be that of its server. suspectEnd does that later.
 func (exchange *exchange) recordCompletion(response *responseReader) {
 	crashes := exchange.relay.config.Crashes
 	if response.Status < http.StatusMultipleChoices && !response.EndsWithConnection && !crashes.Empty() {
@@ -104,42 +114,73 @@
 // suspectBroken handles an attempt that got no complete response although the request had
 // neither passed its deadline nor lost its caller. The server is reported as crashed unless
 // it has sent anything new when CrashConfirmDelay has passed. The suspicion is reported as
-// unconfirmed before that, as this entry may end meanwhile. ended reports whether the response
-// was a success and may be complete. Servers may end every response in that way, so that
-// reports of such suspicions would be too many.
-func (exchange *exchange) suspectBroken(server *pool.Server, ended bool) {
+// unconfirmed before that, as this entry may end meanwhile.
+func (exchange *exchange) suspectBroken(server *pool.Server) {
 	relay, suspect, brokenAt := exchange.relay, exchange.newSuspect(server), exchange.now()
-	if !exchange.answered {
-		suspect.parts = exchange.sharedParts()
-	}
+	suspect.parts = exchange.unansweredParts()
 	elapsed := relay.config.Clock.After(relay.config.CrashConfirmDelay)
-	var unconfirmed []crash.Suspicion
-	if !ended {
-		unconfirmed = suspect.suspicions(brokenAt)
-		for index := range unconfirmed {
-			unconfirmed[index].CountsAt = brokenAt.Add(relay.config.CrashConfirmDelay + crash.UnconfirmedGrace)
-		}
-		relay.addSuspicions(unconfirmed)
+	unconfirmed := suspect.suspicions(brokenAt)
+	for index := range unconfirmed {
+		unconfirmed[index].CountsAt = brokenAt.Add(relay.config.CrashConfirmDelay + crash.UnconfirmedGrace)
 	}
+	relay.addSuspicions(unconfirmed)
 	go func() {
 		<-elapsed
 		if lastBytesAt, alive := relay.config.Pool.AliveAfter(server, brokenAt); alive {
 			relay.clearSuspect(suspect, lastBytesAt.Sub(brokenAt))
-			if !ended {
-				for index := range unconfirmed {
-					unconfirmed[index].Withdrawn = true
-				}
-				relay.addSuspicions(unconfirmed)
-			}
-			if ended {
-				relay.config.Crashes.RecordAnswer(suspect.parts, brokenAt)
+			for index := range unconfirmed {
+				unconfirmed[index].Withdrawn = true
 			}
+			relay.addSuspicions(unconfirmed)
 			return
 		}
 		relay.confirmSuspect(suspect, brokenAt)
 	}()
 }
 
+// suspectEnd handles a success whose body ended with its connection, so that it is complete
+// or the server has crashed. A server that has sent nothing new when CrashConfirmDelay has
+// passed may merely have had nothing to send: it is reported as crashed if it accepts no
+// connection, or if the registry shows that another incarnation accepted that. No unconfirmed
+// suspicion is reported before, as there may be one for every response.
+func (exchange *exchange) suspectEnd(server *pool.Server) {
+	relay, suspect, endedAt := exchange.relay, exchange.newSuspect(server), exchange.now()
+	suspect.parts = exchange.unansweredParts()
+	elapsed := relay.config.Clock.After(relay.config.CrashConfirmDelay)
+	go func() {
+		<-elapsed
+		aliveAt, alive := relay.config.Pool.AliveAfter(server, endedAt)
+		if !alive {
+			aliveAt = relay.config.Clock.Now()
+			alive = relay.config.Trunk.Connect(context.Background(), server.Address) == nil && !relay.awaitCrash(server, endedAt.Add(relay.config.Pool.RegistryExpiry()))
+		}
+		if !alive {
+			relay.confirmSuspect(suspect, endedAt)
+			return
+		}
+		relay.clearSuspect(suspect, aliveAt.Sub(endedAt))
+		relay.config.Crashes.RecordAnswer(suspect.parts, endedAt)
+		relay.config.Crashes.RecordCompletion(suspect.fingerprint, endedAt)
+	}()
+}
+
+// awaitCrash waits until the registry shows that an incarnation of a server has crashed, at
+// most until a time, and reports whether it has.
+func (relay *Relay) awaitCrash(server *pool.Server, until time.Time) bool {
+	expired := relay.config.Clock.After(until.Sub(relay.config.Clock.Now()))
+	for {
+		changed := relay.config.Pool.Changed()
+		if relay.config.Pool.Crashed(server, relay.config.Clock.Now()) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return relay.config.Pool.Crashed(server, relay.config.Clock.Now())
+		}
+	}
+}
+
 // suspectSilent handles a request that was ended by its deadline or its caller while the
 // server had sent nothing since a time. As a slow server is silent, too, the server is
 // reported as crashed only if the registry shows that it ended unannounced. No part of the
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -253,7 +253,7 @@
 	if !neverSent(err) {
 		exchange.possibleRuns++
 		if ctx.Err() == nil {
-			exchange.suspectBroken(server, false)
+			exchange.suspectBroken(server)
 		} else {
 			exchange.suspectSilent(server, sentAt)
 		}
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -55,8 +55,10 @@
 	ended := errors.Is(err, io.EOF) && responseReader.EndsWithConnection
 	switch {
 	case !ended && !errors.As(err, &brokenError):
+	case responseReader.requestErr() == nil && ended && responseReader.Status < http.StatusMultipleChoices:
+		responseReader.exchange.suspectEnd(responseReader.server)
 	case responseReader.requestErr() == nil:
-		responseReader.exchange.suspectBroken(responseReader.server, ended && responseReader.Status < http.StatusMultipleChoices)
+		responseReader.exchange.suspectBroken(responseReader.server)
 	default:
 		responseReader.exchange.suspectSilent(responseReader.server, responseReader.lastReadAt)
 	}
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -119,6 +119,11 @@
 		}
 		connection.conn.Close()
 	}
+	return trunk.open(ctx, address)
+}
+
+// open opens a connection.
+func (trunk *Trunk) open(ctx context.Context, address string) (*connection, error) {
 	conn, err := trunk.config.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -127,6 +132,17 @@
 	return newConnection(address, conn, trunk.config.Clock.Now()), nil
 }
 
+// Connect opens a connection to address, which the next request uses. It returns an
+// *[UnsentError] if the server doesn't accept it.
+func (trunk *Trunk) Connect(ctx context.Context, address string) error {
+	connection, err := trunk.open(ctx, address)
+	if err != nil {
+		return &UnsentError{Address: address, Cause: err}
+	}
+	trunk.putIdle(connection)
+	return nil
+}
+
 // takeIdle removes and returns the last of the idle connections to address, or nil if
 // there is none. It closes those behind it that have passed their idle limit.
 func (trunk *Trunk) takeIdle(address string) *connection {
