copies: base orders on a ledger that the registry cannot change

Count and lists are now a type of their own, copies.ledger, made from an engine's report and changed by its answers to orders. No code path gives it an entry of the registry. A model is in it from the acceptance of its load on, so that an entry which lists it only ends the wait for it.

--- a/copies/dispatcher.go
+++ b/copies/dispatcher.go
@@ -149,7 +149,7 @@
 func (tracker *Tracker) beginQuery() bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if (tracker.known() && !tracker.busySeen) || tracker.querying || tracker.fenced || tracker.server.Draining {
+	if (tracker.ledger.known() && !tracker.busySeen) || tracker.querying || tracker.fenced || tracker.server.Draining {
 		return false
 	}
 	tracker.querying = true
@@ -165,13 +165,13 @@
 func (tracker *Tracker) needsQuery() bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return !tracker.known() || tracker.busySeen
+	return !tracker.ledger.known() || tracker.busySeen
 }
 
 func (tracker *Tracker) isKnown() bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.known()
+	return tracker.ledger.known()
 }
 
 // States returns the state of the engines of a service for the planner.
@@ -268,7 +268,7 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	tracker.awaiting = false
-	if !tracker.known() || tracker.canceled || !tracker.isIncarnation(planned.Incarnation, planned.Address) {
+	if !tracker.ledger.known() || tracker.canceled || !tracker.isIncarnation(planned.Incarnation, planned.Address) {
 		return false
 	}
 	tracker.switching = true
@@ -406,7 +406,7 @@
 func (tracker *Tracker) mayTakeAdapters(model names.Model) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return !slices.Contains(tracker.unloading, model) && tracker.consistent && !tracker.switching && !tracker.busySeen && !tracker.fenced && (tracker.loading == "" || tracker.stepRunning)
+	return !slices.Contains(tracker.unloading, model) && tracker.ledger.consistent && !tracker.switching && !tracker.busySeen && !tracker.fenced && (tracker.loading == "" || tracker.stepRunning)
 }
 
 // adapterSlot reports in present whether the adapter is loaded, and otherwise in full
@@ -414,10 +414,10 @@
 func (tracker *Tracker) adapterSlot(adapter pool.Adapter, slots int) (full, present bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if slices.Contains(tracker.adapters, adapter) {
+	if slices.Contains(tracker.ledger.adapters, adapter) {
 		return false, true
 	}
-	return len(tracker.adapters) > 0 && len(tracker.adapters) >= slots, false
+	return len(tracker.ledger.adapters) > 0 && len(tracker.ledger.adapters) >= slots, false
 }
 
 // awaitIdle waits until the engine reports that it executes no order. It fails if the
@@ -583,9 +583,9 @@
 	defer tracker.mutex.Unlock()
 	request := OrderRequest{
 		Order: order, Server: tracker.server.ID, Address: tracker.server.Address,
-		Incarnation: tracker.server.Incarnation, Accepted: tracker.accepted,
+		Incarnation: tracker.server.Incarnation, Accepted: tracker.ledger.accepted,
 	}
-	if !tracker.known() {
+	if !tracker.ledger.known() {
 		return request, false
 	}
 	fits, until := tracker.hasRoom(order, engine, now)
@@ -602,7 +602,7 @@
 	defer tracker.mutex.Unlock()
 	tracker.recordUnanswered(request, now)
 	if tracker.isIncarnation(request.Incarnation, request.Address) {
-		tracker.pending, tracker.unansweredAt = true, now
+		tracker.ledger.pending, tracker.unansweredAt = true, now
 	}
 }
 
@@ -615,6 +615,6 @@
 	if !tracker.isIncarnation(request.Incarnation, request.Address) {
 		return
 	}
-	tracker.consistent = false
+	tracker.ledger.consistent = false
 	tracker.fenced = tracker.fenced || fenced
 }
--- a/copies/steps.go
+++ b/copies/steps.go
@@ -193,7 +193,7 @@
 	switch {
 	case tracker.server.Draining || tracker.fenced:
 		return 0, false
-	case slices.Contains(tracker.models, model) && !slices.Contains(tracker.unloading, model):
+	case slices.Contains(tracker.usableModels(), model):
 		// The scheduler learns of a load up to half a second later, and an entry excludes
 		// engines for short times only.
 		return 0, true
--- a/copies/tracker.go
+++ b/copies/tracker.go
@@ -25,20 +25,14 @@
 	// outdatedAt is since when the registry has listed an older incarnation, or zero.
 	delistedAt time.Time
 	outdatedAt time.Time
-	// accepted is the number of orders that the engine has accepted, and acceptedAt when it
-	// last answered one with that.
-	accepted   int64
+	// ledger is what orders are based on, and acceptedAt when the engine last accepted one.
+	ledger     ledger
 	acceptedAt time.Time
-	// consistent reports whether models, adapters and accepted belong together: the engine
-	// reported them in this term while it executed no order, and every change since is
-	// that by an answered order. pending reports whether the last order got no answer, so
-	// that it may or may not have changed them.
-	consistent bool
-	pending    bool
 	// unansweredAt is when the last attempt of an order ended without an answer.
 	unansweredAt time.Time
-	// reported reports whether the incarnation has been consistent before. From then on
-	// the registry's lists of models and adapters are older than these.
+	// reported reports whether the ledger of the incarnation has been consistent before. Until
+	// then requests are sent by the registry's lists of models and adapters, which are older;
+	// no order is.
 	reported bool
 	// unanswered are the orders without an answer that may still arrive.
 	unanswered []unansweredOrder
@@ -54,8 +48,6 @@
 	// reportedCountAt the time of the first report with that count and of an idle engine.
 	reportedCount   int64
 	reportedCountAt time.Time
-	models          []names.Model
-	adapters        []pool.Adapter
 	inMemory        []names.Model
 	onDisk          []names.Model
 	loadedAt        map[names.Model]time.Time
@@ -85,9 +77,10 @@
 }
 
 func newTracker(server *pool.Server, now time.Time) *Tracker {
-	tracker := &Tracker{foundAt: now, orderLock: make(chan struct{}, 1), loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{}}
-	tracker.useRegistry(server)
-	return tracker
+	return &Tracker{
+		foundAt: now, orderLock: make(chan struct{}, 1), server: server, inMemory: server.InMemory, onDisk: server.OnDisk,
+		loadedAt: map[names.Model]time.Time{}, unloadedAt: map[names.Model]time.Time{}, adapterLoadedAt: map[pool.Adapter]time.Time{},
+	}
 }
 
 // lockOrders takes orderLock, or fails when ctx is done.
@@ -105,20 +98,6 @@
 
 func (tracker *Tracker) unlockOrders() { <-tracker.orderLock }
 
-// known reports whether models, adapters and accepted are the engine's state. The mutex
-// is held.
-func (tracker *Tracker) known() bool { return tracker.consistent && !tracker.pending }
-
-// useRegistry replaces the state by the engine's entry in the registry. The entry does
-// not contain the count of accepted orders: a new server has accepted none, and the
-// engine answers an order with a wrong count by a conflict.
-func (tracker *Tracker) useRegistry(server *pool.Server) {
-	tracker.server = server
-	tracker.models = slices.Clone(server.Models)
-	tracker.adapters = slices.Clone(server.Adapters)
-	tracker.inMemory, tracker.onDisk = server.InMemory, server.OnDisk
-}
-
 const (
 	// outdatedEntryLifetime is how long the registry may list an earlier incarnation than
 	// it did before. If its service was restored from a copy, the engine writes its entry
@@ -148,22 +127,17 @@
 	}
 	tracker.outdatedAt = time.Time{}
 	if !tracker.isIncarnation(server.Incarnation, server.Address) {
-		tracker.consistent, tracker.pending, tracker.reported, tracker.busySeen = false, false, false, false
-		tracker.loading, tracker.unloading, tracker.accepted, tracker.foundAt = "", nil, 0, time.Time{}
+		tracker.ledger, tracker.reported, tracker.busySeen = ledger{}, false, false
+		tracker.loading, tracker.unloading, tracker.foundAt = "", nil, time.Time{}
 		tracker.reportedCount, tracker.reportedCountAt, tracker.withheldUntil, tracker.acceptedAt = 0, time.Time{}, time.Time{}, time.Time{}
 		tracker.loadedAt, tracker.unloadedAt = map[names.Model]time.Time{}, map[names.Model]time.Time{}
 		tracker.adapterLoadedAt = map[pool.Adapter]time.Time{}
-		tracker.useRegistry(server)
-		return true
 	}
 	tracker.server = server
 	tracker.inMemory, tracker.onDisk = server.InMemory, server.OnDisk
 	if tracker.loading != "" && server.HasModel(tracker.loading) && now.Sub(tracker.unloadedAt[tracker.loading]) > registryLag {
 		tracker.finishLoad(now)
 	}
-	if !tracker.stepRunning && !tracker.reported {
-		tracker.useRegistry(server)
-	}
 	return true
 }
 
@@ -198,7 +172,7 @@
 // last order that the engine has accepted, or before a report that is known. The mutex is
 // held.
 func (tracker *Tracker) isOutdated(engineReport EngineReport, asked time.Time) bool {
-	return engineReport.Accepted < tracker.accepted && asked.Sub(tracker.acceptedAt) < maxReportAge ||
+	return engineReport.Accepted < tracker.ledger.accepted && asked.Sub(tracker.acceptedAt) < maxReportAge ||
 		engineReport.Accepted < tracker.reportedCount && asked.Sub(tracker.reportedCountAt) < maxReportAge
 }
 
@@ -229,33 +203,32 @@
 		tracker.busySeen = tracker.busySeen || !tracker.stepRunning
 		return false
 	}
-	if engineReport.Accepted < tracker.accepted || engineReport.Accepted < tracker.reportedCount {
+	if engineReport.Accepted < tracker.ledger.accepted || engineReport.Accepted < tracker.reportedCount {
 		tracker.recordRestart()
 	}
 	if tracker.reportedCountAt.IsZero() || engineReport.Accepted != tracker.reportedCount || engineReport.Busy {
 		tracker.reportedCount, tracker.reportedCountAt = engineReport.Accepted, now
 	}
 	stable := !engineReport.Busy && asked.Sub(tracker.reportedCountAt) >= reportStableAfter
-	if tracker.pending && engineReport.Accepted == tracker.accepted {
+	if tracker.ledger.pending && engineReport.Accepted == tracker.ledger.accepted {
 		// A report from before the order says nothing of it.
 		stable = stable && asked.Sub(tracker.unansweredAt) >= reportStableAfter
 	}
-	if tracker.consistent && engineReport.Accepted == tracker.accepted && (!tracker.pending || !stable) {
+	if tracker.ledger.consistent && engineReport.Accepted == tracker.ledger.accepted && (!tracker.ledger.pending || !stable) {
 		if tracker.loading != "" && slices.Contains(engineReport.Models, tracker.loading) {
 			tracker.finishLoad(now)
 		}
 		tracker.busySeen = engineReport.Busy && tracker.loading == "" && !tracker.stepRunning
 		return true
 	}
-	tracker.accepted, tracker.consistent = engineReport.Accepted, stable
 	if !stable {
+		tracker.ledger.doubt(engineReport.Accepted)
 		return true
 	}
-	tracker.reported, tracker.pending, tracker.busySeen = true, false, false
-	tracker.models = slices.Clone(engineReport.Models)
-	tracker.adapters = slices.Clone(engineReport.Adapters)
+	tracker.ledger = newLedger(engineReport)
+	tracker.reported, tracker.busySeen = true, false
 	if tracker.loading != "" && !tracker.readyAt.IsZero() {
-		if slices.Contains(tracker.models, tracker.loading) {
+		if slices.Contains(engineReport.Models, tracker.loading) {
 			tracker.finishLoad(now)
 		}
 		tracker.loading, tracker.readyAt = "", time.Time{}
@@ -268,9 +241,6 @@
 
 // finishLoad records that the running load is done. It is called with the mutex held.
 func (tracker *Tracker) finishLoad(now time.Time) {
-	if !slices.Contains(tracker.models, tracker.loading) {
-		tracker.models = append(tracker.models, tracker.loading)
-	}
 	tracker.loadedAt[tracker.loading] = now
 	tracker.loading, tracker.readyAt = "", time.Time{}
 }
@@ -290,14 +260,14 @@
 	defer tracker.mutex.Unlock()
 	return EngineState{
 		Server:    tracker.server.ID,
-		Models:    tracker.remainingModels(),
+		Models:    tracker.usableModels(),
 		Loading:   tracker.loading,
 		InMemory:  tracker.inMemory,
 		OnDisk:    tracker.onDisk,
 		LoadedAt:  tracker.loadedAtCopy(),
 		Adapters:  tracker.adapterCounts(),
 		Unloading: len(tracker.unloading) > 0,
-		Blocked:   tracker.stepRunning || tracker.fenced || !tracker.known() || tracker.loading != "" || tracker.busySeen || now.Before(tracker.withheldUntil),
+		Blocked:   tracker.stepRunning || tracker.fenced || !tracker.ledger.known() || tracker.loading != "" || tracker.busySeen || now.Before(tracker.withheldUntil),
 		Draining:  tracker.server.Draining,
 	}
 }
@@ -306,7 +276,7 @@
 // held.
 func (tracker *Tracker) adapterCounts() map[names.Model]int {
 	counts := map[names.Model]int{}
-	for _, adapter := range tracker.adapters {
+	for _, adapter := range tracker.usableAdapters() {
 		counts[adapter.Model]++
 	}
 	return counts
@@ -321,62 +291,62 @@
 	return since
 }
 
-// remainingModels returns the models that are not being unloaded. It is called with the
-// mutex held.
-func (tracker *Tracker) remainingModels() []names.Model {
-	return slices.DeleteFunc(slices.Clone(tracker.models), func(model names.Model) bool {
-		return slices.Contains(tracker.unloading, model)
+// usableModels returns the models that are neither being loaded nor unloaded. It is called
+// with the mutex held.
+func (tracker *Tracker) usableModels() []names.Model {
+	models := tracker.ledger.models
+	if !tracker.reported {
+		models = tracker.server.Models
+	}
+	return slices.DeleteFunc(slices.Clone(models), func(model names.Model) bool {
+		return model == tracker.loading || slices.Contains(tracker.unloading, model)
 	})
 }
 
+// usableAdapters returns the adapters that requests may be sent for. It is called with the
+// mutex held.
+func (tracker *Tracker) usableAdapters() []pool.Adapter {
+	if !tracker.reported {
+		return slices.Clone(tracker.server.Adapters)
+	}
+	return slices.Clone(tracker.ledger.adapters)
+}
+
 // holding returns the models and adapters that entries may send requests for.
 func (tracker *Tracker) holding() pool.Holding {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	return pool.Holding{
-		Server: tracker.server.ID, Incarnation: tracker.server.Incarnation, Models: tracker.remainingModels(), Adapters: slices.Clone(tracker.adapters),
-		Busy: !tracker.known() || tracker.busySeen || tracker.fenced || !tracker.awaiting && (tracker.stepRunning || tracker.loading != ""),
+		Server: tracker.server.ID, Incarnation: tracker.server.Incarnation, Models: tracker.usableModels(), Adapters: tracker.usableAdapters(),
+		Busy: !tracker.ledger.known() || tracker.busySeen || tracker.fenced || !tracker.awaiting && (tracker.stepRunning || tracker.loading != ""),
 	}
 }
 
-// recordAccepted records an order that the engine has accepted or that needed no change.
-// As its count matched, the engine has accepted no other order since the count was read.
-// Models and adapters are then consistent if they were when the order was sent and
-// nothing but orders has changed them since. If the engine has restarted since the order
-// was sent, the answer says nothing of it, and recordAccepted returns false.
+// recordAccepted records an order that the engine has accepted or that needed no change. If
+// the engine has restarted since the order was sent, the answer says nothing of it, and
+// recordAccepted returns false.
 func (tracker *Tracker) recordAccepted(request OrderRequest, outcome Outcome, now time.Time) bool {
-	order := request.Order
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	if !tracker.isIncarnation(request.Incarnation, request.Address) {
 		return false
 	}
-	tracker.pending = false
-	if tracker.accepted != request.Accepted {
-		// A report has moved the count meanwhile.
-		tracker.consistent = false
+	accepted := tracker.ledger.accepted
+	if !tracker.ledger.apply(request, outcome) {
 		return true
 	}
-	counted := outcome == OutcomeAccepted || (order.Adapter != "" && order.Unload)
-	if counted {
-		tracker.accepted++
+	if tracker.ledger.accepted != accepted {
 		tracker.acceptedAt = now
 	}
-	adapter := pool.Adapter{Model: order.Model, Name: order.Adapter}
+	adapter := pool.Adapter{Model: request.Model, Name: request.Adapter}
 	switch {
-	case order.Adapter != "" && order.Unload:
-		tracker.adapters = slices.DeleteFunc(tracker.adapters, func(other pool.Adapter) bool { return other == adapter })
+	case request.Adapter != "" && request.Unload:
 		delete(tracker.adapterLoadedAt, adapter)
-	case order.Adapter != "":
+	case request.Adapter != "":
 		tracker.adapterOrderAt, tracker.adapterLoadedAt[adapter] = now, now
-		if !slices.Contains(tracker.adapters, adapter) {
-			tracker.adapters = append(tracker.adapters, adapter)
-		}
-	case order.Unload:
-		tracker.models = slices.DeleteFunc(tracker.models, func(other names.Model) bool { return other == order.Model })
-		tracker.adapters = slices.DeleteFunc(tracker.adapters, func(other pool.Adapter) bool { return other.Model == order.Model })
-		delete(tracker.loadedAt, order.Model)
-		tracker.unloadedAt[order.Model] = now
+	case request.Unload:
+		delete(tracker.loadedAt, request.Model)
+		tracker.unloadedAt[request.Model] = now
 	}
 	return true
 }
--- a/copies/unanswered.go
+++ b/copies/unanswered.go
@@ -90,12 +90,12 @@
 // orders to former incarnations that may arrive then. If only those are in the way, until
 // is when they have expired. The mutex is held.
 func (tracker *Tracker) hasRoom(order Order, engine *policy.Engine, now time.Time) (fits bool, until time.Time) {
-	late, until := tracker.lateLoad(tracker.accepted+1, engine, now)
+	late, until := tracker.lateLoad(tracker.ledger.accepted+1, engine, now)
 	if order.Unload && until.IsZero() {
 		return true, time.Time{}
 	}
-	after := load{adapters: len(tracker.adapters)}
-	for _, model := range tracker.models {
+	after := load{adapters: len(tracker.ledger.adapters)}
+	for _, model := range tracker.ledger.models {
 		if !order.Unload || order.Adapter != "" || model != order.Model {
 			after.weightsMB += engine.Models[model].WeightsMB
 		}
@@ -106,12 +106,12 @@
 	case order.Adapter != "":
 		after.adapters++
 	case order.Unload:
-		for _, adapter := range tracker.adapters {
+		for _, adapter := range tracker.ledger.adapters {
 			if adapter.Model == order.Model {
 				after.adapters--
 			}
 		}
-	case !slices.Contains(tracker.models, order.Model):
+	case !slices.Contains(tracker.ledger.models, order.Model):
 		after.weightsMB += engine.Models[order.Model].WeightsMB
 	}
 	room := load{weightsMB: engine.WeightsMB - adapterMemoryMB(engine), adapters: engine.AdapterSlots}
--- a/copies/usage.go
+++ b/copies/usage.go
@@ -35,7 +35,7 @@
 // tracker's orderLock is taken.
 func (dispatcher *Dispatcher) leastUsedAdapter(tracker *Tracker) pool.Adapter {
 	tracker.mutex.Lock()
-	server, adapters, loadedAt := tracker.server, slices.Clone(tracker.adapters), maps.Clone(tracker.adapterLoadedAt)
+	server, adapters, loadedAt := tracker.server, slices.Clone(tracker.ledger.adapters), maps.Clone(tracker.adapterLoadedAt)
 	tracker.mutex.Unlock()
 	if len(adapters) == 0 {
 		return pool.Adapter{}
