--- a/engine/sendtracker.go
+++ b/engine/sendtracker.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 // sendTracker observes the connections of one HTTP request to determine whether
@@ -71,5 +73,9 @@
 	if err != nil {
 		return nil, &SendError{MaybeSent: sendTracker.maybeSent(), Cause: err}
 	}
+	if err := trunk.CheckHead(response); err != nil {
+		response.Body.Close()
+		return nil, &SendError{MaybeSent: true, Cause: err}
+	}
 	return response, nil
 }
--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -104,7 +104,10 @@
 		if line := enclosedStatusLine(response); line != "" {
 			return nil, &SplicedError{StatusLine: line}
 		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+		if err := CheckHead(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &StatusError{Status: response.StatusCode}
 		}
 		if response.StatusCode < http.StatusOK {
--- a/trunk/errors.go
+++ b/trunk/errors.go
@@ -51,6 +51,16 @@
 	return fmt.Sprintf("response header exceeds %d bytes", headerSizeError.Bytes)
 }
 
+// FieldNameError reports a response with a field whose name is no token.
+type FieldNameError struct {
+	Name string
+}
+
+// Error implements [error].
+func (fieldNameError *FieldNameError) Error() string {
+	return fmt.Sprintf("response has a field named %q", fieldNameError.Name)
+}
+
 // SplicedError reports a response whose header or body encloses the beginning of another
 // one.
 type SplicedError struct {
@@ -80,5 +90,5 @@
 
 // Error implements [error].
 func (statusError *StatusError) Error() string {
-	return fmt.Sprintf("status %d %s", statusError.Status, http.StatusText(statusError.Status))
+	return fmt.Sprintf("status %03d %s", statusError.Status, http.StatusText(statusError.Status))
 }
