engine: take no part of a body without a length for the whole

The end of the connection now ends the body of a success only if the request was written completely.

Sound answers: TestEndOfTheConnectionEndsTheBody.

--- a/engine/sendtracker.go
+++ b/engine/sendtracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -12,8 +13,10 @@
 )
 
 // sendTracker observes the connections of one HTTP request to determine whether
-// any of the request may have been sent to the server.
+// any of the request may have been sent to the server, and whether all of it was.
 type sendTracker struct {
+	// written receives the outcome of writing the request.
+	written chan error
 	// mu guards the fields below.
 	mu sync.Mutex
 	// conn is the connection last used; nil before there is one.
@@ -26,7 +29,51 @@
 // trace returns a context that makes the HTTP client report the connections
 // that a request uses.
 func (sendTracker *sendTracker) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sendTracker.recordConn})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: sendTracker.recordConn, WroteRequest: func(info httptrace.WroteRequestInfo) { sendTracker.recordWritten(info.Err) },
+	})
+}
+
+// recordWritten records the outcome of writing the request, of which the last one counts.
+func (sendTracker *sendTracker) recordWritten(err error) {
+	for {
+		select {
+		case sendTracker.written <- err:
+			return
+		case <-sendTracker.written:
+		}
+	}
+}
+
+// wroteAll reports whether the request was written completely. It waits for that until
+// canceled is closed; a server that has closed its connection soon ends the write.
+func (sendTracker *sendTracker) wroteAll(canceled <-chan struct{}) bool {
+	select {
+	case err := <-sendTracker.written:
+		sendTracker.recordWritten(err)
+		return err == nil
+	case <-canceled:
+		return false
+	}
+}
+
+// endingBody is the body of a success that has neither a length nor chunks, so that it ends
+// with its connection.
+type endingBody struct {
+	io.ReadCloser
+	tracker  *sendTracker
+	canceled <-chan struct{}
+}
+
+// Read implements [io.Reader]. The end of the connection is the regular end of the body only
+// if the request was written: if a server resets the connection before it has read the request,
+// the write that fails takes the error from the socket, and the read sees a regular end.
+func (endingBody endingBody) Read(buffer []byte) (int, error) {
+	count, err := endingBody.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) && !endingBody.tracker.wroteAll(endingBody.canceled) {
+		return count, io.ErrUnexpectedEOF
+	}
+	return count, err
 }
 
 func (sendTracker *sendTracker) recordConn(info httptrace.GotConnInfo) {
@@ -68,14 +115,17 @@
 
 // do sends request once. Its error is a *[SendError].
 func do(client *http.Client, request *http.Request) (*http.Response, error) {
-	var sendTracker sendTracker
-	response, err := client.Do(request.WithContext(sendTracker.trace(request.Context())))
+	tracker := &sendTracker{written: make(chan error, 1)}
+	response, err := client.Do(request.WithContext(tracker.trace(request.Context())))
 	if err != nil {
-		return nil, &SendError{MaybeSent: sendTracker.maybeSent(), Cause: err}
+		return nil, &SendError{MaybeSent: tracker.maybeSent(), Cause: err}
 	}
 	if err := trunk.CheckHead(response); err != nil {
 		response.Body.Close()
 		return nil, &SendError{MaybeSent: true, Cause: err}
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.StatusCode < http.StatusMultipleChoices {
+		response.Body = endingBody{ReadCloser: response.Body, tracker: tracker, canceled: request.Context().Done()}
+	}
 	return response, nil
 }
