--- a/engine/client.go
+++ b/engine/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 const (
@@ -38,7 +40,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: dial, TLSClientConfig: resumable(tlsConfig),
-			DisableKeepAlives: true, DisableCompression: true,
+			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: trunk.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/node/lister.go
+++ b/node/lister.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -11,10 +12,15 @@
 	"github.com/basilkeel/basilkeel/fleet"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/plat"
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
-// listTimeout is the timeout of one request for the instance list.
-const listTimeout = 2 * time.Second
+const (
+	// listTimeout is the timeout of one request for the instance list.
+	listTimeout = 2 * time.Second
+	// maxListBytes bounds the list, which has some hundred bytes for each instance.
+	maxListBytes = 4 << 20
+)
 
 // lister fetches the platform's instance list.
 type lister struct {
@@ -25,7 +31,9 @@
 // newLister returns a lister that opens a connection for each request, so that no earlier
 // list can arrive in place of the present one.
 func newLister(url string) *lister {
-	return &lister{url: url, client: &http.Client{Timeout: listTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &lister{url: url, client: &http.Client{
+		Timeout: listTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: trunk.MaxHeaderBytes},
+	}}
 }
 
 // read fetches the list and returns its members.
@@ -43,7 +51,7 @@
 		return nil, merry.Errorf("instance list: status %s", response.Status)
 	}
 	var list plat.InstanceList
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, merry.Prepend(err, "instance list")
 	}
 	if list.Instances == nil {
--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -22,9 +22,6 @@
 	maxMismatched = 2
 	// maxMismatchedBytes bounds the body of a response that is skipped.
 	maxMismatchedBytes = 1 << 20
-	// maxHeaderBytes bounds the header of a response, with any interim responses
-	// before it. Headers usually have a few hundred bytes.
-	maxHeaderBytes = 64 << 10
 )
 
 // connection is a connection to a backend server. One request uses it at a time.
--- a/trunk/head.go
+++ b/trunk/head.go
@@ -6,6 +6,10 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// MaxHeaderBytes bounds the header of a response, with any interim responses before it.
+// Headers usually have a few hundred bytes.
+const MaxHeaderBytes = 64 << 10
+
 // The statuses that HTTP allows.
 const (
 	minStatus = 100
--- a/trunk/limiter.go
+++ b/trunk/limiter.go
@@ -12,7 +12,7 @@
 }
 
 func (headerLimiter *headerLimiter) enable() {
-	headerLimiter.enabled, headerLimiter.remaining = true, maxHeaderBytes
+	headerLimiter.enabled, headerLimiter.remaining = true, MaxHeaderBytes
 }
 
 func (headerLimiter *headerLimiter) disable() { headerLimiter.enabled = false }
@@ -24,7 +24,7 @@
 		return headerLimiter.source.Read(buffer)
 	}
 	if headerLimiter.remaining <= 0 {
-		return 0, &HeaderSizeError{Bytes: maxHeaderBytes}
+		return 0, &HeaderSizeError{Bytes: MaxHeaderBytes}
 	}
 	count, err := headerLimiter.source.Read(buffer[:min(len(buffer), headerLimiter.remaining)])
 	headerLimiter.remaining -= count
