copies: remember unloads without an answer across restarts

Callers have not reported it.

Cause: loads of a former incarnation that got no answer are remembered, so that no order makes the count fit for one that has no room. Unloads were not, but a late unload is counted as well and can lead to the count of a late load.

Unloads are remembered and take nothing off.

Before: TestLateUnloadsLeadToLateLoads, an adapter beyond the slots.

The test keeps its log up to the violation.

--- a/copies/limits_test.go
+++ b/copies/limits_test.go
@@ -213,11 +213,18 @@
 	}
 	outcome := engine.judge(orderRequest)
 	state := engine.states[len(engine.states)-1]
-	engine.log = append(engine.log, fmt.Sprintf("%v term %d %+v if %d, late %t: outcome %v, accepted %d %v %v",
-		state.at.Sub(engine.states[0].at), orderRequest.Term, orderRequest.Order, orderRequest.Accepted, late, outcome, state.accepted, state.models, state.adapters))
+	engine.logf("term %d %+v if %d, late %t: outcome %v, accepted %d %v %v",
+		orderRequest.Term, orderRequest.Order, orderRequest.Accepted, late, outcome, state.accepted, state.models, state.adapters)
 	return outcome
 }
 
+// logf adds a line to the log until a limit is exceeded.
+func (engine *limitsEngine) logf(format string, arguments ...any) {
+	if len(engine.violations) == 0 {
+		engine.log = append(engine.log, fmt.Sprintf("%v ", time.Since(engine.states[0].at))+fmt.Sprintf(format, arguments...))
+	}
+}
+
 // judge executes or refuses an order to an engine that is up.
 func (engine *limitsEngine) judge(orderRequest copies.OrderRequest) copies.Outcome {
 	state := engine.states[len(engine.states)-1]
@@ -293,11 +300,12 @@
 // crash ends the incarnation. The next one holds nothing.
 func (engine *limitsEngine) crash() {
 	engine.up = false
-	engine.log = append(engine.log, "the engine ends")
+	engine.logf("the engine ends")
 	time.AfterFunc(limitsDowntime, func() {
 		engine.mutex.Lock()
 		defer engine.mutex.Unlock()
 		engine.start()
+		engine.logf("the engine starts")
 	})
 }
 
--- a/copies/unanswered.go
+++ b/copies/unanswered.go
@@ -40,9 +40,6 @@
 		return !now.Before(other.until) || !other.former && other.order == request.Order && other.accepted == request.Accepted &&
 			other.incarnation == request.Incarnation && other.address == request.Address
 	})
-	if request.Unload {
-		return
-	}
 	tracker.unanswered = append(tracker.unanswered, unansweredOrder{
 		order: request.Order, accepted: request.Accepted, incarnation: request.Incarnation, address: request.Address, until: now.Add(lateOrderLifetime),
 	})
@@ -69,9 +66,12 @@
 			if late.until.After(until) {
 				until = late.until
 			}
-			if late.order.Adapter != "" {
+			switch {
+			case late.order.Unload:
+				// It may take nothing off, and lead to the count that another one expects.
+			case late.order.Adapter != "":
 				most.adapters = 1
-			} else {
+			default:
 				most.weightsMB = max(most.weightsMB, engine.Models[late.order.Model].WeightsMB)
 			}
 		}
--- a/copies/unanswered_test.go
+++ b/copies/unanswered_test.go
@@ -282,3 +282,72 @@
 		})
 	}
 }
+
+// Guards against two orders that got no answer and meet the engine's next incarnation one after
+// the other: the first one, an unload, only moves the count to what the second one expects.
+func TestLateUnloadsLeadToLateLoads(t *testing.T) {
+	g := NewWithT(t)
+	engine := newFakeEngine("a")
+	engine.accepted, engine.history = 2, nil
+	engine.record()
+	orderings := &orderings{engine: engine, dispatcher: newDispatcher(engine, 1), incarnation: 1}
+	settle := func() {
+		for range 8 {
+			orderings.query()
+			orderings.dispatcher.Wait()
+		}
+	}
+	orderings.list(1)
+	settle()
+	orderings.load()
+	orderings.load()
+	g.Expect(engine.accepted).To(Equal(int64(4)), "all slots are taken")
+	engine.fate = func() fate { return fateDelayed }
+	orderings.load()
+	engine.fate = func() fate { return fateReplied }
+	settle()
+	unloaded := false
+	engine.fate = func() fate {
+		if unloaded {
+			return fateDelayed
+		}
+		unloaded = true
+		return fateReplied
+	}
+	orderings.load()
+	engine.fate = func() fate { return fateReplied }
+	unloads, loads := 0, 0
+	for _, delayed := range engine.delayed {
+		switch {
+		case delayed.Unload && delayed.Accepted == 4:
+			unloads++
+		case !delayed.Unload && delayed.Accepted == 5:
+			loads++
+		}
+	}
+	g.Expect(unloads).To(BeNumerically(">", 0))
+	g.Expect(loads).To(BeNumerically(">", 0))
+	engine.restart()
+	orderings.incarnation = 2
+	orderings.list(2)
+	settle()
+	for _, model := range []names.Model{"c", "x"} {
+		orderings.loadModel(model)
+		engine.finish()
+		orderings.dispatcher.SyncRegistry(orderings.servers(2), engine.clock.Now().Add(5*time.Second))
+		settle()
+	}
+	load := func(name names.Adapter) {
+		_ = orderings.dispatcher.LoadAdapter(context.Background(), engineID, pool.Adapter{Model: "c", Name: name}, engineSpec())
+	}
+	load("x8")
+	load("x9")
+	engine.deliverMatching()
+	engine.deliverMatching()
+	g.Expect(engine.recordedViolations()).To(BeEmpty())
+	g.Expect(engine.accepted).To(Equal(int64(3)), "the second adapter is withheld")
+	engine.delayed = nil
+	engine.clock.After(15 * time.Second)
+	load("x9")
+	g.Expect(engine.accepted).To(Equal(int64(4)), "no late order can arrive any more")
+}
