node: close no idle connection under a request

Cause: package net/http reports a connection as active once a header has been read. Until then it counted as idle and was closed, by a limit that a configuration had lowered, or at a stop; the handler executed the request.

A connection is now closed by ending the wait for the first byte of a request; a read that has got bytes keeps it. An idle period is judged by the higher of two limits, that of its begin and the present one, since its caller may not know a lower one yet.

Not changed: the program entry, which stops by http.Server.Shutdown and asks callers to close connections before.

--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -108,10 +107,10 @@
 			if err != nil {
 				return err
 			}
-			serveHTTP(server, listener, log)
+			serveHTTP(server, callerListener{Listener: listener}, log)
 			clock.Subscribe(ctx, sweepPeriod, func(_ context.Context, now time.Time) {
 				if snapshot := relay.Policy(); snapshot != nil && snapshot.Limits().IdleTimeout > 0 {
-					idleConnections.closeIdleSince(now.Add(-time.Duration(idleFactor * float64(snapshot.Limits().IdleTimeout))))
+					idleConnections.closeIdle(time.Duration(idleFactor*float64(snapshot.Limits().IdleTimeout)), now)
 				}
 			})
 			return nil
@@ -148,7 +147,7 @@
 		passed := clock.Now().Sub(began)
 		if passed >= minDrain {
 			relay.RejectRequests()
-			idleConnections.closeIdleSince(clock.Now())
+			idleConnections.closeAll()
 		}
 		if passed >= host.Bounds.StopGrace-killMargin {
 			relay.EndRequests()
@@ -167,41 +166,6 @@
 	}
 }
 
-// idleConnections tracks the callers' connections without a request in progress,
-// and since when.
-type idleConnections struct {
-	clock *clock.Service
-	// mutex guards since.
-	mutex sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func newIdleConnections(clock *clock.Service) *idleConnections {
-	return &idleConnections{clock: clock, since: map[net.Conn]time.Time{}}
-}
-
-func (idleConnections *idleConnections) setState(conn net.Conn, state http.ConnState) {
-	idleConnections.mutex.Lock()
-	defer idleConnections.mutex.Unlock()
-	switch state {
-	case http.StateIdle:
-		idleConnections.since[conn] = idleConnections.clock.Now()
-	case http.StateNew, http.StateActive, http.StateClosed, http.StateHijacked:
-		delete(idleConnections.since, conn)
-	}
-}
-
-func (idleConnections *idleConnections) closeIdleSince(limit time.Time) {
-	idleConnections.mutex.Lock()
-	defer idleConnections.mutex.Unlock()
-	for conn, since := range idleConnections.since {
-		if since.Before(limit) {
-			conn.Close()
-			delete(idleConnections.since, conn)
-		}
-	}
-}
-
 // sweep periodically removes servers that are gone, closes connections to unused
 // addresses, and logs the number of dropped log lines.
 func sweep(lifecycle fx.Lifecycle, servers *pool.Pool, trunk *trunk.Trunk, output *spool.Writer, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
