--- a/copies/limits_test.go
+++ b/copies/limits_test.go
@@ -12,12 +12,13 @@
 	"testing/synctest"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/copies"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/policy"
 	"github.com/basilkeel/basilkeel/pool"
-	metrics "github.com/rcrowley/go-metrics"
 )
 
 var (
@@ -334,7 +335,7 @@
 type limitsCoordinator struct {
 	engine     *limitsEngine
 	dispatcher *copies.Dispatcher
-	// until is when the term ends for this coordinator.
+	// mutex guards until, when the term ends for this coordinator.
 	mutex sync.Mutex
 	until time.Time
 }
--- a/engine/sendtracker.go
+++ b/engine/sendtracker.go
@@ -15,12 +15,15 @@
 // sendTracker observes the connections of one HTTP request to determine whether
 // any of the request may have been sent to the server, and whether all of it was.
 type sendTracker struct {
-	// written receives the outcome of writing the request.
-	written chan error
+	// written is closed once writing the request has ended.
+	written chan struct{}
 	// mu guards the fields below.
 	mu sync.Mutex
 	// conn is the connection last used; nil before there is one.
 	conn *trackedConn
+	// writeEnded reports whether writing the request has ended, and writeErr with which error.
+	writeEnded bool
+	writeErr   error
 	// untracked reports whether the request may have been sent on an earlier
 	// connection, or used one that is not a trackedConn.
 	untracked bool
@@ -34,14 +37,13 @@
 	})
 }
 
-// recordWritten records the outcome of writing the request, of which the last one counts.
+// recordWritten records the outcome of writing the request.
 func (sendTracker *sendTracker) recordWritten(err error) {
-	for {
-		select {
-		case sendTracker.written <- err:
-			return
-		case <-sendTracker.written:
-		}
+	sendTracker.mu.Lock()
+	defer sendTracker.mu.Unlock()
+	if !sendTracker.writeEnded {
+		sendTracker.writeEnded, sendTracker.writeErr = true, err
+		close(sendTracker.written)
 	}
 }
 
@@ -49,9 +51,10 @@
 // canceled is closed; a server that has closed its connection soon ends the write.
 func (sendTracker *sendTracker) wroteAll(canceled <-chan struct{}) bool {
 	select {
-	case err := <-sendTracker.written:
-		sendTracker.recordWritten(err)
-		return err == nil
+	case <-sendTracker.written:
+		sendTracker.mu.Lock()
+		defer sendTracker.mu.Unlock()
+		return sendTracker.writeErr == nil
 	case <-canceled:
 		return false
 	}
@@ -115,7 +118,7 @@
 
 // do sends request once. Its error is a *[SendError].
 func do(client *http.Client, request *http.Request) (*http.Response, error) {
-	tracker := &sendTracker{written: make(chan error, 1)}
+	tracker := &sendTracker{written: make(chan struct{})}
 	response, err := client.Do(request.WithContext(tracker.trace(request.Context())))
 	if err != nil {
 		return nil, &SendError{MaybeSent: tracker.maybeSent(), Cause: err}
--- a/event/platform.go
+++ b/event/platform.go
@@ -92,7 +92,7 @@
 	ResponseUnproven = define(9112, logrus.WarnLevel, "responseUnproven", "A response from the address of a backend server is a success without what proves that the server gave it, or contradicts itself on whether the request was run, or does not continue the stream that it was to resume; it was not forwarded, and the request counts as run. The cause names the defect.")
 	// QuarantineProbed is logged when a request is sent although a part of its prompt is
 	// quarantined.
-	QuarantineProbed = define(9113, logrus.InfoLevel, "quarantineProbed", "A request is sent to one backend server although the part of its prompt with the fingerprint is quarantined, to find out whether that still crashes servers.")
+	QuarantineProbed = define(9113, logrus.InfoLevel, "quarantineProbed", "A request is sent to one backend server although parts of its prompt are quarantined, to find out whether they still crash servers.")
 	// RequestWaits is logged when a request waits for a model to be loaded.
 	RequestWaits = define(9106, logrus.InfoLevel, "requestWaits", "A request waits until its model or adapter is loaded.")
 )
