mirror: await a reported revision until it is reached

Cause: a revision that is not above the mirror's own ended the suspicion that its watch is stalled. Such a coordinator reports its old revision four times a second, so that a watch that a silent outage had left without an answer was not noticed for up to 22 s, although each entry's own read of the service's revision showed the lag.

A reported revision that the mirror has not reached is awaited until it is reached or the watch counts as stalled; lower ones say nothing.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -102,8 +102,9 @@
 	mutex    sync.Mutex
 	loaded   bool
 	revision store.Revision
-	// behindSince is when a revision that this mirror has not reached was first
-	// reported, zero if it has reached all.
+	// awaited is a reported revision that this mirror has not reached, and behindSince when it
+	// was reported; both are zero if there is none.
+	awaited     store.Revision
 	behindSince time.Time
 	// interrupt cancels the current watch.
 	interrupt context.CancelFunc
@@ -305,17 +306,19 @@
 	}
 }
 
-// expectRevision cancels a watch that lags too far behind revision. It is called
-// with the mutex held.
+// expectRevision cancels a watch that lags too far behind a reported revision. A lower one
+// that is reported later does not show that the mirror is up to date, as who reports it may be
+// behind as well. It is called with the mutex held.
 func (mirror *Mirror) expectRevision(revision store.Revision) {
 	now := mirror.config.Clock.Now()
+	if mirror.awaited <= mirror.revision {
+		mirror.awaited, mirror.behindSince = 0, time.Time{}
+	}
 	switch {
-	case revision <= mirror.revision:
-		mirror.behindSince = time.Time{}
-	case mirror.behindSince.IsZero():
-		mirror.behindSince = now
-	case now.Sub(mirror.behindSince) > watchLagLimit && mirror.interrupt != nil:
-		mirror.watchStalled, mirror.behindSince = true, time.Time{}
+	case mirror.awaited == 0 && revision > mirror.revision:
+		mirror.awaited, mirror.behindSince = revision, now
+	case mirror.awaited > 0 && now.Sub(mirror.behindSince) > watchLagLimit && mirror.interrupt != nil:
+		mirror.watchStalled, mirror.awaited, mirror.behindSince = true, 0, time.Time{}
 		mirror.interrupt()
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -242,6 +242,26 @@
 	}, 2*time.Second, 50*time.Millisecond).Should(Equal("1"), "within the two seconds in which a policy has to be in force")
 }
 
+// Guards against a watch that reports no changes and is not noticed, as a coordinator that is
+// cut off from the service reports an old revision several times a second (review/6).
+func TestStalledWatchIsDetectedBesideOldRevisions(t *testing.T) {
+	g := NewWithT(t)
+	service := newFakeService()
+	follower, recorder := startMirror(t, service)
+	g.Eventually(follower.Revision, waitTimeout).Should(Equal(store.Revision(1)))
+	service.set(func(service *fakeService) { service.stalled = true })
+	revision := service.put("a", "1", false)
+	reported := 0
+	g.Eventually(func() string {
+		if reported%10 == 0 {
+			follower.Confirm(revision)
+		}
+		reported++
+		follower.ExpectRevision(1)
+		return recorder.value("a")
+	}, 2*time.Second, 50*time.Millisecond).Should(Equal("1"), "within the two seconds in which a policy has to be in force")
+}
+
 func TestOutageIsReported(t *testing.T) {
 	g := NewWithT(t)
 	service := newFakeService()
