--- a/crash/probes.go
+++ b/crash/probes.go
@@ -57,10 +57,10 @@
 func (aggregator *Aggregator) probeWait(parts []Fingerprint, now time.Time) time.Duration {
 	wait, failed := probeDelay, 0
 	for _, crash := range aggregator.suspects.quarantinedCrashes(now) {
-		if len(parts) > 1 && containsAll(parts, crash.parts) {
+		if len(parts) > 1 && ContainsAll(parts, crash.parts) {
 			wait = suspectProbeDelay
 		}
-		if len(crash.probed) > 0 && containsAll(parts, crash.probed) {
+		if len(crash.probed) > 0 && ContainsAll(parts, crash.probed) {
 			failed++
 		}
 	}
@@ -96,8 +96,8 @@
 	return crashes
 }
 
-// containsAll reports whether parts contains all of others.
-func containsAll(parts, others []Fingerprint) bool {
+// ContainsAll reports whether parts contains all of others.
+func ContainsAll(parts, others []Fingerprint) bool {
 	return !slices.ContainsFunc(others, func(other Fingerprint) bool { return !slices.Contains(parts, other) })
 }
 
--- a/engine/sendtracker.go
+++ b/engine/sendtracker.go
@@ -127,7 +127,7 @@
 		response.Body.Close()
 		return nil, &SendError{MaybeSent: true, Cause: err}
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.StatusCode < http.StatusMultipleChoices {
+	if trunk.EndsWithConnection(response) && response.StatusCode < http.StatusMultipleChoices {
 		response.Body = endingBody{ReadCloser: response.Body, tracker: tracker, canceled: request.Context().Done()}
 	}
 	return response, nil
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -51,7 +51,7 @@
 // parts of its prompt.
 func (exchange *exchange) probes(parts []crash.Fingerprint) bool {
 	if exchange.probedParts != nil {
-		return !slices.ContainsFunc(parts, func(part crash.Fingerprint) bool { return !slices.Contains(exchange.probedParts, part) })
+		return crash.ContainsAll(exchange.probedParts, parts)
 	}
 	granted, err := exchange.relay.config.Coordinator.Probe(exchange.request.Context(), parts)
 	if err != nil {
--- a/trunk/head.go
+++ b/trunk/head.go
@@ -16,6 +16,11 @@
 	maxStatus = 599
 )
 
+// EndsWithConnection reports whether the body of a response has neither a length nor chunks.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // CheckHead checks what package net/http accepts although it is no HTTP response: a status
 // that has no meaning, or a field whose name holds a blank. Other readers ignore or understand
 // a line such as "Content-Length : 5", so that they disagree about the body. It fails with a
--- a/trunk/trunk.go
+++ b/trunk/trunk.go
@@ -102,7 +102,7 @@
 		// A late second response to HEAD would be read with a body that it does not have.
 		keepAlive: !response.Close && request.Method != http.MethodHead,
 
-		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		EndsWithConnection: EndsWithConnection(response),
 	}, nil
 }
 
