engine, copies: more calls in a test, one way to settle in another

TestResetBeforeTheCallIsReadIsNoEnd made 40 calls. Three tests of copies settled the engine's state by the same loop, which is a method now.

--- a/copies/unanswered_test.go
+++ b/copies/unanswered_test.go
@@ -69,6 +69,18 @@
 	orderings.dispatcher.QueryUnknown(context.Background(), "notes")
 }
 
+// settleQueries is enough queries for a lower count of orders to show a restart: the report
+// cannot be an old one then.
+const settleQueries = 8
+
+// settle queries the engine repeatedly, until its state is known.
+func (orderings *orderings) settle(queries int) {
+	for range queries {
+		orderings.query()
+		orderings.dispatcher.Wait()
+	}
+}
+
 // load has another adapter loaded if there is room for it.
 func (orderings *orderings) load() {
 	orderings.adapters++
@@ -106,14 +118,8 @@
 						Engines: engine, Clock: clock.NewService(clock.ServiceConfig{Clock: engine.clock}),
 						Log: discardLogger(), Holder: "entry", Term: func() int64 { return 1 },
 					})
-					settle := func() {
-						for range 3 {
-							orderings.query()
-							orderings.dispatcher.Wait()
-						}
-					}
 					orderings.list(1)
-					settle()
+					orderings.settle(3)
 					orderings.load()
 					play := []func(){
 						func() { orderings.list(1) },
@@ -149,7 +155,7 @@
 					}
 					for round := range 4 {
 						orderings.list(orderings.incarnation)
-						settle()
+						orderings.settle(3)
 						if round%2 == 0 {
 							orderings.loadModel([]names.Model{"c", "d"}[round/2])
 							engine.finish()
@@ -244,15 +250,8 @@
 			engine.accepted, engine.history = 2, nil
 			engine.record()
 			orderings := &orderings{engine: engine, dispatcher: newDispatcher(engine, 1), incarnation: 1}
-			// A lower count of orders shows a restart only once the report cannot be an old one.
-			settle := func() {
-				for range 8 {
-					orderings.query()
-					orderings.dispatcher.Wait()
-				}
-			}
 			orderings.list(1)
-			settle()
+			orderings.settle(settleQueries)
 			orderings.load()
 			engine.fate = func() fate { return fateDelayed }
 			each.lost(orderings)
@@ -267,7 +266,7 @@
 				// The conflict with this order shows the count of the next incarnation.
 				orderings.load()
 			}
-			settle()
+			orderings.settle(settleQueries)
 			each.fill(orderings)
 			g.Expect(engine.accepted).To(Equal(int64(2)))
 			each.next(orderings)
@@ -291,21 +290,15 @@
 	engine.accepted, engine.history = 2, nil
 	engine.record()
 	orderings := &orderings{engine: engine, dispatcher: newDispatcher(engine, 1), incarnation: 1}
-	settle := func() {
-		for range 8 {
-			orderings.query()
-			orderings.dispatcher.Wait()
-		}
-	}
 	orderings.list(1)
-	settle()
+	orderings.settle(settleQueries)
 	orderings.load()
 	orderings.load()
 	g.Expect(engine.accepted).To(Equal(int64(4)), "all slots are taken")
 	engine.fate = func() fate { return fateDelayed }
 	orderings.load()
 	engine.fate = func() fate { return fateReplied }
-	settle()
+	orderings.settle(settleQueries)
 	unloaded := false
 	engine.fate = func() fate {
 		if unloaded {
@@ -330,12 +323,12 @@
 	engine.restart()
 	orderings.incarnation = 2
 	orderings.list(2)
-	settle()
+	orderings.settle(settleQueries)
 	for _, model := range []names.Model{"c", "x"} {
 		orderings.loadModel(model)
 		engine.finish()
 		orderings.dispatcher.SyncRegistry(orderings.servers(2), engine.clock.Now().Add(5*time.Second))
-		settle()
+		orderings.settle(settleQueries)
 	}
 	load := func(name names.Adapter) {
 		_ = orderings.dispatcher.LoadAdapter(context.Background(), engineID, pool.Adapter{Model: "c", Name: name}, engineSpec())
--- a/engine/earlyreset_test.go
+++ b/engine/earlyreset_test.go
@@ -18,6 +18,8 @@
 // Guards against a part of a body without a length that is taken for the whole, as the server
 // has reset the connection while the call was being written.
 func TestResetBeforeTheCallIsReadIsNoEnd(t *testing.T) {
+	// About one call in twenty sees the end of the connection.
+	const calls = 200
 	g := NewWithT(t)
 	url := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
 		_, _ = reader.Peek(1)
@@ -28,7 +30,7 @@
 	plain := engine.NewHTTPPlainService(engine.HTTPPlainServiceConfig{URL: url})
 	defer plain.Close()
 	whole := 0
-	for range 40 {
+	for range calls {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		_, err := plain.Call(ctx, engine.PlainCall{Request: "r-1", Account: "crew", Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: bytes.Repeat([]byte("y"), 16<<20)})
 		if err == nil {
