soak: play revoked keys behind a coordinator that is cut off, with real processes

Each entry has a way of its own to the store now, which can be silenced: calls in progress are never answered then.

The play silences the store for 3 s and the coordinator's way for 8 s, and revokes two keys after the outage. A lookup with a revoked key may not be accepted later than 2 s after the revocation and 3 s after the outage by an entry that is not cut off.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -174,6 +174,11 @@
 	// disturbed is the last time, in Unix nanoseconds, at which an entry was ended.
 	disturbed atomic.Int64
 	zones     zones
+	// binary is the program that entries run, logs the directory of their logs.
+	binary string
+	logs   string
+	// moreKeys are further keys of the client account, in the next configurations.
+	moreKeys []string
 	// mutex guards version and serializes the publication of configurations.
 	mutex   sync.Mutex
 	version int
@@ -210,13 +215,20 @@
 	for number := range *serversFlag {
 		soak.servers = append(soak.servers, newBackend(soak, services[number%len(services)], number))
 	}
+	soak.binary, soak.logs = binary, logs
+	soak.addEntries(*entriesFlag)
+	return soak
+}
+
+// addEntries adds a number of entries, which are not started.
+func (soak *soak) addEntries(count int) {
 	network := fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, (os.Getpid()/200)%250)
-	for number := range *entriesFlag {
+	for range count {
+		number := len(soak.entries)
 		soak.entries = append(soak.entries, &entry{
-			soak: soak, binary: binary, name: fmt.Sprintf("entry-%03d", number), ip: fmt.Sprintf("%s.%d", network, number+1), logs: logs,
+			soak: soak, binary: soak.binary, name: fmt.Sprintf("entry-%03d", number), ip: fmt.Sprintf("%s.%d", network, number+1), logs: soak.logs,
 		})
 	}
-	return soak
 }
 
 func (soak *soak) pause(duration time.Duration) { time.Sleep(duration) }
@@ -272,7 +284,7 @@
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{
-			{"name": tenantName, "apiKeys": []string{tenantKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000},
+			{"name": tenantName, "apiKeys": append([]string{tenantKey}, soak.moreKeys...), "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000},
 			{"name": confinedTenant, "apiKeys": []string{confinedKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000, "allowedRegions": []string{confinedRegion}},
 		},
 	})
@@ -427,6 +439,8 @@
 	name   string
 	ip     string
 	logs   string
+	// way is the process's way to the store; nil means a direct one.
+	way *storeWay
 	// turn is held by the disturbance that stops and starts the process.
 	turn sync.Mutex
 	// mutex guards the fields below.
@@ -440,6 +454,13 @@
 
 func (entry *entry) settingsPath() string { return filepath.Join(entry.logs, entry.name+".yaml") }
 
+func (entry *entry) storeAddress() string {
+	if entry.way != nil {
+		return entry.way.address()
+	}
+	return entry.soak.store.address()
+}
+
 func (entry *entry) writeSettings() {
 	settings := fmt.Sprintf(`nodeName: %q
 role: "entry"
@@ -453,7 +474,7 @@
 heartbeatMs: 1200
 bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5, evacuateMs: %d}
 platform: {address: %q, form: "kv", ttlMinMs: 1000}
-`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, memoryMegabytes, evacuateTime.Milliseconds(), entry.soak.store.address())
+`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, memoryMegabytes, evacuateTime.Milliseconds(), entry.storeAddress())
 	if err := os.WriteFile(entry.settingsPath()+".new", []byte(settings), 0o600); err != nil {
 		entry.soak.t.Error(err)
 	}
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -276,6 +276,11 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	keyValue.respond(writer, request)
+}
+
+// respond answers a call that reaches the service.
+func (keyValue *keyValue) respond(writer http.ResponseWriter, request *http.Request) {
 	status, answer, era := keyValue.answer(request)
 	writer.Header().Set("Content-Type", "application/json")
 	writer.Header().Set("Store-Era", strconv.Itoa(era))
