node, event: report connections that are closed under a request

A caller's connection that this process closes after bytes have arrived and without a response is logged (requestUnanswered) and counted (callers.unanswered.read, .unread). A caller that left first is not meant.

--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -96,7 +96,7 @@
 // serveRelay serves callers' requests. At shutdown it continues to serve until no
 // request is in progress and the load balancer has noticed that the entry is not
 // ready.
-func serveRelay(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, clock *clock.Service, log logrus.FieldLogger) {
+func serveRelay(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
 	idleConnections := newIdleConnections(clock)
 	server := newCallerServer(relay, idleConnections, log)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -107,7 +107,7 @@
 			if err != nil {
 				return err
 			}
-			serveHTTP(server, callerListener{Listener: listener}, log)
+			serveHTTP(server, callerListener{Listener: listener, reportUnanswered: newUnansweredReport(registry, log)}, log)
 			clock.Subscribe(ctx, sweepPeriod, func(_ context.Context, now time.Time) {
 				if snapshot := relay.Policy(); snapshot != nil && snapshot.Limits().IdleTimeout > 0 {
 					idleConnections.closeIdle(time.Duration(idleFactor*float64(snapshot.Limits().IdleTimeout)), now)
@@ -124,6 +124,20 @@
 	})
 }
 
+// newUnansweredReport returns a function that logs and counts connections that are closed
+// under a request.
+func newUnansweredReport(registry metrics.Registry, log logrus.FieldLogger) func(unanswered) {
+	read, unread := metrics.GetOrRegisterCounter("callers.unanswered.read", registry), metrics.GetOrRegisterCounter("callers.unanswered.unread", registry)
+	return func(lost unanswered) {
+		if lost.read > 0 {
+			read.Inc(1)
+		} else {
+			unread.Inc(1)
+		}
+		event.RequestUnanswered.Log(log, logrus.Fields{"remote": lost.remote.String(), "read": lost.read, "unread": lost.unread})
+	}
+}
+
 // newCallerServer returns the server of callers' requests. It leaves all requests to
 // handler: net/http would itself respond to OPTIONS * with success.
 func newCallerServer(handler http.Handler, idleConnections *idleConnections, log logrus.FieldLogger) *http.Server {
--- /dev/null
+++ b/node/unanswered_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// acceptCaller returns both ends of a caller's connection.
+func acceptCaller(t *testing.T, reportUnanswered func(unanswered)) (accepted *callerConn, dialed net.Conn) {
+	t.Helper()
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { listener.Close() })
+	dialed, err = net.Dial("tcp", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { dialed.Close() })
+	conn, err := callerListener{Listener: listener, reportUnanswered: reportUnanswered}.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { conn.Close() })
+	accepted, ok := conn.(*callerConn)
+	g.Expect(ok).To(BeTrue())
+	return accepted, dialed
+}
+
+// Guards against connections that this process closes under a request and that no log shows.
+func TestConnectionsClosedUnderRequestsAreReported(t *testing.T) {
+	cases := []struct {
+		name string
+		// sent is what the caller sends, of which read bytes are read, answer what it gets.
+		sent   string
+		read   int
+		answer string
+		// idle reports whether the connection becomes idle afterwards, left whether the caller
+		// closes it.
+		idle, left bool
+		reported   []unanswered
+	}{
+		{name: "a request that was read", sent: "request", read: 7, reported: []unanswered{{read: 7}}},
+		{name: "a request of which a part was read", sent: "request", read: 3, reported: []unanswered{{read: 3, unread: 4}}},
+		{name: "a request that was not read", sent: "request", reported: []unanswered{{unread: 7}}},
+		{name: "an answered request", sent: "request", read: 7, answer: "answer", idle: true},
+		{name: "a request after an answered one", sent: "request", read: 3, answer: "answer", idle: true, reported: []unanswered{{unread: 4}}},
+		{name: "a response that has begun", sent: "request", read: 7, answer: "ans"},
+		{name: "no request"},
+		{name: "a caller that has left", sent: "request", read: 7, left: true},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var reported []unanswered
+			accepted, dialed := acceptCaller(t, func(lost unanswered) {
+				lost.remote = nil
+				reported = append(reported, lost)
+			})
+			_, err := io.WriteString(dialed, each.sent)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadFull(accepted, make([]byte, each.read))
+			g.Expect(err).NotTo(HaveOccurred())
+			if each.answer != "" {
+				_, err = io.WriteString(accepted, each.answer)
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			if each.idle {
+				accepted.setIdle(true)
+			}
+			if each.left {
+				dialed.Close()
+				_, err = accepted.Read(make([]byte, 1))
+				g.Expect(err).To(MatchError(io.EOF))
+			}
+			g.Eventually(accepted.unread).Should(BeNumerically("==", len(each.sent)-each.read))
+			g.Expect(accepted.Close()).To(Succeed())
+			_ = accepted.Close()
+			g.Expect(reported).To(Equal(each.reported))
+		})
+	}
+}
