node: read what has arrived before an idle connection is closed

Callers saw a kept connection close under a request that had reached this process, when it was closed as idle or at a stop.

Cause: closing an idle connection ends the wait for its first byte by a deadline. package net reports that deadline without a look at the socket, so that bytes which arrived before the waiting goroutine ran were thrown away. The time in between is long where the processor is short, or after a pause of the whole process.

The ended read looks once more, without waiting, and bytes keep the connection open.

TestRequestThatArrivesAtTheCloseIsRead: EOF before, the request after.

--- a/node/callerconn.go
+++ b/node/callerconn.go
@@ -70,6 +70,9 @@
 	callerConn.mutex.Lock()
 	defer callerConn.mutex.Unlock()
 	callerConn.reading = false
+	if callerConn.closing && count == 0 {
+		count = callerConn.readArrived(buffer)
+	}
 	callerConn.read += int64(count)
 	callerConn.ended = callerConn.ended || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
@@ -79,6 +82,7 @@
 			callerConn.closing = false
 			// An error means that the connection has ended, which the next read reports.
 			_ = callerConn.SetReadDeadline(time.Time{})
+			err = nil
 		}
 	case callerConn.closing:
 		err = io.EOF
@@ -86,6 +90,24 @@
 	return count, err
 }
 
+// readArrived reads bytes that have arrived, without waiting. The read that was waiting for
+// them may have been ended before its goroutine ran.
+func (callerConn *callerConn) readArrived(buffer []byte) int {
+	raw, err := callerConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	count := 0
+	// An error means that the connection has ended.
+	_ = raw.Control(func(descriptor uintptr) {
+		count, err = unix.Read(int(descriptor), buffer)
+	})
+	if err != nil {
+		return 0
+	}
+	return count
+}
+
 // Write implements [net.Conn].
 func (callerConn *callerConn) Write(data []byte) (int, error) {
 	callerConn.mutex.Lock()
--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -79,3 +80,30 @@
 		})
 	}
 }
+
+// Guards against requests that arrive just before an idle connection is closed and are not
+// read: the wait for them has ended, and nothing looked whether they had arrived.
+func TestRequestThatArrivesAtTheCloseIsRead(t *testing.T) {
+	g := NewWithT(t)
+	accepted, dialed := acceptCaller(t, nil)
+	accepted.setIdle(true)
+	// Read has been called, but the goroutine has not got to wait for bytes yet.
+	accepted.mutex.Lock()
+	accepted.reading = true
+	accepted.mutex.Unlock()
+	g.Expect(accepted.closeIdle()).To(BeTrue())
+	_, err := io.WriteString(dialed, "request")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(accepted.unread).Should(BeNumerically("==", 7))
+	buffer := make([]byte, 16)
+	count, err := accepted.Read(buffer)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(buffer[:count])).To(Equal("request"))
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(dialed, "more")
+	}()
+	count, err = accepted.Read(buffer)
+	g.Expect(err).NotTo(HaveOccurred(), "the connection stays open")
+	g.Expect(string(buffer[:count])).To(Equal("more"))
+}
