relay: say at once what a stopping entry cannot finish

Around a roll callers saw streams cut after their first events: an entry that was stopping let them wait for their model for up to 5 s, sent them in the last second of its grace and ended them then. Others were sent though their output was too long. Another entry could have served them.

Cause: only requests that must not be repeated were compared with the time that is left, once, when they arrived; streams never.

A draining relay compares the time that a request may take with the time that is left: on arrival, while it waits, when the time of a load is known, and before it is sent. A stream takes the time to its response and of each token that 99 of 100 streams of its service have taken; with fewer than 20 known, and for what must not be repeated, all the time that it has. What does not fit is refused with 503 and Retry-After. A stream that has begun is continued.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -208,6 +208,9 @@
 	case err == nil:
 		exchange.recordCompletion(response)
 		exchange.recordDone(response.Status, bytes)
+		if exchange.sends == 1 {
+			exchange.relay.streams.add(exchange.service, exchange.info.OutputTokens, exchange.firstByteAt.Sub(response.sentAt), exchange.now().Sub(exchange.firstByteAt))
+		}
 		return true
 	case errors.As(err, &discontinuityError):
 		exchange.rejectContinuation(ctx, server, response, err)
--- /dev/null
+++ b/relay/drain.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/basilkeel/basilkeel/policy"
+)
+
+// Drain makes every further response close its connection. Requests are served if they will
+// be finished by until, and refused as soon as it is known that they may not be.
+func (relay *Relay) Drain(until time.Time) { relay.drainUntil.Store(&until) }
+
+// Draining reports whether [Relay.Drain] has been called.
+func (relay *Relay) Draining() bool { return relay.drainUntil.Load() != nil }
+
+// RejectRequests makes the relay refuse further requests, as they might not finish
+// before the process stops.
+func (relay *Relay) RejectRequests() { relay.rejecting.Store(true) }
+
+// EndRequests ends the requests in progress. Those whose response has not begun get one
+// that says whether they may have run.
+func (relay *Relay) EndRequests() { relay.progress.end() }
+
+// stopping returns the refusal of a request that another instance can serve.
+func stopping() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
+}
+
+// outlastsDrain reports whether the relay is draining and might have to end the request if it
+// were sent after a wait. A stream that has begun is continued for as long as possible.
+func (exchange *exchange) outlastsDrain(wait time.Duration) bool {
+	until := exchange.relay.drainUntil.Load()
+	if until == nil || exchange.stream != nil {
+		return false
+	}
+	return exchange.now().Add(wait + exchange.longestTime()).After(*until)
+}
+
+// longestTime returns how long the request may take if it is sent now. One that must not be
+// repeated counts with all the time that it has: if it is ended, its caller does not learn
+// whether it has run. So does a stream of a service whose streams are not known yet.
+func (exchange *exchange) longestTime() time.Duration {
+	left := exchange.deadline.Sub(exchange.now())
+	switch exchange.route.Kind {
+	case policy.KindSafe:
+		return min(left, time.Duration(exchange.route.MaxAttempts)*attemptTimeoutObjectives*exchange.route.Objective)
+	case policy.KindStream:
+		if longest, known := exchange.relay.streams.longest(exchange.service, exchange.info.OutputTokens); known {
+			return min(left, longest)
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/relay/drain_test.go
@@ -0,0 +1,101 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilkeel/basilkeel/names"
+	"github.com/basilkeel/basilkeel/policy"
+)
+
+// slowRoute returns a route whose requests may take much longer than a stop.
+func slowRoute(name string, kind policy.Kind, service names.Service) *policy.Route {
+	route := route(name, kind, service)
+	route.Timeout = 30 * time.Second
+	return route
+}
+
+// Guards against requests that a stopping instance serves although it has to end them, such
+// as streams that are cut after their first events, and against refusals of those that it can
+// finish.
+func TestStoppingEntryServesWhatItCanFinish(t *testing.T) {
+	// millisecondsPerToken is how fast servers write; the instance stops in stopTime.
+	const (
+		millisecondsPerToken = 1
+		stopTime             = 3 * time.Second
+	)
+	cases := []struct {
+		name   string
+		path   string
+		output int
+		// known is the number of streams that have ended before.
+		known  int
+		status int
+	}{
+		{name: "a short stream", path: "/draft/1", output: 40, known: 25, status: http.StatusOK},
+		{name: "a stream that takes longer", path: "/draft/1", output: 10_000, known: 25, status: http.StatusServiceUnavailable},
+		{name: "a stream of unknown times", path: "/draft/1", output: 40, known: 5, status: http.StatusServiceUnavailable},
+		{name: "a lookup", path: "/look/1", output: -1, status: http.StatusOK},
+		{name: "an order that may take longer", path: "/order/1", output: -1, status: http.StatusServiceUnavailable},
+		{name: "an order", path: "/quick/1", output: -1, status: http.StatusOK},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			fixture := newFixture(t, slowRoute("draft", policy.KindStream, "desk"), slowRoute("look", policy.KindSafe, "desk"),
+				slowRoute("order", policy.KindUnsafe, "desk"), route("quick", policy.KindUnsafe, "desk"))
+			seen := fixture.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
+				_, _ = fmt.Fprint(writer, events(1, 1))
+				_ = http.NewResponseController(writer).Flush()
+				tokens, _ := strconv.Atoi(request.Header.Get("Output"))
+				time.Sleep(time.Duration(tokens*millisecondsPerToken) * time.Millisecond)
+				_, _ = fmt.Fprint(writer, events(2, 2))
+			})
+			for range each.known {
+				g.Expect(fixture.call(http.MethodPost, "/draft/1", "", map[string]string{"Output": "50"}).status).To(Equal(http.StatusOK))
+			}
+			fixture.relay.Drain(time.Now().Add(stopTime))
+			result := fixture.call(http.MethodPost, each.path, "", map[string]string{"Output": strconv.Itoa(each.output)})
+			g.Expect(result.err).NotTo(HaveOccurred())
+			g.Expect(result.status).To(Equal(each.status))
+			if each.status == http.StatusOK {
+				return
+			}
+			g.Expect(result.header.Get("Retry-After")).NotTo(BeEmpty(), "another instance can serve it")
+			g.Expect(seen.count()).To(Equal(each.known))
+		})
+	}
+}
+
+// Guards against streams that wait at a stopping instance, are sent shortly before its end and
+// are cut then: rolls beside changes of the configuration cut some on most days.
+func TestWaitingRequestsThatOutlastAStopAreRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	fixture := newFixture(t, slowRoute("draft", policy.KindStream, "notes"))
+	seen := fixture.server("notes-1", "notes", ok)
+	waiting := make(chan struct{}, 1)
+	fixture.coordinator.onWait = func(names.Model) { waiting <- struct{}{} }
+	results := make(chan result, 1)
+	go func() {
+		results <- fixture.call(http.MethodPost, "/draft/1", "", map[string]string{"Model": "rare", "Output": "400"})
+	}()
+	g.Eventually(waiting, 5*time.Second).Should(Receive())
+	fixture.relay.Drain(time.Now().Add(4 * time.Second))
+	// The model is loaded in the last second of the stop.
+	time.AfterFunc(3500*time.Millisecond, func() {
+		server := *fixture.pool.Servers(time.Now())[0]
+		server.Models = []names.Model{"notes", "rare"}
+		fixture.pool.Put(&server)
+	})
+	var refused result
+	g.Eventually(results, 2*time.Second).Should(Receive(&refused), "what cannot be finished does not wait")
+	g.Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(refused.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(seen.count()).To(BeZero())
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -306,14 +306,16 @@
 		defer stop()
 	}
 	return relay.config.Trunk.Do(ctx, server.Address, &trunk.Request{
-		Method:      exchange.request.Method,
-		Target:      exchange.request.RequestURI,
-		Host:        exchange.request.Host,
-		Header:      relay.config.Codec.ServerHeader(exchange.request, attempt),
-		Body:        exchange.body,
-		Matches:     exchange.matcher(),
-		Skipped:     func(status int, header http.Header) { exchange.recordSkipped(server, status, header) },
-		StillWanted: func() bool { return exchange.maySend(server) && exchange.usePermit(server) },
+		Method:  exchange.request.Method,
+		Target:  exchange.request.RequestURI,
+		Host:    exchange.request.Host,
+		Header:  relay.config.Codec.ServerHeader(exchange.request, attempt),
+		Body:    exchange.body,
+		Matches: exchange.matcher(),
+		Skipped: func(status int, header http.Header) { exchange.recordSkipped(server, status, header) },
+		StillWanted: func() bool {
+			return !exchange.outlastsDrain(0) && exchange.maySend(server) && exchange.usePermit(server)
+		},
 	})
 }
 
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -48,6 +48,9 @@
 	if tokens, err := strconv.ParseInt(request.Header.Get("Tokens"), 10, 64); err == nil {
 		requestInfo.PromptTokens, requestInfo.OutputTokens = tokens, 0
 	}
+	if tokens, err := strconv.ParseInt(request.Header.Get("Output"), 10, 64); err == nil {
+		requestInfo.PromptTokens, requestInfo.OutputTokens = 0, tokens
+	}
 	parts := strings.Split(request.Header.Get("Parts"), ",")
 	requestInfo.SharedParts = parts[:len(parts)-1]
 	return requestInfo
@@ -61,6 +64,7 @@
 	header.Set("Account", string(attempt.Account))
 	header.Set("Resume", attempt.ResumeAfter)
 	header.Set("Parts", request.Header.Get("Parts"))
+	header.Set("Output", request.Header.Get("Output"))
 	return header
 }
 
--- a/relay/place.go
+++ b/relay/place.go
@@ -85,6 +85,9 @@
 			refusal.reason, refusal.retryAfter = ReasonQuarantined, 0
 			return nil, refusal
 		}
+		if exchange.outlastsDrain(0) {
+			return nil, stopping()
+		}
 		choice, deferral := exchange.choose(ctx)
 		if deferral != nil {
 			return nil, deferral
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,6 +92,7 @@
 	// draining.
 	drainUntil atomic.Pointer[time.Time]
 	progress   *progress
+	streams    *streams
 	homeFaults homeFaults
 	stalls     *stalls
 	transfers  *transfers
@@ -108,6 +109,7 @@
 	return &Relay{
 		config: config, budget: newBudget(config.RetryRatio, config.RetrySlack, config.RetryWindow),
 		progress:  &progress{cancels: map[*exchange]context.CancelFunc{}},
+		streams:   newStreams(),
 		stalls:    newStalls(),
 		transfers: newTransfers(config.Clock.Now),
 	}
@@ -119,18 +121,6 @@
 // Policy returns the current policy, or nil if there is none yet.
 func (relay *Relay) Policy() *policy.Snapshot { return relay.snapshot.Load() }
 
-// Drain makes every further response close its connection. Requests are still served,
-// except for those that must not be repeated and may take longer than until.
-func (relay *Relay) Drain(until time.Time) { relay.drainUntil.Store(&until) }
-
-// EndRequests ends the requests in progress. Those whose response has not begun get one
-// that says whether they may have run.
-func (relay *Relay) EndRequests() { relay.progress.end() }
-
-// RejectRequests makes the relay refuse further requests, as they might not finish
-// before the process stops.
-func (relay *Relay) RejectRequests() { relay.rejecting.Store(true) }
-
 // ActiveRequests returns the number of requests in progress.
 func (relay *Relay) ActiveRequests() int64 { return relay.active.Load() }
 
@@ -187,6 +177,7 @@
 			return &refusal{status: http.StatusUnauthorized, reason: ReasonUnknownKey}
 		}
 	}
+	exchange.service = exchange.route.Target(rand.Float64())
 	if refusal := exchange.bound(); refusal != nil {
 		return refusal
 	}
@@ -199,7 +190,6 @@
 	if refusal := exchange.holdStream(); refusal != nil {
 		return refusal
 	}
-	exchange.service = exchange.route.Target(rand.Float64())
 	return exchange.charge()
 }
 
@@ -207,7 +197,7 @@
 // them.
 func (relay *Relay) currentPolicy() (*policy.Snapshot, *refusal) {
 	if relay.rejecting.Load() {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
+		return nil, stopping()
 	}
 	snapshot := relay.snapshot.Load()
 	if snapshot == nil {
@@ -223,20 +213,12 @@
 	if exchange.info.Timeout > 0 && exchange.info.Timeout < exchange.route.Timeout {
 		exchange.deadline = exchange.started.Add(exchange.info.Timeout)
 	}
-	if exchange.outlastsDrain() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: drainRetryAfter}
+	if exchange.outlastsDrain(0) {
+		return stopping()
 	}
 	return exchange.confine()
 }
 
-// outlastsDrain reports whether the relay is draining and might have to end the request,
-// which must not be repeated, before its deadline. Streams are not meant, as they are much
-// shorter than their deadlines.
-func (exchange *exchange) outlastsDrain() bool {
-	until := exchange.relay.drainUntil.Load()
-	return until != nil && exchange.route.Kind == policy.KindUnsafe && exchange.deadline.After(*until)
-}
-
 // charge takes the request's cost from its account's limits.
 func (exchange *exchange) charge() *refusal {
 	if exchange.account == nil {
@@ -276,6 +258,3 @@
 
 // SetCoordinator sets the coordinator. It must be called before the first request.
 func (relay *Relay) SetCoordinator(coordinator Coordinator) { relay.config.Coordinator = coordinator }
-
-// Draining reports whether [Relay.Drain] has been called.
-func (relay *Relay) Draining() bool { return relay.drainUntil.Load() != nil }
--- a/relay/schedule.go
+++ b/relay/schedule.go
@@ -63,6 +63,9 @@
 			if !exchange.wait(ctx, decision.Wait) {
 				return nil, timeUp()
 			}
+			if exchange.outlastsDrain(0) {
+				return nil, stopping()
+			}
 		case sched.Refused:
 			exchange.countScheduling("refused")
 			return nil, refusalBy(decision)
@@ -98,7 +101,12 @@
 	if leaves := exchange.started.Add(exchange.route.StreamPatience()); exchange.route.Kind == policy.KindStream && leaves.Before(until) {
 		until = leaves
 	}
-	if noCopy.Ready <= 0 || !exchange.now().Add(noCopy.Ready).After(until) {
+	switch {
+	case noCopy.Ready <= 0:
+		return nil
+	case exchange.outlastsDrain(noCopy.Ready):
+		return stopping()
+	case !exchange.now().Add(noCopy.Ready).After(until):
 		return nil
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: ReasonModelNotLoaded, retryAfter: noCopy.Ready}
