relay: answer requests that a stop ends while they are being read

A request whose body was still read at the end of a stop got no response: its connection was closed.

Cause: only admitted requests were registered to be ended, with the context that their servers' responses are awaited by.

Requests are registered from their beginning. The end of a stop interrupts reading the body and the wait for memory or a loan, and they are refused with 503, as they have not run. An interruption that meets a body which has just been read ends the request's context in package net/http, which looked like a caller that has left and got no response; that is told apart now, also where slow callers are ended.

TestRequestsThatAreBeingReadAreAnsweredAtTheEndOfAStop: no response in 10 s before, in all three cases.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -143,7 +143,7 @@
 // does not look complete. It panics with [http.ErrAbortHandler].
 func (exchange *exchange) abort(cause error) {
 	exchange.cause = cause
-	if exchange.request.Context().Err() != nil {
+	if exchange.callerLeft() {
 		exchange.recordCallerLeft()
 	} else {
 		exchange.count("cut", ReasonAnswerBroken)
--- a/relay/body.go
+++ b/relay/body.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -36,8 +37,12 @@
 	receiveBytes = 200 << 10
 )
 
-// readBody reads the request's body of at most maxBytes; zero means no limit.
-func (exchange *exchange) readBody(maxBytes int64) *refusal {
+// readBody reads the request's body of at most maxBytes; zero means no limit. It fails if ctx
+// ends before.
+func (exchange *exchange) readBody(ctx context.Context, maxBytes int64) *refusal {
+	if exchange.request.ContentLength != 0 {
+		defer context.AfterFunc(ctx, exchange.interruptRead)()
+	}
 	var reader io.Reader = exchange.request.Body
 	length := exchange.request.ContentLength
 	if maxBytes > 0 {
@@ -64,7 +69,7 @@
 		} else if maxBytes > 0 && read >= memory.SmallBytes {
 			rest = maxBytes - read
 		}
-		if refusal := exchange.holdBody(piece, rest); refusal != nil {
+		if refusal := exchange.holdBody(ctx, piece, rest); refusal != nil {
 			return refusal
 		}
 		buffer := make([]byte, piece)
@@ -92,6 +97,8 @@
 	}
 	var sizeError *http.MaxBytesError
 	switch {
+	case exchange.relay.progress.hasEnded():
+		return stopping()
 	case errors.As(err, &sizeError):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooLarge}
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -101,6 +108,19 @@
 	}
 }
 
+// interruptRead makes reading the body fail.
+func (exchange *exchange) interruptRead() {
+	exchange.interrupted.Store(true)
+	// An error means that the connection has ended already.
+	_ = http.NewResponseController(exchange.writer).SetReadDeadline(interruptedAt)
+}
+
+// callerLeft reports whether the caller has closed the connection. The request's context also
+// ends if reading was interrupted just when the body had been read.
+func (exchange *exchange) callerLeft() bool {
+	return exchange.request.Context().Err() != nil && !exchange.interrupted.Load()
+}
+
 // fill reads until buffer is full or reading fails. The error is not nil if buffer is not
 // full.
 func fill(reader io.Reader, buffer []byte) (int, error) {
@@ -117,7 +137,7 @@
 
 // holdBody holds memory for the next piece of the body, of which rest bytes may follow with
 // that piece. It waits for memory for a limited time.
-func (exchange *exchange) holdBody(piece, rest int64) *refusal {
+func (exchange *exchange) holdBody(ctx context.Context, piece, rest int64) *refusal {
 	for {
 		wait, err := exchange.memory.HoldBody(piece, rest, exchange.now())
 		switch {
@@ -126,7 +146,7 @@
 			return exchange.memoryRefusal()
 		case wait == nil:
 			return nil
-		case !exchange.awaitMemory(wait):
+		case !exchange.awaitMemory(ctx, wait):
 			exchange.cause = &memory.ExhaustedError{Bytes: piece}
 			return exchange.memoryRefusal()
 		}
@@ -135,7 +155,7 @@
 
 // awaitMemory reports whether wait was granted before the request's time for waiting was
 // used up.
-func (exchange *exchange) awaitMemory(wait *memory.Wait) bool {
+func (exchange *exchange) awaitMemory(ctx context.Context, wait *memory.Wait) bool {
 	exchange.recordMemoryExhausted()
 	reply.SetReadBuffer(exchange.request, waitingReceiveBytes)
 	began := exchange.now()
@@ -151,7 +171,7 @@
 			exchange.memoryWait -= exchange.now().Sub(began)
 			reply.SetReadBuffer(exchange.request, receiveBytes)
 			return true
-		case <-exchange.request.Context().Done():
+		case <-ctx.Done():
 			wait.Cancel(exchange.now())
 			return false
 		case <-exchange.relay.config.Clock.After(min(left, memoryPollPeriod)):
--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -101,11 +101,10 @@
 	event.SlowCallerEnded.Log(relay.config.Log, logrus.Fields{
 		"request": callerWatch.exchange.info.ID, "seconds": callerWatch.exchange.now().Sub(callerWatch.began).Seconds(),
 	})
-	controller := http.NewResponseController(callerWatch.exchange.writer)
-	// An error means that the connection has ended already.
 	if callerWatch.reads {
-		_ = controller.SetReadDeadline(interruptedAt)
-	} else {
-		_ = controller.SetWriteDeadline(interruptedAt)
+		callerWatch.exchange.interruptRead()
+		return
 	}
+	// An error means that the connection has ended already.
+	_ = http.NewResponseController(callerWatch.exchange.writer).SetWriteDeadline(interruptedAt)
 }
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -99,3 +100,39 @@
 	g.Expect(refused.header.Get("Retry-After")).NotTo(BeEmpty())
 	g.Expect(seen.count()).To(BeZero())
 }
+
+// Guards against requests whose body is still read at the end of a stop, and that get no
+// response, as only admitted ones were ended.
+func TestRequestsThatAreBeingReadAreAnsweredAtTheEndOfAStop(t *testing.T) {
+	cases := []struct {
+		name   string
+		header string
+		body   string
+	}{
+		{name: "a body with a length", header: "Content-Length: 10", body: "part"},
+		{name: "a body with a length of which nothing has come", header: "Content-Length: 10"},
+		{name: "a body in chunks", header: "Transfer-Encoding: chunked", body: "4\r\npart\r\n"},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			fixture := newFixture(t, route("order", policy.KindUnsafe, "desk"))
+			seen := fixture.server("desk-1", "desk", ok)
+			conn := fixture.dialFront()
+			_, err := fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: desk.example\r\nId: call-1\r\nKey: secret\r\n%s\r\n\r\n%s", each.header, each.body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(fixture.relay.ActiveRequests, 5*time.Second).Should(BeNumerically("==", 1))
+			time.Sleep(50 * time.Millisecond)
+			fixture.relay.Drain(time.Now().Add(10 * time.Second))
+			fixture.relay.EndRequests()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			g.Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+			g.Expect(response.Close).To(BeTrue())
+			g.Expect(seen.count()).To(BeZero())
+		})
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,6 +44,8 @@
 	body       memory.Pieces
 	memory     *memory.Account
 	memoryWait time.Duration
+	// interrupted reports whether reading the body was interrupted.
+	interrupted atomic.Bool
 	// pendingHeld is what is held for an incomplete event beyond the buffers of a stream.
 	pendingHeld   int64
 	started       time.Time
@@ -353,7 +356,7 @@
 	exchange.cause = err
 	exchange.tried = append(exchange.tried, server.ID)
 	unsent := neverSent(err)
-	if ctx.Err() != nil && !unsent && exchange.request.Context().Err() != nil {
+	if ctx.Err() != nil && !unsent && exchange.callerLeft() {
 		// The caller has disconnected, which doesn't count against the server.
 		return
 	}
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -37,7 +37,7 @@
 // giveUp ends an admitted request that gets no server's response: with the refusal if it
 // has not run, else with status 502 or 504.
 func (exchange *exchange) giveUp(ctx context.Context, refusal *refusal) {
-	if exchange.request.Context().Err() != nil {
+	if exchange.callerLeft() {
 		exchange.recordCallerLeft()
 		return
 	}
@@ -45,6 +45,9 @@
 		if exchange.account != nil {
 			exchange.relay.config.Limiter.Refund(exchange.account, exchange.cost)
 		}
+		if exchange.relay.progress.hasEnded() {
+			refusal = stopping()
+		}
 		exchange.refuse(refusal)
 		return
 	}
@@ -62,7 +65,7 @@
 
 // refuse responds to a request that has not run.
 func (exchange *exchange) refuse(refusal *refusal) {
-	if exchange.request.Context().Err() != nil {
+	if exchange.callerLeft() {
 		exchange.recordCallerLeft()
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -146,20 +146,22 @@
 
 // serve admits the request and forwards it.
 func (exchange *exchange) serve() {
-	if refusal := exchange.admit(); refusal != nil {
-		exchange.refuse(refusal)
-		return
-	}
-	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
+	ctx, cancel := context.WithCancel(exchange.request.Context())
 	defer cancel()
 	exchange.relay.progress.begin(exchange, cancel)
 	defer exchange.relay.progress.finish(exchange)
+	if refusal := exchange.admit(ctx); refusal != nil {
+		exchange.refuse(refusal)
+		return
+	}
+	ctx, cancelAtDeadline := context.WithDeadline(ctx, exchange.deadline)
+	defer cancelAtDeadline()
 	exchange.forward(ctx)
 }
 
 // admit looks up the route and the account, reads the body and charges the account.
 // It returns nil if the request is admitted.
-func (exchange *exchange) admit() *refusal {
+func (exchange *exchange) admit(ctx context.Context) *refusal {
 	snapshot, refused := exchange.relay.currentPolicy()
 	if refused != nil {
 		return refused
@@ -184,7 +186,7 @@
 	if refusal := exchange.bound(); refusal != nil {
 		return refusal
 	}
-	if refusal := exchange.readBody(snapshot.Limits().BodyBytes); refusal != nil {
+	if refusal := exchange.readBody(ctx, snapshot.Limits().BodyBytes); refusal != nil {
 		return refusal
 	}
 	if exchange.quarantined() {
@@ -193,7 +195,7 @@
 	if refusal := exchange.holdStream(); refusal != nil {
 		return refusal
 	}
-	return exchange.charge()
+	return exchange.charge(ctx)
 }
 
 // currentPolicy returns the policy that requests are admitted by, or the refusal of all of
@@ -223,7 +225,7 @@
 }
 
 // charge takes the request's cost from its account's limits.
-func (exchange *exchange) charge() *refusal {
+func (exchange *exchange) charge(ctx context.Context) *refusal {
 	if exchange.account == nil {
 		return nil
 	}
@@ -231,7 +233,7 @@
 	cost := exchange.account.Cost(exchange.info.Tokens())
 	wait, taken := limiter.Take(exchange.account, cost, exchange.now())
 	if !taken && limiter.CanBorrow(exchange.now()) {
-		wait, taken = exchange.borrow(cost)
+		wait, taken = exchange.borrow(ctx, cost)
 	}
 	if !taken {
 		return &refusal{status: http.StatusTooManyRequests, reason: ReasonOverLimit, retryAfter: wait}
@@ -243,12 +245,12 @@
 // borrow takes the cost from the coordinator, unless that has just reported the
 // account's limits as exhausted. If the coordinator doesn't respond, a small amount
 // may be overdrawn.
-func (exchange *exchange) borrow(cost float64) (time.Duration, bool) {
+func (exchange *exchange) borrow(ctx context.Context, cost float64) (time.Duration, bool) {
 	limiter := exchange.relay.config.Limiter
 	if wait := limiter.ExhaustedFor(exchange.account.Name, exchange.now()); wait > 0 {
 		return wait, false
 	}
-	wait, lent, err := exchange.relay.config.Coordinator.Borrow(exchange.request.Context(), exchange.account.Name, cost)
+	wait, lent, err := exchange.relay.config.Coordinator.Borrow(ctx, exchange.account.Name, cost)
 	if err != nil {
 		exchange.cause = err
 		return noLoanRetryAfter, limiter.Overdraw(exchange.account, cost, exchange.now())
