relay: answer a request whose handling panics

A fault in the program closed the caller's connection without a response, as did any way through the relay that had written none.

ServeHTTP ensures a response in one place, unless the caller has left: 500, which does not say that the request has not run. The panic is reported as before, and a response that has begun is still cut.

--- a/relay/reason.go
+++ b/relay/reason.go
@@ -34,6 +34,8 @@
 const (
 	ReasonAnswerBroken Reason = "answerBroken"
 	ReasonTimeout      Reason = "timeout"
+	// ReasonInternal means that handling the request failed because of a fault in the program.
+	ReasonInternal Reason = "internal"
 )
 
 // Reasons for counting a response as late: its first event, the pause between two events
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -34,6 +34,25 @@
 	leastLoad float64
 }
 
+// ensureResponse is called when the request has been handled, also by a panic. It is the one
+// place that lets a connection be closed without a response: that of a caller that has left. All
+// other callers get one, whatever has happened to their request.
+func (exchange *exchange) ensureResponse() {
+	if exchange.writer.Begun() || exchange.callerLeft() {
+		return
+	}
+	exchange.count("failed", ReasonInternal)
+	event.RequestFailed.Log(exchange.relay.config.Log, exchange.fields(logrus.Fields{"status": http.StatusInternalServerError, "reason": string(ReasonInternal)}))
+	// What may have been set belongs to the response of a server.
+	clear(exchange.writer.Header())
+	exchange.writer.Header().Set("Connection", "close")
+	exchange.writeError(http.StatusInternalServerError, string(ReasonInternal), 0)
+	// After a panic the server closes the connection without sending what it has buffered. An error
+	// means that the connection has ended.
+	_ = exchange.writer.FlushError()
+	exchange.writer.Finish()
+}
+
 // giveUp ends an admitted request that gets no server's response: with the refusal if it
 // has not run, else with status 502 or 504.
 func (exchange *exchange) giveUp(ctx context.Context, refusal *refusal) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,6 +140,7 @@
 		memory:  relay.config.Memory.NewAccount(),
 	}
 	defer func() { exchange.memory.Close(exchange.now()) }()
+	defer exchange.ensureResponse()
 	exchange.serve()
 	exchange.writer.Finish()
 }
