--- a/node/callerstop.go
+++ b/node/callerstop.go
@@ -44,8 +44,8 @@
 	lateFrom := stop.clock.Now()
 	stop.poll(ctx, until, func(time.Time) bool { return stop.relay.ActiveBefore(lateFrom) == 0 })
 
-	// A connection that were accepted from now on might be closed without a response. An error means that
-	// the listener is closed already.
+	// A caller whose connection is refused can go elsewhere at once. An error means that the
+	// listener is closed already.
 	_ = stop.listener.Close()
 	stop.relay.RejectRequests()
 	stop.poll(ctx, until, func(now time.Time) bool {
