relay: begin a stream's response with its first event

A request for a stream ran at a server and got neither an answer nor a refusal: its connection closed. That is what the users report beside a change of the configuration; that it is the same is likely, not shown.

Cause: the header of the caller's response was written, but not sent, when the server's header had come. If the server broke off before the first event, or within it where the stream may be resumed, and no other server went on, the connection was closed like that of a response that has begun, although nothing had been sent.

The header is written when there is something to forward. Until then the attempt has failed like one without a response: another server may serve the request, else it gets 502.

Two cases of TestContinuedStreams asked for a closed connection where the second server had answered completely and the caller had been sent nothing; they ask for that whole answer, with its status, now.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -191,15 +191,16 @@
 // forwardStream forwards a stream as it arrives. A resumable stream is forwarded in whole
 // events, so that another server can continue after the last one. It returns true once
 // the caller's response is complete, panics if that can't be completed, and returns false
-// if nothing of the response was forwarded as it doesn't continue the stream.
+// if nothing of the response was forwarded, as it broke before or doesn't continue the stream.
 func (exchange *exchange) forwardStream(ctx context.Context, server *pool.Server, response *responseReader, encoding string) bool {
-	if exchange.stream == nil {
-		exchange.beginStream(response, encoding)
-	} else if err := exchange.stream.checkHeader(response, encoding); err != nil {
+	stream := exchange.stream
+	if stream == nil {
+		stream = newStream(response, encoding, exchange.route.Resumable)
+	} else if err := stream.checkHeader(response, encoding); err != nil {
 		exchange.rejectContinuation(ctx, server, response, err)
 		return false
 	}
-	bytes, err := exchange.copyEvents(response, newEventBuffer(exchange.stream))
+	bytes, err := exchange.copyEvents(response, newEventBuffer(stream))
 	var (
 		brokenError        *trunk.BrokenError
 		midEvent           *midEventError
@@ -207,6 +208,7 @@
 	)
 	switch {
 	case err == nil:
+		exchange.beginStream(stream, response)
 		exchange.recordCompletion(response)
 		exchange.recordDone(response.Status, bytes)
 		exchange.recordStreamDuration(response.sentAt)
@@ -218,6 +220,10 @@
 		exchange.abortLeft()
 	}
 	response.Close()
+	if exchange.stream == nil {
+		exchange.recordFailure(ctx, server, err)
+		return false
+	}
 	if !exchange.reserveResume(ctx) {
 		exchange.abort(err)
 	}
@@ -226,9 +232,13 @@
 	return true
 }
 
-// beginStream sends the caller the header of a stream.
-func (exchange *exchange) beginStream(response *responseReader, encoding string) {
-	exchange.stream = newStream(response, encoding, exchange.route.Resumable)
+// beginStream sends the caller the header of a stream, unless it has been sent. It is called
+// when there is something to forward: until then, the caller can be sent another response.
+func (exchange *exchange) beginStream(stream *stream, response *responseReader) {
+	if exchange.stream != nil {
+		return
+	}
+	exchange.stream = stream
 	exchange.setHeader(response).Del("Content-Length")
 	exchange.writer.WriteHeader(response.Status)
 	exchange.firstByteAt = exchange.now()
@@ -277,6 +287,7 @@
 			ready = append(ready, rest...)
 		}
 		if len(ready) > 0 {
+			exchange.beginStream(events.stream, response)
 			total += int64(len(ready))
 			if writeErr := writer.writeFlushed(ready); writeErr != nil {
 				return total, writeErr
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -168,9 +168,11 @@
 		name        string
 		runs        []run
 		maxAttempts int
-		want        string
-		whole       bool
-		resumes     []string
+		// status is that of the response; zero means 200 if there is a body.
+		status  int
+		want    string
+		whole   bool
+		resumes []string
 	}{
 		{name: "a second run", runs: []run{first, {bytes: rest}}, maxAttempts: 2, want: events(1, 4), whole: true, resumes: []string{"", "2"}},
 		{
@@ -227,13 +229,13 @@
 		},
 		{
 			name: "an error before the first event is complete", maxAttempts: 2,
-			runs: []run{{bytes: chunked(eventStream, "id: 1\ndata: piece 1\n")}, {bytes: whole("500 Internal Server Error", "", "failed")}},
-			want: "", resumes: []string{"", ""},
+			runs:   []run{{bytes: chunked(eventStream, "id: 1\ndata: piece 1\n")}, {bytes: whole("500 Internal Server Error", "", "failed")}},
+			status: http.StatusInternalServerError, want: "failed", whole: true, resumes: []string{"", ""},
 		},
 		{
 			name: "no stream before the first event is complete", maxAttempts: 2,
 			runs: []run{{bytes: chunked(eventStream, "id: 1\ndata: piece 1\n")}, {bytes: whole("200 OK", "Content-Type: application/json\r\n", "{}")}},
-			want: "", resumes: []string{"", ""},
+			want: "{}", whole: true, resumes: []string{"", ""},
 		},
 		{
 			name: "events without IDs can't be continued", maxAttempts: 2,
@@ -319,7 +321,10 @@
 			g := NewWithT(t)
 			fixture, resumes := runsFixture(t, true, each.maxAttempts, each.runs)
 			result := fixture.call(http.MethodPost, "/later/1", "prompt", map[string]string{"Model": "notes"})
-			if each.want != "" {
+			switch {
+			case each.status != 0:
+				g.Expect(result.status).To(Equal(each.status))
+			case each.want != "":
 				g.Expect(result.status).To(Equal(http.StatusOK))
 			}
 			g.Expect(result.body).To(Equal(each.want))
