soak: a request that ran gets a response

Only what came was checked; a connection that closed without a response was counted and no more. A request that ran at a server and whose caller waits has to get a response now, unless its entry was killed meanwhile (LOST), and no entry may close a connection after reading bytes of a request and without a response (UNANSWERED, from the log). The configurations of the soak draw other limits for idle connections.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -233,7 +233,7 @@
 		ledger.fault("HELD", "%s [%s, %s] had no response for %v", asked.key, asked.kind, asked.mode, responseTimeout)
 		return false
 	case ended(err):
-		ledger.count("closed without a response")
+		ledger.checkUnanswered(asked, caller.entry.lastKill())
 		return false
 	case err != nil:
 		ledger.fault("MIXED: no response in the protocol", "%s [%s, %s]: %v", asked.key, asked.kind, asked.mode, err)
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // keyHeader names a request in the ledger, also if it has no identifier of its own.
@@ -30,8 +31,9 @@
 	tenant string
 	model  string
 	body   []byte
-	// mode is how the caller behaves.
-	mode string
+	// mode is how the caller behaves, askedAt when it sent the request.
+	mode    string
+	askedAt time.Time
 	// refused is the status of a response that promises that the request never runs.
 	refused int
 	runs    []run
@@ -95,9 +97,21 @@
 func (ledger *ledger) ask(asked *asked) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
+	asked.askedAt = time.Now()
 	ledger.requests[asked.key] = asked
 }
 
+// checkUnanswered checks a request whose connection ended without a response, at an entry that
+// was last killed at some time. Callers that go on sending or have left are not meant.
+func (ledger *ledger) checkUnanswered(asked *asked, killedAt time.Time) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.counts["closed without a response"]++
+	if len(asked.runs) > 0 && killedAt.Before(asked.askedAt) && (asked.mode == "ordinary" || asked.mode == "lingers") {
+		ledger.addFault("LOST", "%s [%s, %s] ran at %s and its connection ended without a response", asked.key, asked.kind, asked.mode, asked.runs[0].server)
+	}
+}
+
 // begin records that a server runs a request and checks that it may. It returns nil if no
 // caller sent the request. The body is nil if the server has not read it yet.
 func (ledger *ledger) begin(server, service, zone string, request *http.Request, body []byte, plan func(asked *asked, number int) run) *run {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 // off and refuse, callers end in all ways, and entries, servers and the store fail.
 func TestSoakOfRealProcesses(t *testing.T) {
 	soak := newSoak(t)
+	soak.idleTimeouts = []time.Duration{600 * time.Millisecond, 3 * time.Second, 15 * time.Second}
 	soak.play(*durationFlag, !*calmFlag)
 }
 
@@ -153,6 +155,8 @@
 	splices bool
 	// routeTimeout is the shortest timeout of a route.
 	routeTimeout time.Duration
+	// idleTimeouts are drawn from for each configuration.
+	idleTimeouts []time.Duration
 	// intercept returns the response of servers to some requests; nil means to none.
 	intercept func(request *http.Request) (response string, known bool)
 	// modes, kinds and disturbances are drawn from.
@@ -190,6 +194,7 @@
 	soak := &soak{
 		t: t, random: newRandom(*seedFlag), store: newKeyValue(), ledger: newLedger(), routeTimeout: 3 * time.Second,
 		modes: callerModes, kinds: routeKinds, over: make(chan struct{}), disturbances: allDisturbances,
+		idleTimeouts: []time.Duration{15 * time.Second},
 	}
 	logs := *logsFlag
 	if logs == "" {
@@ -239,6 +244,7 @@
 	defer soak.mutex.Unlock()
 	soak.version += 1 + random.IntN(5)
 	split := random.IntN(100)
+	idleTimeout := soak.idleTimeouts[random.IntN(len(soak.idleTimeouts))]
 	// The requests to engines are scheduled while the longest objective is ten times the
 	// shortest; it is in the first version.
 	lateObjective := 8 * time.Second
@@ -282,7 +288,7 @@
 			{"name": homeService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false},
 			{"name": coldService, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerSecond},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
 		"tenants": []map[string]any{
 			{"name": tenantName, "apiKeys": append([]string{tenantKey}, soak.moreKeys...), "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000},
 			{"name": confinedTenant, "apiKeys": []string{confinedKey}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 10000000, "burst": 10000000, "allowedRegions": []string{confinedRegion}},
@@ -448,6 +454,14 @@
 	command  *exec.Cmd
 	ended    chan struct{}
 	expected bool
+	killedAt time.Time
+}
+
+// lastKill returns when the process was last killed.
+func (entry *entry) lastKill() time.Time {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	return entry.killedAt
 }
 
 func (entry *entry) address(port int) string { return fmt.Sprintf("%s:%d", entry.ip, port) }
@@ -530,6 +544,9 @@
 	entry.mutex.Lock()
 	command, ended := entry.command, entry.ended
 	entry.expected = true
+	if signal == syscall.SIGKILL {
+		entry.killedAt = time.Now()
+	}
 	entry.mutex.Unlock()
 	entry.soak.disturbed.Store(time.Now().UnixNano())
 	if command == nil {
@@ -545,6 +562,10 @@
 	}
 }
 
+// readUnanswered finds log lines on connections that were closed after bytes of a request were
+// read, and without a response.
+var readUnanswered = regexp.MustCompile(`.*"msg":"requestUnanswered".*"read":[1-9].*`)
+
 // checkLog checks that no process of the entry has panicked or found a data race. It
 // returns how many of its requests the coordinator has placed.
 func (entry *entry) checkLog() int {
@@ -557,6 +578,9 @@
 			entry.soak.ledger.fault("PANIC", "%s wrote:\n%s", entry.name, data[at:min(at+3000, len(data))])
 		}
 	}
+	for _, line := range readUnanswered.FindAll(data, -1) {
+		entry.soak.ledger.fault("UNANSWERED", "%s closed a connection under a request: %s", entry.name, line)
+	}
 	return bytes.Count(data, []byte(`"expectedFirstMs":`))
 }
 
@@ -564,7 +588,7 @@
 func (entry *entry) kill() {
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
-	entry.expected = true
+	entry.expected, entry.killedAt = true, time.Now()
 	if entry.command != nil {
 		_ = entry.command.Process.Kill()
 	}
