relay: refuse less in the first seconds of a stop, and cut no late stream

Too many streams were refused at a stop: the times that 99 of 100 streams have taken, and a quarter more, exceed the grace where the output that requests allow is much longer than what most get. Callers were refused elsewhere as well.

The time that 95 of 100 take decides now.

TestStoppingEntryServesWhatItCanFinish, three cases more: the late stream that might be cut was served before.

--- a/relay/drain.go
+++ b/relay/drain.go
@@ -14,15 +14,17 @@
 // Draining reports whether [Relay.Drain] has been called.
 func (relay *Relay) Draining() bool { return relay.drainUntil.Load() != nil }
 
-// LimitRequests makes a relay that is draining refuse further requests that may take longer
-// than a time.
+// LimitRequests makes a relay that is draining refuse further requests that are likely to take
+// longer than a time, and streams that might be cut in the end.
 func (relay *Relay) LimitRequests(longest time.Duration) { relay.lateLimit.Store(int64(longest)) }
 
-// limited reports whether a request that has just come may take too long, see
-// [Relay.LimitRequests].
+// limited reports whether a request that has just come is refused, see [Relay.LimitRequests].
 func (exchange *exchange) limited() bool {
-	limit := time.Duration(exchange.relay.lateLimit.Load())
-	return limit > 0 && exchange.longestTime() > limit
+	limit, until := time.Duration(exchange.relay.lateLimit.Load()), exchange.relay.drainUntil.Load()
+	if limit == 0 || until == nil {
+		return false
+	}
+	return exchange.likelyTime() > limit || exchange.route.Kind == policy.KindStream && exchange.deadline.After(*until)
 }
 
 // ActiveBefore returns the number of requests in progress that began before a time.
@@ -48,21 +50,21 @@
 	if until == nil || exchange.stream != nil {
 		return false
 	}
-	return exchange.now().Add(wait + exchange.longestTime()).After(*until)
+	return exchange.now().Add(wait + exchange.likelyTime()).After(*until)
 }
 
-// longestTime returns how long the request may take if it is sent now. One that must not be
-// repeated counts with all the time that it has: if it is ended, its caller does not learn
-// whether it has run. So does a stream of a service whose streams are not known yet.
-func (exchange *exchange) longestTime() time.Duration {
+// likelyTime returns how long the request is likely to take at most if it is sent now. One that
+// must not be repeated counts with all the time that it has: if it is ended, its caller does not
+// learn whether it has run. So does a stream of a service whose streams are not known yet.
+func (exchange *exchange) likelyTime() time.Duration {
 	left := exchange.deadline.Sub(exchange.now())
 	if exchange.route.Kind == policy.KindUnsafe {
 		return left
 	}
-	longest, known := exchange.relay.durations.longest(exchange.durationKey(), exchange.info.OutputTokens)
+	likely, known := exchange.relay.durations.likely(exchange.durationKey(), exchange.info.OutputTokens)
 	switch {
 	case known:
-		return min(left, longest)
+		return min(left, likely)
 	case exchange.route.Kind == policy.KindSafe:
 		return min(left, time.Duration(exchange.route.MaxAttempts)*attemptTimeoutObjectives*exchange.route.Objective)
 	default:
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -34,10 +34,15 @@
 		name   string
 		path   string
 		output int
-		// known is the number of streams that have ended before.
+		// known is the number of streams that have ended before, late whether the request comes
+		// when the load balancer sends none any more.
 		known  int
+		late   bool
 		status int
 	}{
+		{name: "a late stream that might be cut", path: "/draft/1", output: 40, known: 25, late: true, status: http.StatusServiceUnavailable},
+		{name: "a late stream that ends in time", path: "/brief/1", output: 40, known: 25, late: true, status: http.StatusOK},
+		{name: "a late lookup", path: "/look/1", output: -1, late: true, status: http.StatusOK},
 		{name: "a short stream", path: "/draft/1", output: 40, known: 25, status: http.StatusOK},
 		{name: "a stream that takes longer", path: "/draft/1", output: 10_000, known: 25, status: http.StatusServiceUnavailable},
 		{name: "a stream of unknown times", path: "/draft/1", output: 40, known: 5, status: http.StatusServiceUnavailable},
@@ -50,7 +55,7 @@
 			t.Parallel()
 			g := NewWithT(t)
 			fixture := newFixture(t, slowRoute("draft", policy.KindStream, "desk"), slowRoute("look", policy.KindSafe, "desk"),
-				slowRoute("order", policy.KindUnsafe, "desk"), route("quick", policy.KindUnsafe, "desk"))
+				slowRoute("order", policy.KindUnsafe, "desk"), route("quick", policy.KindUnsafe, "desk"), route("brief", policy.KindStream, "desk"))
 			seen := fixture.server("desk-1", "desk", func(writer http.ResponseWriter, request *http.Request) {
 				_, _ = fmt.Fprint(writer, events(1, 1))
 				_ = http.NewResponseController(writer).Flush()
@@ -62,6 +67,9 @@
 				g.Expect(fixture.call(http.MethodPost, "/draft/1", "", map[string]string{"Output": "50"}).status).To(Equal(http.StatusOK))
 			}
 			fixture.relay.Drain(time.Now().Add(stopTime))
+			if each.late {
+				fixture.relay.LimitRequests(time.Second)
+			}
 			result := fixture.call(http.MethodPost, each.path, "", map[string]string{"Output": strconv.Itoa(each.output)})
 			g.Expect(result.err).NotTo(HaveOccurred())
 			g.Expect(result.status).To(Equal(each.status))
--- a/relay/durations.go
+++ b/relay/durations.go
@@ -18,10 +18,10 @@
 	// minStreamTokens is the least output that a stream's duration is related to. Shorter streams
 	// take longer for a token, as their first and last events count.
 	minStreamTokens = 64
-	// longestQuantile is the fraction of responses that take no longer than the longest one, and
-	// longestMargin what is added for load that grows.
-	longestQuantile = 0.99
-	longestMargin   = 1.25
+	// likelyQuantile is the fraction of responses that take no longer than the likely time. The
+	// output of a stream is mostly much shorter than what its request allows, and a refusal costs
+	// callers as well: a request that goes elsewhere may be refused there.
+	likelyQuantile = 0.95
 )
 
 // durations knows how long the requests to each service take once they are sent. It is safe for
@@ -70,20 +70,20 @@
 	samples.perToken.Update(int64(perToken))
 }
 
-// longest returns the time that hardly a request exceeds, a stream with an output of some
+// likely returns the time that few requests exceed, for a stream with an output of up to some
 // tokens. It returns false if too few responses are known.
-func (durations *durations) longest(key durationKey, tokens int64) (time.Duration, bool) {
+func (durations *durations) likely(key durationKey, tokens int64) (time.Duration, bool) {
 	durations.mutex.Lock()
 	defer durations.mutex.Unlock()
 	samples, found := durations.samples[key]
 	if !found || samples.whole.Count() < minDurations {
 		return 0, false
 	}
-	longest := samples.whole.Percentile(longestQuantile)
+	likely := samples.whole.Percentile(likelyQuantile)
 	if key.kind == policy.KindStream {
-		longest += float64(streamTokens(tokens)) * samples.perToken.Percentile(longestQuantile)
+		likely += float64(streamTokens(tokens)) * samples.perToken.Percentile(likelyQuantile)
 	}
-	return time.Duration(longestMargin * longest), true
+	return time.Duration(likely), true
 }
 
 // streamTokens returns the tokens that the duration of a stream is related to. The output of a
