relay, node, soak: leave failures out of the times of streams; share two steps

A whole response to a request for a stream, such as a failure, counted as a stream of no length. The two last steps of a stop, and the start of two plays, were written twice.

--- a/node/callerstop.go
+++ b/node/callerstop.go
@@ -48,15 +48,15 @@
 	// listener is closed already.
 	_ = stop.listener.Close()
 	stop.relay.RejectRequests()
-	stop.poll(ctx, until, func(now time.Time) bool {
-		stop.connections.closeAll()
-		return stop.connections.openCount() == 0
-	})
+	stop.poll(ctx, until, stop.closed)
 	stop.relay.EndRequests()
-	stop.poll(ctx, stop.clock.Now().Add(endMargin), func(time.Time) bool {
-		stop.connections.closeAll()
-		return stop.connections.openCount() == 0
-	})
+	stop.poll(ctx, stop.clock.Now().Add(endMargin), stop.closed)
+}
+
+// closed closes the idle connections and reports whether no other one is open.
+func (stop *callerStop) closed(time.Time) bool {
+	stop.connections.closeAll()
+	return stop.connections.openCount() == 0
 }
 
 // poll calls done periodically until it returns true, the time is over or ctx is done.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -52,7 +52,7 @@
 		header.Set("Content-Length", strconv.Itoa(body.Len()))
 	}
 	exchange.recordCompletion(response)
-	exchange.relay.durations.addWhole(exchange.durationKey(), exchange.now().Sub(response.sentAt))
+	exchange.recordWholeDuration(response.sentAt)
 	// Neither the connection nor the request's body waits for a slow caller.
 	response.Close()
 	exchange.body = nil
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -7,8 +7,8 @@
 	"github.com/basilkeel/basilkeel/policy"
 )
 
-// Drain makes every further response close its connection. Requests are served if they will
-// be finished by until, and refused as soon as it is known that they may not be.
+// Drain makes every further response close its connection. Requests are served if they are
+// likely to be finished by until, and refused as soon as they are not.
 func (relay *Relay) Drain(until time.Time) { relay.drainUntil.Store(&until) }
 
 // Draining reports whether [Relay.Drain] has been called.
@@ -76,6 +76,14 @@
 	return durationKey{service: exchange.service, kind: exchange.route.Kind}
 }
 
+// recordWholeDuration records how long a whole response has taken. One to a request for a
+// stream, such as a failure, says nothing about streams.
+func (exchange *exchange) recordWholeDuration(sentAt time.Time) {
+	if exchange.route.Kind != policy.KindStream {
+		exchange.relay.durations.addWhole(exchange.durationKey(), exchange.now().Sub(sentAt))
+	}
+}
+
 // recordStreamDuration records how long a whole stream from one server has taken.
 func (exchange *exchange) recordStreamDuration(sentAt time.Time) {
 	if exchange.sends > 1 {
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -20,12 +20,9 @@
 	err    error
 }
 
-// Servers are too slow to answer orders within the grace of a stopping entry.
-func TestStopAnswersOrders(t *testing.T) {
-	const (
-		orderTime = 30 * time.Second
-		interval  = 150 * time.Millisecond
-	)
+// startSingle starts one entry with routes whose requests may outlast a stop.
+func startSingle(t *testing.T) (*soak, *entry) {
+	t.Helper()
 	soak := newSoak(t)
 	soak.modes = []string{"ordinary"}
 	soak.routeTimeout = 20 * time.Second
@@ -34,6 +31,16 @@
 	soak.entries = soak.entries[:1]
 	entry.start()
 	soak.expectService()
+	return soak, entry
+}
+
+// Servers are too slow to answer orders within the grace of a stopping entry.
+func TestStopAnswersOrders(t *testing.T) {
+	const (
+		orderTime = 30 * time.Second
+		interval  = 150 * time.Millisecond
+	)
+	soak, entry := startSingle(t)
 	var mutex sync.Mutex
 	reached, outcomes, quick := map[string]bool{}, map[string]stopOutcome{}, map[int]int{}
 	over := make(chan struct{})
@@ -142,14 +149,7 @@
 		lateAfter = 3 * time.Second
 		longTime  = 5 * time.Second
 	)
-	soak := newSoak(t)
-	soak.modes = []string{"ordinary"}
-	soak.routeTimeout = 20 * time.Second
-	soak.publish(soak.random)
-	entry := soak.entries[0]
-	soak.entries = soak.entries[:1]
-	entry.start()
-	soak.expectService()
+	soak, entry := startSingle(t)
 	reached := make(chan struct{}, 2)
 	soak.intercept = func(request *http.Request) (string, bool) {
 		switch request.URL.Path {
