mirror: let no late answer of a watch undo newer changes

Cause: the answer of a watch was recorded and handed on whatever had been applied while it was on its way; and changes were recorded under one lock and handed on under another.

The answer is reduced to what the mirror has not reached, and each record is handed on before the next one.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -96,7 +96,8 @@
 	retryDelay  time.Duration
 	lastWatch   time.Time
 	lastReset   time.Time
-	// handling serializes the calls of the handler that pass entries.
+	// handling serializes the calls of the handler that pass entries, in the order in which these
+	// are recorded. It is taken before mutex.
 	handling sync.Mutex
 	// mutex guards all below.
 	mutex    sync.Mutex
@@ -191,6 +192,8 @@
 // Apply applies changes of another mirror after this mirror's revision. The mirror
 // does not watch the service until attachTimeout after the last call.
 func (mirror *Mirror) Apply(entries []store.Entry, to store.Revision, whole bool) {
+	mirror.handling.Lock()
+	defer mirror.handling.Unlock()
 	mirror.mutex.Lock()
 	if !mirror.loaded || to < mirror.revision {
 		mirror.mutex.Unlock()
@@ -200,16 +203,12 @@
 	if mirror.interrupt != nil {
 		mirror.interrupt()
 	}
-	fresh := entries[:0:0]
-	for _, entry := range entries {
-		if whole || entry.Revision() > mirror.revision {
-			fresh = append(fresh, entry)
-		}
+	fresh := entries
+	if !whole {
+		fresh = mirror.newer(entries)
 	}
 	mirror.record(fresh, to, whole)
 	mirror.mutex.Unlock()
-	mirror.handling.Lock()
-	defer mirror.handling.Unlock()
 	switch {
 	case whole:
 		mirror.config.Handler.Replaced(withoutDeleted(fresh))
@@ -218,6 +217,11 @@
 	}
 }
 
+// newer returns the entries that the mirror has not reached yet. It is called with the mutex held.
+func (mirror *Mirror) newer(entries []store.Entry) []store.Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(entry store.Entry) bool { return entry.Revision() <= mirror.revision })
+}
+
 // Detach makes this mirror watch the service again, as the other mirror may be out
 // of date.
 func (mirror *Mirror) Detach() {
@@ -375,12 +379,12 @@
 		if err != nil {
 			return err
 		}
+		mirror.handling.Lock()
+		defer mirror.handling.Unlock()
 		mirror.mutex.Lock()
 		mirror.loaded = true
 		mirror.record(entries, revision, true)
 		mirror.mutex.Unlock()
-		mirror.handling.Lock()
-		defer mirror.handling.Unlock()
 		mirror.config.Handler.Replaced(entries)
 		return nil
 	}
@@ -407,14 +411,16 @@
 	if err != nil {
 		return err
 	}
+	mirror.handling.Lock()
+	defer mirror.handling.Unlock()
 	mirror.mutex.Lock()
 	mirror.interrupt = nil
-	mirror.record(entries, revision, false)
+	// Another mirror's changes may have been applied while the answer was on its way.
+	fresh := mirror.newer(entries)
+	mirror.record(fresh, revision, false)
 	mirror.mutex.Unlock()
-	mirror.handling.Lock()
-	defer mirror.handling.Unlock()
-	if len(entries) > 0 {
-		mirror.config.Handler.Changed(entries)
+	if len(fresh) > 0 {
+		mirror.config.Handler.Changed(fresh)
 	}
 	return nil
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -378,3 +379,62 @@
 	g.Expect(entries).To(HaveLen(1))
 	g.Expect(to).To(Equal(store.Revision(6)))
 }
+
+// lateSource delivers the answer of a watch only after another mirror's changes were applied.
+type lateSource struct {
+	*fakeService
+	// between is called once, when a watch has an answer.
+	between func()
+}
+
+// Changes implements [mirror.Source].
+func (lateSource *lateSource) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Entry, store.Revision, error) {
+	entries, to, err := lateSource.fakeService.Changes(ctx, prefix, after, wait)
+	if err == nil && len(entries) > 0 && lateSource.between != nil {
+		lateSource.between()
+		lateSource.between = nil
+	}
+	return entries, to, err
+}
+
+// Guards against changes that are handed on in the wrong order where another mirror's newer ones
+// are applied while the answer of a watch is on its way: a removed server would stay listed, a
+// revoked key accepted.
+func TestLateAnswerOfWatchDoesNotUndoNewerChanges(t *testing.T) {
+	g := NewWithT(t)
+	service := newFakeService()
+	source := &lateSource{fakeService: service}
+	recorder := &recorder{values: map[string]string{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	mirrored := mirror.New(mirror.Config{Source: source, Handler: recorder, Clock: clock.NewService(clock.ServiceConfig{}), Log: log})
+	applied := make(chan struct{})
+	source.between = func() {
+		defer close(applied)
+		revision := service.put("servers/a", "", true)
+		removal := store.NewEntry(store.EntryConfig{Key: "servers/a", Revision: revision, Deleted: true})
+		mirrored.Apply([]store.Entry{removal}, revision, false)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		mirrored.Run(ctx)
+	}()
+	defer func() { cancel(); <-ended }()
+	g.Eventually(func() int { _, watches := service.counts(); return watches }, 5*time.Second).Should(BeNumerically(">", 0))
+	service.put("servers/a", "listed", false)
+	g.Eventually(applied, 5*time.Second).Should(BeClosed())
+	listed := func() map[string]string {
+		recorder.mutex.Lock()
+		defer recorder.mutex.Unlock()
+		return maps.Clone(recorder.values)
+	}
+	g.Consistently(listed, 200*time.Millisecond).ShouldNot(HaveKey("servers/a"))
+	mirrored.Confirm(mirrored.Revision())
+	entries, _, _, fresh := mirrored.Since(0)
+	g.Expect(fresh).To(BeTrue())
+	for _, entry := range entries {
+		g.Expect(entry.Deleted()).To(BeTrue(), "what is passed on to other mirrors")
+	}
+}
