--- a/soak/slow_test.go
+++ b/soak/slow_test.go
@@ -84,10 +84,11 @@
 		if !found {
 			continue
 		}
-		within := used <= memoryMegabytes<<10
+		limit := int64(entry.megabytes) << 10
+		within := used <= limit
 		_, _ = fmt.Sscan(text, &used)
-		if within && used > memoryMegabytes<<10 {
-			entry.soak.ledger.fault("MEMORY", "%s uses %d kB of %d MB", entry.name, used, memoryMegabytes)
+		if within && used > limit {
+			entry.soak.ledger.fault("MEMORY", "%s uses %d kB of %d MB", entry.name, used, entry.megabytes)
 		}
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -231,7 +231,7 @@
 	for range count {
 		number := len(soak.entries)
 		soak.entries = append(soak.entries, &entry{
-			soak: soak, binary: soak.binary, name: fmt.Sprintf("entry-%03d", number), ip: fmt.Sprintf("%s.%d", network, number+1), logs: soak.logs,
+			soak: soak, binary: soak.binary, name: fmt.Sprintf("entry-%03d", number), ip: fmt.Sprintf("%s.%d", network, number+1), logs: soak.logs, megabytes: memoryMegabytes,
 		})
 	}
 }
@@ -445,6 +445,10 @@
 	name   string
 	ip     string
 	logs   string
+	// megabytes is the memory of the instance, and descriptors the number of its descriptors;
+	// zero means no bound.
+	megabytes   int
+	descriptors int
 	// way is the process's way to the store; nil means a direct one.
 	way *storeWay
 	// turn is held by the disturbance that stops and starts the process.
@@ -484,11 +488,11 @@
 zones: {%s}
 listenAddrs: {front: "%s", ready: "%s", control: "%s"}
 portRange: [%d, %d]
-limits: {cpuShare: 1, cores: 1, memoryMb: %d, linkMbps: 1000}
+limits: {cpuShare: 1, cores: 1, memoryMb: %d, maxFds: %d, linkMbps: 1000}
 heartbeatMs: 1200
 bounds: {contactMs: 3000, graceS: 8, budgetRatio: 1, retrySlack: 500, budgetWindowS: 10, requireFence: true, ceilingWindowS: 5, evacuateMs: %d}
 platform: {address: %q, form: "kv", ttlMinMs: 1000}
-`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, memoryMegabytes, evacuateTime.Milliseconds(), entry.storeAddress())
+`, entry.name, entry.ip, formatZones(), entry.address(frontPort), entry.address(readyPort), entry.address(readyPort+1), firstPort, firstPort+15, entry.megabytes, entry.descriptors, evacuateTime.Milliseconds(), entry.storeAddress())
 	if err := os.WriteFile(entry.settingsPath()+".new", []byte(settings), 0o600); err != nil {
 		entry.soak.t.Error(err)
 	}
