--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -238,7 +238,7 @@
 		crowdSoak.pause(crowdTime / 2)
 		served := false
 		for ctx.Err() == nil && !served {
-			served = crowdSoak.servedWithin(time.Second)
+			served = crowdSoak.servedWithin(time.Second) && ctx.Err() == nil
 		}
 		if !served {
 			t.Errorf("no ordinary request is served beside %d clients that send %s", crowd.clients, crowd.name)
