accept, memory, node: what connections and heads hold is counted before a head is parsed

Cause: package net/http parses a head into a map as it arrives, where a field of six bytes takes over a hundred, and only the bytes were bounded, by a constant of 64 KiB: the configuration's maxHeaderBytes and headerTimeoutMs were not read. Nothing counted connections or heads against the memory of the process, and nothing bounded their number.

Change: package accept owns the connections of callers (callerConn, callerConnections and callerStop move there from node). A Conn gives net/http a head only once it is whole, within the configured limits, and what it will take parsed is held before. One Table refuses: with 431, 400, 408 or 503 and Retry-After, which say that the request has not run. When there is no room, those make way that have gone longest without a whole request. Package memory has two more purposes, connection and head, with a reserve of their own.

Tried: a limit on the number of fields would refuse heads inside the limits.

--- a/node/idleclose_test.go
+++ b/accept/idleclose_test.go
@@ -1,4 +1,4 @@
-package node
+package accept
 
 import (
 	"bufio"
@@ -14,9 +14,6 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
-
-	"github.com/basilkeel/basilkeel/clock"
 )
 
 // Guards against a request that gets neither an answer nor a refusal, as its connection counts
@@ -28,18 +25,14 @@
 		played  = 4 * time.Second
 	)
 	g := NewWithT(t)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	var begun sync.Map
-	callerConnections := newCallerConnections(clock.NewService(clock.ServiceConfig{}))
-	server := newCallerServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
 		begun.Store(request.URL.Path, true)
 		writer.WriteHeader(http.StatusOK)
-	}), callerConnections, log)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	serveHTTP(server, callerListener{Listener: listener}, log)
+	}), nil)
+	listener := listenLocally(t, ListenerConfig{Table: newTestTable(nil)})
+	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { server.Close() })
 
 	ended := time.After(played)
@@ -90,7 +83,7 @@
 		case <-ended:
 			playing = false
 		default:
-			callerConnections.closeAll()
+			listener.CloseIdle()
 			time.Sleep(100 * time.Microsecond)
 		}
 	}
@@ -106,20 +99,15 @@
 func TestLoweredIdleLimitHoldsForNewIdlePeriods(t *testing.T) {
 	g := NewWithT(t)
 	fake := clockwork.NewFakeClock()
-	callerConnections := newCallerConnections(clock.NewService(clock.ServiceConfig{Clock: fake}))
-	idle := func() *callerConn {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(func() { listener.Close() })
-		dialed, err := net.Dial("tcp", listener.Addr().String())
-		g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(func() { dialed.Close() })
-		accepted, err := callerListener{Listener: listener}.Accept()
-		g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(func() { accepted.Close() })
-		conn, ok := accepted.(*callerConn)
-		g.Expect(ok).To(BeTrue())
-		callerConnections.setState(conn, http.StateIdle)
+	table := newTestTable(fake)
+	listener := listenLocally(t, ListenerConfig{Table: table})
+	sweep := func(limit time.Duration) {
+		listener.SetLimits(Limits{IdleTimeout: limit})
+		table.Sweep(fake.Now())
+	}
+	idle := func() *Conn {
+		conn, _ := acceptFrom(t, listener)
+		SetState(conn, http.StateIdle)
 		go func() { _, _ = conn.Read(make([]byte, 1)) }()
 		g.Eventually(func() bool {
 			conn.mutex.Lock()
@@ -128,27 +116,27 @@
 		}).Should(BeTrue())
 		return conn
 	}
-	closing := func(conn *callerConn) bool {
+	closing := func(conn *Conn) bool {
 		conn.mutex.Lock()
 		defer conn.mutex.Unlock()
-		return conn.closing || !conn.reading
+		return conn.ending != notEnding || !conn.reading
 	}
-	callerConnections.closeIdle(20*time.Second, fake.Now())
+	sweep(20 * time.Second)
 	former := idle()
 	fake.Advance(10 * time.Second)
-	callerConnections.closeIdle(5*time.Second, fake.Now())
+	sweep(5 * time.Second)
 	next := idle()
 	g.Expect(closing(former)).To(BeFalse(), "10 s of 20 s")
 	fake.Advance(6 * time.Second)
-	callerConnections.closeIdle(5*time.Second, fake.Now())
+	sweep(5 * time.Second)
 	g.Expect(closing(former)).To(BeFalse(), "16 s of 20 s")
 	g.Expect(closing(next)).To(BeTrue(), "6 s of 5 s")
-	callerConnections.closeIdle(30*time.Second, fake.Now())
+	sweep(30 * time.Second)
 	fake.Advance(6 * time.Second)
-	callerConnections.closeIdle(30*time.Second, fake.Now())
+	sweep(30 * time.Second)
 	g.Expect(closing(former)).To(BeFalse(), "22 s of 30 s: a higher limit holds at once")
 	fake.Advance(10 * time.Second)
-	callerConnections.closeIdle(30*time.Second, fake.Now())
+	sweep(30 * time.Second)
 	g.Expect(closing(former)).To(BeTrue(), "32 s of 30 s")
 }
 
@@ -157,13 +145,13 @@
 func TestUnusedConnectionsAreClosedByStopsOnly(t *testing.T) {
 	g := NewWithT(t)
 	fake := clockwork.NewFakeClock()
-	connections := newCallerConnections(clock.NewService(clock.ServiceConfig{Clock: fake}))
-	reading := func() (accepted *callerConn, dialed net.Conn, read chan error) {
-		accepted, dialed = acceptCaller(t, nil)
-		connections.setState(accepted, http.StateNew)
+	table := newTestTable(fake)
+	listener := listenLocally(t, ListenerConfig{Table: table})
+	reading := func() (accepted *Conn, dialed net.Conn, read chan error) {
+		accepted, dialed = acceptFrom(t, listener)
 		read = make(chan error, 1)
 		go func() {
-			_, err := accepted.Read(make([]byte, 16))
+			_, err := accepted.Read(make([]byte, 64))
 			read <- err
 		}()
 		g.Eventually(func() bool {
@@ -175,12 +163,13 @@
 	}
 	_, _, unused := reading()
 	_, dialed, used := reading()
-	connections.closeIdle(time.Second, fake.Now().Add(time.Hour))
+	listener.SetLimits(Limits{IdleTimeout: time.Second})
+	table.Sweep(fake.Now().Add(time.Hour))
 	g.Consistently(unused, 50*time.Millisecond).ShouldNot(Receive())
-	_, err := io.WriteString(dialed, "request")
+	_, err := io.WriteString(dialed, "GET / HTTP/1.1\r\n\r\n")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(used).Should(Receive(BeNil()))
-	connections.closeAll()
+	listener.CloseIdle()
 	g.Eventually(unused).Should(Receive(MatchError(io.EOF)))
-	g.Expect(connections.openCount()).To(Equal(2))
+	g.Expect(listener.OpenCount()).To(Equal(2))
 }
--- a/node/callerreset_test.go
+++ b/accept/reset_test.go
@@ -1,4 +1,4 @@
-package node
+package accept
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 // package reply reset a connection whose end would end the response.
 func TestUnfinishedResponseToOldCallersIsReset(t *testing.T) {
 	g := NewWithT(t)
-	response, err := http.ReadResponse(sendToCallerServer(t, "GET / HTTP/1.0\r\n\r\n", func(writer http.ResponseWriter, _ *http.Request) {
+	response, err := http.ReadResponse(sendTo(t, "GET / HTTP/1.0\r\n\r\n", func(writer http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprint(writer, "part")
 		_ = http.NewResponseController(writer).Flush()
 		panic(http.ErrAbortHandler)
--- a/node/callerserver_test.go
+++ b/accept/server_test.go
@@ -1,4 +1,4 @@
-package node
+package accept
 
 import (
 	"bufio"
@@ -9,20 +9,17 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus/hooks/test"
 
-	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/reply"
 )
 
-// sendToCallerServer sends a request to a server of callers' requests and returns the
+// sendTo sends a request to a server of callers' requests and returns the
 // reader of its response.
-func sendToCallerServer(t *testing.T, request string, handle http.HandlerFunc) *bufio.Reader {
+func sendTo(t *testing.T, request string, handle http.HandlerFunc) *bufio.Reader {
 	t.Helper()
 	g := NewWithT(t)
-	log, _ := test.NewNullLogger()
-	server := newCallerServer(handle, newCallerConnections(clock.NewService(clock.ServiceConfig{})), log)
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
+	server := NewServer(reply.Guard(handle, func(any, []byte) {}), nil)
+	listener := listenLocally(t, ListenerConfig{Table: newTestTable(nil)})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { server.Close() })
 	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", listener.Addr().String())
@@ -52,7 +49,7 @@
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
 			g := NewWithT(t)
-			response, err := http.ReadResponse(sendToCallerServer(t, each.request, func(writer http.ResponseWriter, _ *http.Request) {
+			response, err := http.ReadResponse(sendTo(t, each.request, func(writer http.ResponseWriter, _ *http.Request) {
 				writer.WriteHeader(http.StatusNotFound)
 			}), nil)
 			if err != nil {
--- a/node/unanswered_test.go
+++ b/accept/unanswered_test.go
@@ -1,4 +1,4 @@
-package node
+package accept
 
 import (
 	"io"
@@ -6,27 +6,54 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/basilkeel/basilkeel/clock"
+	"github.com/basilkeel/basilkeel/memory"
 )
 
-// acceptCaller returns both ends of a caller's connection.
-func acceptCaller(t *testing.T, reportUnanswered func(unanswered)) (accepted *callerConn, dialed net.Conn) {
+// newTestTable returns a table without bounds.
+func newTestTable(clockwork clockwork.Clock) *Table {
+	log, _ := test.NewNullLogger()
+	return NewTable(TableConfig{
+		Memory: memory.NewBudget(0), Clock: clock.NewService(clock.ServiceConfig{Clock: clockwork}), Metrics: metrics.NewRegistry(), Log: log,
+	})
+}
+
+// listenLocally returns a listener at a free port.
+func listenLocally(t *testing.T, config ListenerConfig) *Listener {
 	t.Helper()
-	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { listener.Close() })
-	dialed, err = net.Dial("tcp", listener.Addr().String())
+	config.Listener = listener
+	return NewListener(config)
+}
+
+// acceptFrom returns both ends of a connection to a listener.
+func acceptFrom(t *testing.T, listener *Listener) (accepted *Conn, dialed net.Conn) {
+	t.Helper()
+	g := NewWithT(t)
+	dialed, err := net.Dial("tcp", listener.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { dialed.Close() })
-	conn, err := callerListener{Listener: listener, reportUnanswered: reportUnanswered}.Accept()
+	conn, err := listener.Accept()
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { conn.Close() })
-	accepted, ok := conn.(*callerConn)
+	accepted, ok := conn.(*Conn)
 	g.Expect(ok).To(BeTrue())
 	return accepted, dialed
 }
 
+// acceptOpaque returns both ends of a connection whose bytes are read as they come.
+func acceptOpaque(t *testing.T, reportUnanswered func(Unanswered)) (accepted *Conn, dialed net.Conn) {
+	t.Helper()
+	return acceptFrom(t, listenLocally(t, ListenerConfig{Table: newTestTable(nil), Opaque: true, ReportUnanswered: reportUnanswered}))
+}
+
 // Guards against connections that this process closes under a request and that no log shows.
 func TestConnectionsClosedUnderRequestsAreReported(t *testing.T) {
 	cases := []struct {
@@ -38,13 +65,13 @@
 		// idle reports whether the connection becomes idle afterwards, left whether the caller
 		// closes it.
 		idle, left bool
-		reported   []unanswered
+		reported   []Unanswered
 	}{
-		{name: "a request that was read", sent: "request", read: 7, reported: []unanswered{{read: 7}}},
-		{name: "a request of which a part was read", sent: "request", read: 3, reported: []unanswered{{read: 3, unread: 4}}},
-		{name: "a request that was not read", sent: "request", reported: []unanswered{{unread: 7}}},
+		{name: "a request that was read", sent: "request", read: 7, reported: []Unanswered{{Read: 7}}},
+		{name: "a request of which a part was read", sent: "request", read: 3, reported: []Unanswered{{Read: 3, Unread: 4}}},
+		{name: "a request that was not read", sent: "request", reported: []Unanswered{{Unread: 7}}},
 		{name: "an answered request", sent: "request", read: 7, answer: "answer", idle: true},
-		{name: "a request after an answered one", sent: "request", read: 3, answer: "answer", idle: true, reported: []unanswered{{unread: 4}}},
+		{name: "a request after an answered one", sent: "request", read: 3, answer: "answer", idle: true, reported: []Unanswered{{Unread: 4}}},
 		{name: "a response that has begun", sent: "request", read: 7, answer: "ans"},
 		{name: "no request"},
 		{name: "a caller that has left", sent: "request", read: 7, left: true},
@@ -52,9 +79,9 @@
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
 			g := NewWithT(t)
-			var reported []unanswered
-			accepted, dialed := acceptCaller(t, func(lost unanswered) {
-				lost.remote = nil
+			var reported []Unanswered
+			accepted, dialed := acceptOpaque(t, func(lost Unanswered) {
+				lost.Remote = nil
 				reported = append(reported, lost)
 			})
 			_, err := io.WriteString(dialed, each.sent)
@@ -85,7 +112,7 @@
 // read: the wait for them has ended, and nothing looked whether they had arrived.
 func TestRequestThatArrivesAtTheCloseIsRead(t *testing.T) {
 	g := NewWithT(t)
-	accepted, dialed := acceptCaller(t, nil)
+	accepted, dialed := acceptOpaque(t, nil)
 	accepted.setIdle(true)
 	// Read has been called, but the goroutine has not got to wait for bytes yet.
 	accepted.mutex.Lock()
--- a/event/memory.go
+++ b/event/memory.go
@@ -13,4 +13,6 @@
 	InstancePaused = define(9152, logrus.WarnLevel, "instancePaused", "An underpowered instance cannot keep up with its requests and reports for 3 s that it is not ready, so that the load balancer sends it no further ones. If it recurs, give the instance more processor time or add instances.")
 	// RequestUnanswered is logged when a caller's connection is closed under a request.
 	RequestUnanswered = define(9153, logrus.WarnLevel, "requestUnanswered", "This process closed a caller's connection after bytes of a request had arrived and without sending a response. The fields give the bytes that it had read and, up to 1 KiB, those that it had not; without bytes that were read, the request has not run.")
+	// ConnectionsRefused: connections or heads were refused for lack of room or beyond a limit.
+	ConnectionsRefused = define(9154, logrus.WarnLevel, "connectionsRefused", "In the last second, connections made way for others (evicted), were closed at once (refused), or sent heads that were answered with 400, 408, 431 or 503 without being read further (heads). None of their requests has run. The fields give the open connections, their limit by descriptors, and the bytes held for connections and heads. If connections are evicted beside usual traffic, give the instance more memory or descriptors, or add instances.")
 )
--- a/memory/account.go
+++ b/memory/account.go
@@ -33,6 +33,37 @@
 	return true
 }
 
+// TryHoldConnection holds what an accepted connection takes, if the budget allows it and leaves
+// spare bytes to other connections.
+func (account *Account) TryHoldConnection(bytes, spare int64) bool {
+	budget := account.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if !budget.fitsConnections(bytes, budget.connectionRoom()-spare) {
+		return false
+	}
+	account.add(Connection, bytes)
+	return true
+}
+
+// TryHoldHead sets what the head of the account's request takes, if the budget allows it. Large
+// heads leave a part of the room to small ones.
+func (account *Account) TryHoldHead(bytes int64) bool {
+	budget := account.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	more := bytes - account.held[Head]
+	room := budget.connectionRoom()
+	if bytes > SmallHeadBytes {
+		room -= int64(spareHeadRatio * float64(room))
+	}
+	if more > 0 && !budget.fitsConnections(more, room) {
+		return false
+	}
+	account.add(Head, more)
+	return true
+}
+
 // Hold holds bytes in any case, also beyond the limit. It is for what a request in progress
 // can't do without.
 func (account *Account) Hold(purpose Purpose, bytes int64) {
@@ -136,7 +167,11 @@
 func (account *Account) add(purpose Purpose, bytes int64) {
 	account.held[purpose] += bytes
 	account.budget.held[purpose] += bytes
-	account.budget.total += bytes
+	if purpose.ofConnections() {
+		account.budget.connections += bytes
+	} else {
+		account.budget.total += bytes
+	}
 }
 
 // EndBody gives back what is promised beyond the body's end.
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -32,6 +32,17 @@
 	promiseTime = 2 * time.Second
 	// MaxWait is how long a body waits for memory before its request is refused.
 	MaxWait = time.Second
+	// connectionReserveRatio is what connections and heads have beyond the limit, as a fraction of
+	// it: bodies, responses and streams can't use it, so that requests can always be received.
+	connectionReserveRatio = 3.0 / 13
+	// maxConnectionRatio bounds what connections and heads use of the limit, as a fraction of it,
+	// so that they don't keep bodies out.
+	maxConnectionRatio = 1.0 / 2
+	// spareHeadRatio is the fraction of the room of connections and heads that only small heads
+	// use, so that large ones don't keep them out.
+	spareHeadRatio = 1.0 / 4
+	// SmallHeadBytes is what the largest small head takes. Usual heads take a fraction of it.
+	SmallHeadBytes = 16 << 10
 	// reportPeriod is the least time between two reports that the budget is exhausted.
 	reportPeriod = time.Second
 )
@@ -55,10 +66,12 @@
 	limit int64
 	// mutex guards the fields below and those of all accounts and waits.
 	mutex sync.Mutex
-	// held are the bytes that are held, promised those that bodies will need.
-	held     [purposeCount]int64
-	total    int64
-	promised int64
+	// held are the bytes that are held, promised those that bodies will need. connections is the
+	// sum of those for connections and heads, total that of all others.
+	held        [purposeCount]int64
+	connections int64
+	total       int64
+	promised    int64
 	// promises are the accounts with a promise, the oldest first.
 	promises []*Account
 	// waits are served in order; waiting is the sum of their bytes.
@@ -115,7 +128,23 @@
 	if large {
 		limit -= int64(spareRatio * float64(limit))
 	}
-	return budget.total+budget.promised+bytes <= limit
+	return budget.total+budget.promised+max(budget.connections-budget.reserve(), 0)+bytes <= limit
+}
+
+// reserve returns the bytes that only connections and heads use.
+func (budget *Budget) reserve() int64 { return int64(connectionReserveRatio * float64(budget.limit)) }
+
+// connectionRoom returns the most that connections and heads may use.
+func (budget *Budget) connectionRoom() int64 {
+	return budget.reserve() + int64(maxConnectionRatio*float64(budget.limit))
+}
+
+// fitsConnections reports whether bytes more may be held for connections and heads. It is called
+// with the mutex held.
+func (budget *Budget) fitsConnections(bytes int64, room int64) bool {
+	held := budget.connections + bytes
+	return budget.limit == 0 || held <= room &&
+		(held <= budget.reserve() || budget.total+budget.promised+held-budget.reserve() <= budget.limit)
 }
 
 // maxPromise returns the greatest promise.
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -242,3 +242,42 @@
 		g.Expect(budget.Waiting()).To(BeZero())
 	})
 }
+
+// Guards against connections that keep bodies out, and against bodies that keep connections out.
+func TestConnectionsAndBodiesLeaveRoomToEachOther(t *testing.T) {
+	g := NewWithT(t)
+	budget := memory.NewBudget(limit)
+	bodies, conns := budget.NewAccount(), budget.NewAccount()
+	for bodies.TryHold(memory.Stream, mib/16) {
+	}
+	count := 0
+	for ; conns.TryHoldConnection(mib/16, 0); count++ {
+	}
+	g.Expect(float64(count)/16).To(BeNumerically("~", 3.0/13*16, 0.1), "MiB of connections beside a budget that is used up")
+
+	bodies.Close(start)
+	for ; conns.TryHoldConnection(mib/16, 0); count++ {
+	}
+	g.Expect(float64(count)/16).To(BeNumerically("~", (3.0/13+0.5)*16, 0.1), "MiB of connections where nothing else is held")
+	g.Expect(bodies.TryHold(memory.Stream, 8*mib)).To(BeTrue(), "streams beside as many connections as possible")
+	g.Expect(bodies.TryHold(memory.Stream, mib/4)).To(BeFalse())
+
+	conns.Close(start)
+	g.Expect(conns.TryHoldConnection(1, 12*mib)).To(BeFalse(), "a connection that would leave too little to others")
+	g.Expect(budget.Held(memory.Connection)).To(BeZero())
+}
+
+// Guards against large heads that keep all others out.
+func TestLargeHeadsLeaveRoomToSmallOnes(t *testing.T) {
+	g := NewWithT(t)
+	budget := memory.NewBudget(limit)
+	large := 0
+	for ; budget.NewAccount().TryHoldHead(memory.SmallHeadBytes + 1); large++ {
+	}
+	g.Expect(float64(large*memory.SmallHeadBytes)/mib).To(BeNumerically("~", 3.0/4*(3.0/13+0.5)*16, 0.1), "MiB of large heads")
+	small := budget.NewAccount()
+	g.Expect(small.TryHoldHead(memory.SmallHeadBytes)).To(BeTrue())
+	g.Expect(small.TryHoldHead(0)).To(BeTrue())
+	small.Close(start)
+	g.Expect(budget.Held(memory.Head)).To(Equal(int64(large * (memory.SmallHeadBytes + 1))))
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -12,7 +12,9 @@
 	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 
+	"github.com/basilkeel/basilkeel/accept"
 	"github.com/basilkeel/basilkeel/event"
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 // bounds limits the connections of a listener; zero means no limit.
@@ -39,6 +41,16 @@
 	return listener, nil
 }
 
+// listenWithin opens a listener at address whose connections are bounded by the table of config.
+func listenWithin(ctx context.Context, address string, config accept.ListenerConfig) (*accept.Listener, error) {
+	config.KeepAlive = trunk.KeepAlive()
+	listener, err := accept.Listen(ctx, address, config)
+	if err != nil {
+		return nil, merry.Prependf(err, "address %s", address)
+	}
+	return listener, nil
+}
+
 // serveHTTP serves HTTP in the background until the server is shut down.
 func serveHTTP(server *http.Server, listener net.Listener, log logrus.FieldLogger) {
 	go func() {
--- a/node/relay.go
+++ b/node/relay.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/basilkeel/basilkeel/accept"
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/conns"
 	"github.com/basilkeel/basilkeel/coord"
@@ -79,7 +80,7 @@
 		fx.StopTimeout(host.Bounds.StopGrace+stopMargin),
 		fx.Supply(host, output, hangUps, settingsPath(path)),
 		fx.Provide(
-			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newMemoryBudget, newTrunk, newLimiter, crash.NewTracker,
+			newClock, newMetrics, newRelayLog, newRelaySelf, newPlatformStore, newServerPool, newMemoryBudget, newConnectionTable, newTrunk, newLimiter, crash.NewTracker,
 			newRelay, newPeerConnections, newCoordinator, newCoordClient, newElector, newSuspectStore, newOwnKeys, newEvacuationHandler, newMirror, newReadyJudge,
 		),
 		fx.Invoke(captureStandardLog, serveCoordination, followPlatform, runCoordination, serveReadiness, sweep, watchSettings, expireEvacuations, serveRelay, logLifecycle, resignOnStop),
@@ -151,6 +152,10 @@
 	return memory.NewBudget(memory.LimitOf(host.MemoryBytes))
 }
 
+func newConnectionTable(host *setup.Host, budget *memory.Budget, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) *accept.Table {
+	return accept.NewTable(accept.TableConfig{Memory: budget, Clock: clock, Metrics: registry, Log: log})
+}
+
 func newLimiter() *share.Limiter { return share.NewLimiter() }
 
 // relayParts are the dependencies of a relay.
--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -16,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/basilkeel/basilkeel/accept"
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/permit"
@@ -23,20 +23,12 @@
 	"github.com/basilkeel/basilkeel/pool"
 	"github.com/basilkeel/basilkeel/ready"
 	"github.com/basilkeel/basilkeel/relay"
-	"github.com/basilkeel/basilkeel/reply"
 	"github.com/basilkeel/basilkeel/setup"
 	"github.com/basilkeel/basilkeel/spool"
 	"github.com/basilkeel/basilkeel/trunk"
 )
 
 const (
-	// headerTimeout and headerBytes limit the time and size of a request's header.
-	// Callers observe the operators' limits, which are lower.
-	headerTimeout = 10 * time.Second
-	headerBytes   = 64 << 10
-	// idleFactor multiplies the operators' limit for idle connections, so that a
-	// connection is not closed while a caller sends a request on it.
-	idleFactor = 1.3
 	// sweepPeriod is the interval at which idle connections and gone servers are
 	// cleaned up.
 	sweepPeriod = time.Second
@@ -51,7 +43,7 @@
 		return relay.Policy() != nil && !relay.Draining() && len(servers.Servers(now)) > 0 && judge.Ready(now)
 	}, registry)
 	routeWhere(router, relay.Where)
-	server := &http.Server{Handler: guardHandler(router, log), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: headerTimeout, ErrorLog: newErrorLog(log)}
+	server := &http.Server{Handler: guardHandler(router, log), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: accept.DefaultHeadTimeout, ErrorLog: newErrorLog(log)}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			listener, err := listen(ctx, host.ReadyAddress, bounds{}, nil)
@@ -83,31 +75,32 @@
 }
 
 // serveRelay serves callers' requests. At shutdown it continues to serve until callers have
-// left, see callerStop.
-func serveRelay(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
-	connections := newCallerConnections(clock)
-	server := newCallerServer(relay, connections, log)
+// left, see [accept.Stop].
+func serveRelay(lifecycle fx.Lifecycle, host *setup.Host, table *accept.Table, relay *relay.Relay, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
+	server := accept.NewServer(guardHandler(relay, log), newErrorLog(log))
 	ctx, cancel := context.WithCancel(context.Background())
-	var listener net.Listener
+	var listener *accept.Listener
 	lifecycle.Append(fx.Hook{
 		OnStart: func(startCtx context.Context) error {
-			listenConfig := net.ListenConfig{KeepAliveConfig: trunk.KeepAlive(), Control: trunk.LimitUnsent}
 			var err error
-			if listener, err = listenConfig.Listen(startCtx, "tcp", host.CallerAddress); err != nil {
+			config := accept.ListenerConfig{Table: table, Shared: true, ReportUnanswered: newUnansweredReport(registry, log)}
+			if listener, err = listenWithin(startCtx, host.CallerAddress, config); err != nil {
 				return err
 			}
-			serveHTTP(server, callerListener{Listener: listener, reportUnanswered: newUnansweredReport(registry, log)}, log)
+			serveHTTP(server, listener, log)
 			clock.Subscribe(ctx, sweepPeriod, func(_ context.Context, now time.Time) {
-				if snapshot := relay.Policy(); snapshot != nil && snapshot.Limits().IdleTimeout > 0 {
-					connections.closeIdle(time.Duration(idleFactor*float64(snapshot.Limits().IdleTimeout)), now)
+				if snapshot := relay.Policy(); snapshot != nil {
+					limits := snapshot.Limits()
+					listener.SetLimits(accept.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}.Lenient())
 				}
+				table.Sweep(now)
 			})
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
 			cancel()
-			stop := callerStop{relay: relay, listener: listener, connections: connections, clock: clock}
-			stop.run(stopCtx, host.Bounds.StopGrace)
+			stop := accept.Stop{Requests: relay, Listener: listener, Clock: clock}
+			stop.Run(stopCtx, host.Bounds.StopGrace)
 			return server.Close()
 		},
 	})
@@ -115,29 +108,15 @@
 
 // newUnansweredReport returns a function that logs and counts connections that are closed
 // under a request.
-func newUnansweredReport(registry metrics.Registry, log logrus.FieldLogger) func(unanswered) {
+func newUnansweredReport(registry metrics.Registry, log logrus.FieldLogger) func(accept.Unanswered) {
 	read, unread := metrics.GetOrRegisterCounter("callers.unanswered.read", registry), metrics.GetOrRegisterCounter("callers.unanswered.unread", registry)
-	return func(lost unanswered) {
-		if lost.read > 0 {
+	return func(lost accept.Unanswered) {
+		if lost.Read > 0 {
 			read.Inc(1)
 		} else {
 			unread.Inc(1)
 		}
-		event.RequestUnanswered.Log(log, logrus.Fields{"remote": lost.remote.String(), "read": lost.read, "unread": lost.unread})
-	}
-}
-
-// newCallerServer returns the server of callers' requests. It leaves all requests to
-// handler: net/http would itself respond to OPTIONS * with success.
-func newCallerServer(handler http.Handler, connections *callerConnections, log logrus.FieldLogger) *http.Server {
-	return &http.Server{
-		Handler:                      guardHandler(handler, log),
-		DisableGeneralOptionsHandler: true,
-		ReadHeaderTimeout:            headerTimeout,
-		MaxHeaderBytes:               headerBytes,
-		ConnContext:                  reply.ConnContext,
-		ConnState:                    connections.setState,
-		ErrorLog:                     newErrorLog(log),
+		event.RequestUnanswered.Log(log, logrus.Fields{"remote": lost.Remote.String(), "read": lost.Read, "unread": lost.Unread})
 	}
 }
 
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -240,8 +240,8 @@
 	return &fixture{t: t, relay: handler, pool: servers, trunk: connections, coordinator: coordinator, front: front, logs: hook, crashes: crashes}
 }
 
-// boundedListener bounds what the kernel holds for a caller that does not read, as
-// trunk.LimitUnsent does in package node, on all kernels.
+// boundedListener bounds what the kernel holds for a caller that does not read, as package accept
+// does, on all kernels.
 type boundedListener struct{ net.Listener }
 
 // Accept implements [net.Listener].
--- a/trunk/dialer.go
+++ b/trunk/dialer.go
@@ -31,7 +31,7 @@
 		if err := setSendTimeout(network, address, raw); err != nil {
 			return err
 		}
-		return LimitUnsent(network, address, raw)
+		return limitUnsent(network, address, raw)
 	}}
 }
 
@@ -52,10 +52,8 @@
 	return optionErr
 }
 
-// LimitUnsent bounds what the kernel holds of a connection that it can't send yet. A listener
-// passes it on to its connections. It is a value of [net.Dialer.Control] and
-// [net.ListenConfig.Control].
-func LimitUnsent(_, _ string, raw syscall.RawConn) error {
+// limitUnsent bounds what the kernel holds of a new connection that it can't send yet.
+func limitUnsent(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(descriptor uintptr) {
 		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
