accept, platform: accepted connections leave descriptors to the process's own

Cause: nothing bounded the accepted connections, `maxFds` of the settings was not read, and a process without descriptors can neither accept callers nor open connections to servers. Those who came first kept all others out.

At that bound the connection makes way that has gone longest without a whole request. If accept(2) finds no descriptor, the limit is read at once and one makes way.

--- a/accept/head_test.go
+++ b/accept/head_test.go
@@ -113,3 +113,52 @@
 		})
 	}
 }
+
+// Guards against connections that keep others out although they have sent no whole request for
+// longest, and against those that make way with a request in progress.
+func TestConnectionsWithoutWholeRequestsMakeWay(t *testing.T) {
+	g := NewWithT(t)
+	table := newTestTable(nil)
+	table.config.Descriptors = 8
+	table.Sweep(time.Now())
+	listener := listenLocally(t, ListenerConfig{Table: table})
+	begun, over := make(chan string, 10), make(chan struct{})
+	server := NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		begun <- request.URL.Path
+		<-over
+		writer.WriteHeader(http.StatusNoContent)
+	}), nil)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { conn.Close() })
+		_, err = io.WriteString(conn, text)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		return conn
+	}
+	whole := "GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+	first := dial(fmt.Sprintf(whole, "first"))
+	g.Eventually(begun).Should(Receive(Equal("/first")))
+	waiting := []net.Conn{dial(""), dial("GET / HT"), dial("POST /body HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"), dial(""), dial("")}
+	for index := range 3 {
+		path := fmt.Sprintf("later%d", index)
+		dial(fmt.Sprintf(whole, path))
+		_ = waiting[index].SetReadDeadline(time.Now().Add(5 * time.Second))
+		answer, err := io.ReadAll(waiting[index])
+		g.Expect(err).NotTo(HaveOccurred(), "the connection that has waited for longest is closed")
+		if index == 1 {
+			g.Expect(string(answer)).To(HavePrefix("HTTP/1.1 503 "), "its request has not run")
+		}
+		g.Eventually(begun).Should(Receive(HaveSuffix(path)))
+	}
+	close(over)
+	response, err := http.ReadResponse(bufio.NewReader(first), nil)
+	g.Expect(err).NotTo(HaveOccurred(), "requests in progress make no way")
+	response.Body.Close()
+}
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -97,6 +97,9 @@
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil, http.ErrServerClosed
+		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE):
+			listener.config.Table.reclaimDescriptors()
+			continue
 		case err != nil:
 			return nil, err
 		}
--- a/accept/table.go
+++ b/accept/table.go
@@ -8,6 +8,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/event"
@@ -15,8 +16,15 @@
 )
 
 const (
-	// spareConnections is the number of connections that shared listeners leave to others.
+	// acceptedRatio is the fraction of the descriptors that accepted connections use. The rest is
+	// left for those to servers, to the platform's services and to other instances.
+	acceptedRatio = 3.0 / 4
+	// ownDescriptors is the number of descriptors of the runtime, the log and the listeners.
+	ownDescriptors = 16
+	// spareConnections is the number of connections that shared listeners leave to others, but at
+	// most spareRatio of all.
 	spareConnections = 32
+	spareRatio       = 1.0 / 8
 	// admitPause is the longest pause between two attempts to admit a connection while others make
 	// way, of which there are maxAttempts.
 	admitPause  = 5 * time.Millisecond
@@ -31,10 +39,13 @@
 
 // TableConfig holds the settings and dependencies of a [Table].
 type TableConfig struct {
-	Memory  *memory.Budget
-	Clock   *clock.Service
-	Metrics metrics.Registry
-	Log     logrus.FieldLogger
+	Memory *memory.Budget
+	// Descriptors is the number of descriptors that connections may use; zero means no bound but
+	// that of the operating system.
+	Descriptors int
+	Clock       *clock.Service
+	Metrics     metrics.Registry
+	Log         logrus.FieldLogger
 }
 
 // Table tracks the accepted connections of a process.
@@ -51,6 +62,8 @@
 	opaque map[path]*Conn
 	// makingWay is the number of connections that were told to make way and are still open.
 	makingWay int
+	// max is the greatest number of connections.
+	max int
 	// counts are the refusals since the last sweep.
 	counts refusalCounts
 }
@@ -92,10 +105,30 @@
 	for phase := range table.lists {
 		table.lists[phase] = list.New()
 	}
+	table.max = table.maxConnections()
 	metrics.NewRegisteredFunctionalGauge("connections.open", config.Metrics, func() int64 { return int64(table.open()) })
+	metrics.NewRegisteredFunctionalGauge("connections.limit", config.Metrics, func() int64 {
+		table.mutex.Lock()
+		defer table.mutex.Unlock()
+		return int64(table.max)
+	})
 	return table
 }
 
+// maxConnections returns the greatest number of connections that the descriptors allow. The limit of
+// the operating system may change while the process runs.
+func (table *Table) maxConnections() int {
+	descriptors := table.config.Descriptors
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil && limit.Cur < 1<<31 {
+		own := max(int(limit.Cur)-ownDescriptors, 1)
+		if descriptors <= 0 || own < descriptors {
+			descriptors = own
+		}
+	}
+	return int(acceptedRatio * float64(descriptors))
+}
+
 // open returns the number of open connections.
 func (table *Table) open() int {
 	table.mutex.Lock()
@@ -146,10 +179,10 @@
 	defer table.mutex.Unlock()
 	spare := 0
 	if conn.listener.config.Shared {
-		spare = spareConnections
+		spare = min(spareConnections, int(spareRatio*float64(table.max)))
 	}
 	allowed, room := conn.listener.allows(conn)
-	if !allowed || !room || !conn.account.TryHoldConnection(connectionBytes, int64(spare)*connectionBytes) {
+	if !allowed || !room || table.count() >= table.max-spare || !conn.account.TryHoldConnection(connectionBytes, int64(spare)*connectionBytes) {
 		return false, !allowed
 	}
 	conn.phase = phaseHead
@@ -245,6 +278,16 @@
 	return nil
 }
 
+// reclaimDescriptors is called when the process has no descriptor left for a connection.
+func (table *Table) reclaimDescriptors() {
+	limit := table.maxConnections()
+	table.mutex.Lock()
+	table.max = limit
+	table.mutex.Unlock()
+	table.makeRoom(nil)
+	table.awaitFreed()
+}
+
 // holdHead holds bytes for a connection's head, and reports whether the memory allows it. Others make
 // way for a small one.
 func (table *Table) holdHead(conn *Conn, bytes int64) bool {
@@ -323,7 +366,9 @@
 // Sweep ends connections that exceed the limits of time, and logs refusals. It is to be called about
 // once a second.
 func (table *Table) Sweep(now time.Time) {
+	limit := table.maxConnections()
 	table.mutex.Lock()
+	table.max = limit
 	for _, conns := range table.lists {
 		for element := conns.Front(); element != nil; element = element.Next() {
 			if conn, ok := element.Value.(*Conn); ok && !conn.listener.config.Opaque {
@@ -336,7 +381,7 @@
 	table.mutex.Unlock()
 	if counts.evicted+counts.refused+counts.heads > 0 {
 		event.ConnectionsRefused.Log(table.config.Log, logrus.Fields{
-			"evicted": counts.evicted, "refused": counts.refused, "heads": counts.heads, "open": open,
+			"evicted": counts.evicted, "refused": counts.refused, "heads": counts.heads, "open": open, "limit": limit,
 			"connectionBytes": table.config.Memory.Held(memory.Connection), "headBytes": table.config.Memory.Held(memory.Head),
 		})
 	}
--- a/node/relay.go
+++ b/node/relay.go
@@ -153,7 +153,7 @@
 }
 
 func newConnectionTable(host *setup.Host, budget *memory.Budget, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) *accept.Table {
-	return accept.NewTable(accept.TableConfig{Memory: budget, Clock: clock, Metrics: registry, Log: log})
+	return accept.NewTable(accept.TableConfig{Memory: budget, Descriptors: host.Descriptors, Clock: clock, Metrics: registry, Log: log})
 }
 
 func newLimiter() *share.Limiter { return share.NewLimiter() }
--- a/setup/host.go
+++ b/setup/host.go
@@ -30,6 +30,9 @@
 	// MemoryBytes is the memory limit of the process. Zero means unknown: the process then
 	// has no bound for what it holds for callers and servers.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may use for connections. Zero means
+	// unknown: the limit of the operating system then holds alone.
+	Descriptors int
 	// Cores is the processor limit of the process, in cores; LinkMbps is the
 	// bandwidth of the instance's network link. Zero means unknown.
 	Cores    float64
@@ -77,6 +80,9 @@
 	if host.MemoryBytes < 0 {
 		checker.report("memory bytes", "%d is below zero", host.MemoryBytes)
 	}
+	if host.Descriptors < 0 {
+		checker.report("descriptors", "%d is below zero", host.Descriptors)
+	}
 	checker.positive("load window", int64(host.Bounds.LoadWindow))
 	checker.positive("stop grace", int64(host.Bounds.StopGrace))
 	checker.positive("registry period", int64(host.RegistryPeriod))
