accept: refused connections are not kept unread

Cause: after a response to a request that was not read to its end, package net/http closes the connection for writing, and sleeps for half a second without reading, so that the response is not lost by a reset. The kernel takes what it has room for meanwhile.

Change: Conn.CloseWrite reads and drops what comes, up to 128 KiB and for half a second, or until the connection has to make way, closes it, and ends the sleep by the panic that net/http provides for handlers.

--- a/accept/conn.go
+++ b/accept/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -366,6 +367,15 @@
 	return count, err
 }
 
+// CloseWrite closes the connection after a response to a request that was not read to its end.
+// Package net/http would then keep it and its buffers for half a second without reading, while the
+// kernel receives what it has room for. Instead, what comes is read for some time, so that the
+// response is not lost, and the panic, which package net/http expects of handlers, ends the wait.
+func (conn *Conn) CloseWrite() error {
+	conn.linger()
+	panic(http.ErrAbortHandler)
+}
+
 // Close implements [net.Conn]. It reports a connection that is closed under a request, unless
 // the caller has closed it before.
 func (conn *Conn) Close() error {
--- a/accept/refuse.go
+++ b/accept/refuse.go
@@ -71,7 +71,7 @@
 	conn.mutex.Lock()
 	ending := conn.ending
 	conn.mutex.Unlock()
-	if ending != notEnding || conn.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if ending != notEnding || conn.TCPConn.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
 	conn.listener.config.Table.move(conn, phaseHead)
