accept: the kernel receives little ahead of requests

Cause: a connection's receive buffer holds 64 KiB from the start, also before it is accepted, and the kernel lets it grow while the request in progress keeps what follows from being read. Package relay bounded it only while a body waited for memory, and only in between.

Change: the listener asks for 8 KiB, which connections have from it; while a body is being read it is 32 KiB. The hooks in relay and reply for bodies that wait for memory go.

--- a/accept/conn.go
+++ b/accept/conn.go
@@ -115,6 +115,8 @@
 	partial, ready, unscanned []byte
 	// progress counts the bytes of the body since they were last reported to the table.
 	progress int64
+	// received is what the kernel receives ahead.
+	received int
 }
 
 // pastDeadline ends a read or write that is under way.
@@ -270,9 +272,13 @@
 		conn.unscanned = append(append([]byte(nil), buffer[length:count]...), conn.unscanned...)
 	}
 	conn.progress += int64(length)
+	if conn.progress >= headReceiveBytes {
+		conn.setReceived(bodyReceiveBytes)
+	}
 	switch {
 	case conn.body.ended():
 		conn.inBody = false
+		conn.setReceived(headReceiveBytes)
 		conn.requestWhole()
 	case conn.progress >= progressBytes:
 		conn.progress = 0
@@ -306,6 +312,22 @@
 	conn.unfinished = max(conn.unfinished-bytes, 0)
 }
 
+// setReceived sets what the kernel receives ahead.
+func (conn *Conn) setReceived(bytes int) {
+	if conn.received == bytes {
+		return
+	}
+	conn.received = bytes
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Errors mean that the connection has ended. The window keeps the bound that it had when the
+	// connection was opened unless that is set, too.
+	_ = setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	_ = setOption(raw, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+}
+
 // receive reads bytes of the peer. If the connection is to end, those that have arrived before are
 // read.
 func (conn *Conn) receive(buffer []byte) (int, error) {
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -15,6 +15,11 @@
 )
 
 const (
+	// headReceiveBytes is what the kernel receives ahead on a connection, also before it is accepted.
+	// By itself it would receive 64 KiB, and up to some MB on one that has carried much.
+	headReceiveBytes = 8 << 10
+	// bodyReceiveBytes is what it receives ahead of a body that is being read.
+	bodyReceiveBytes = 32 << 10
 	// unsentBytes bounds what the kernel holds of a connection that it can't send yet.
 	unsentBytes = 128 << 10
 )
@@ -66,8 +71,12 @@
 
 // Listen opens a listener at a TCP address.
 func Listen(ctx context.Context, address string, config ListenerConfig) (*Listener, error) {
+	ahead := headReceiveBytes
+	if config.Opaque {
+		ahead = bodyReceiveBytes
+	}
 	listenConfig := net.ListenConfig{KeepAliveConfig: config.KeepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
-		return setOption(raw, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+		return errors.Join(setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, ahead), setOption(raw, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes))
 	}}
 	var err error
 	if config.Listener, err = listenConfig.Listen(ctx, "tcp", address); err != nil {
@@ -111,7 +120,7 @@
 		if remote, ok := tcpConn.RemoteAddr().(*net.TCPAddr); ok {
 			address = remote.AddrPort().Addr().Unmap()
 		}
-		conn := &Conn{TCPConn: tcpConn, listener: listener, address: address, account: listener.config.Table.config.Memory.NewAccount()}
+		conn := &Conn{TCPConn: tcpConn, listener: listener, address: address, received: headReceiveBytes, account: listener.config.Table.config.Memory.NewAccount()}
 		if listener.config.Table.admit(conn) {
 			return conn, nil
 		}
--- a/relay/body.go
+++ b/relay/body.go
@@ -14,7 +14,6 @@
 	"github.com/basilkeel/basilkeel/event"
 	"github.com/basilkeel/basilkeel/memory"
 	"github.com/basilkeel/basilkeel/policy"
-	"github.com/basilkeel/basilkeel/reply"
 )
 
 const (
@@ -29,12 +28,6 @@
 	memoryPollPeriod = 200 * time.Millisecond
 	// memoryWaitRatio bounds the wait for memory as a fraction of the time that is left.
 	memoryWaitRatio = 0.25
-	// waitingReceiveBytes is what the kernel receives ahead of a body that waits for memory.
-	// By itself it would receive up to some MB on a connection that has carried much.
-	waitingReceiveBytes = 32 << 10
-	// receiveBytes is what it receives ahead when the wait has ended: it lets a connection
-	// with a round trip of 10 ms carry 160 Mbit/s.
-	receiveBytes = 200 << 10
 )
 
 // readBody reads the request's body of at most maxBytes; zero means no limit. It fails if ctx
@@ -157,7 +150,6 @@
 // used up.
 func (exchange *exchange) awaitMemory(ctx context.Context, wait *memory.Wait) bool {
 	exchange.recordMemoryExhausted()
-	reply.SetReadBuffer(exchange.request, waitingReceiveBytes)
 	began := exchange.now()
 	for {
 		now := exchange.now()
@@ -169,7 +161,6 @@
 		select {
 		case <-wait.Granted():
 			exchange.memoryWait -= exchange.now().Sub(began)
-			reply.SetReadBuffer(exchange.request, receiveBytes)
 			return true
 		case <-ctx.Done():
 			wait.Cancel(exchange.now())
--- a/reply/conn.go
+++ b/reply/conn.go
@@ -29,14 +29,3 @@
 	// An error means that the connection has ended already.
 	_ = conn.SetLinger(seconds)
 }
-
-// SetReadBuffer sets how many bytes the kernel receives ahead on the request's connection.
-// The kernel no longer adapts the size itself afterwards.
-func SetReadBuffer(request *http.Request, bytes int) {
-	conn, ok := request.Context().Value(connKey{}).(interface{ SetReadBuffer(bytes int) error })
-	if !ok {
-		return
-	}
-	// An error means that the connection has ended already.
-	_ = conn.SetReadBuffer(bytes)
-}
