accept: connections bound what they have not sent

Cause: TCP_NOTSENT_LOWAT was set on the listener, from which connections do not have it (Linux 6.18; SO_RCVBUF they do).

Change: it is set on each accepted connection, to 16 KiB instead of 128.

--- a/accept/listener.go
+++ b/accept/listener.go
@@ -20,8 +20,9 @@
 	headReceiveBytes = 8 << 10
 	// bodyReceiveBytes is what it receives ahead of a body that is being read.
 	bodyReceiveBytes = 32 << 10
-	// unsentBytes bounds what the kernel holds of a connection that it can't send yet.
-	unsentBytes = 128 << 10
+	// unsentBytes bounds what the kernel holds of a connection that it can't send yet. A connection
+	// does not have this limit from its listener.
+	unsentBytes = 16 << 10
 	// kernelRatio is what the kernel allocates at most for the bytes that it may receive ahead, as a
 	// multiple of them.
 	kernelRatio = 2
@@ -86,7 +87,7 @@
 		ahead = bodyReceiveBytes
 	}
 	listenConfig := net.ListenConfig{KeepAliveConfig: config.KeepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
-		return errors.Join(setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, ahead), setOption(raw, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes))
+		return setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, ahead)
 	}}
 	var err error
 	if config.Listener, err = listenConfig.Listen(ctx, "tcp", address); err != nil {
@@ -146,6 +147,10 @@
 		if !ok {
 			return accepted, nil
 		}
+		if raw, err := tcpConn.SyscallConn(); err == nil {
+			// An error means that the connection has ended.
+			_ = setOption(raw, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+		}
 		var address netip.Addr
 		if remote, ok := tcpConn.RemoteAddr().(*net.TCPAddr); ok {
 			address = remote.AddrPort().Addr().Unmap()
