node: Go's soft memory limit leaves small instances their kernel buffers

Cause: the soft limit was 0.7 of the memory, 67 MB there, beside the program's own pages and what the kernel holds, which do not shrink with the instance.

Change: it is 0.8 of the memory less 32 MiB, but at least half and at most 0.7 of it: half with 96 MB, 0.58 with 144, 0.7 from 320 MB up as before.

--- a/node/relay.go
+++ b/node/relay.go
@@ -42,12 +42,15 @@
 	// gcPercent lets the heap grow to four times its live size between garbage
 	// collections: processor time is scarcer than memory on entries.
 	gcPercent = 300
-	// heapLimitRatio is the fraction of the process's memory that is set as Go's
-	// soft memory limit, beyond which garbage is collected more often. It is above what
-	// memory.LimitOf lets requests hold, so that collections don't follow each other when
-	// the budget is used up. The rest is left for the program itself and the kernel's
-	// connection buffers.
-	heapLimitRatio = 0.7
+	// heapLimitRatio is the fraction of the process's memory, and fixedBytes what is taken off it,
+	// that is set as Go's soft memory limit, beyond which garbage is collected more often. It is
+	// above what memory.LimitOf lets requests hold, so that collections don't follow each other when
+	// the budget is used up. The rest is left for the program's pages and the kernel's connection
+	// buffers. Below minHeapLimitRatio the program itself would be collected without pause.
+	heapLimitRatio    = 0.8
+	fixedBytes        = 32 << 20
+	minHeapLimitRatio = 0.5
+	maxHeapLimitRatio = 0.7
 	// peerBufferBytes is the buffer size of a connection between entries, whose
 	// messages are a few kilobytes long.
 	peerBufferBytes = 8 << 10
@@ -70,7 +73,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	if host.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(heapLimitRatio * float64(host.MemoryBytes)))
+		debug.SetMemoryLimit(heapLimit(host.MemoryBytes))
 	}
 	output := spool.NewWriter(os.Stdout, spool.DefaultBufferLines)
 	defer output.Close()
@@ -88,6 +91,12 @@
 	return run(ctx, app, host.Bounds.StopGrace)
 }
 
+// heapLimit returns Go's soft memory limit for a process with memoryBytes.
+func heapLimit(memoryBytes int64) int64 {
+	bytes := float64(memoryBytes)
+	return int64(min(max(heapLimitRatio*bytes-fixedBytes, minHeapLimitRatio*bytes), maxHeapLimitRatio*bytes))
+}
+
 // settingsPath is the path of the settings file.
 type settingsPath string
 
