node: the readiness listener has the bounds of the callers' one

Cause: package net/http's default of 1 MiB for heads, and no bound on connections or on what is not sent.

Change: the listener belongs to the process's table.

--- a/node/relayserve.go
+++ b/node/relayserve.go
@@ -37,16 +37,16 @@
 )
 
 // serveReadiness serves readiness probes, metrics as text, and explanations.
-func serveReadiness(lifecycle fx.Lifecycle, host *setup.Host, relay *relay.Relay, servers *pool.Pool, judge *ready.Judge, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
+func serveReadiness(lifecycle fx.Lifecycle, host *setup.Host, table *accept.Table, relay *relay.Relay, servers *pool.Pool, judge *ready.Judge, clock *clock.Service, registry metrics.Registry, log logrus.FieldLogger) {
 	router := newReadinessRouter(func() bool {
 		now := clock.Now()
 		return relay.Policy() != nil && !relay.Draining() && len(servers.Servers(now)) > 0 && judge.Ready(now)
 	}, registry)
 	routeWhere(router, relay.Where)
-	server := &http.Server{Handler: guardHandler(router, log), DisableGeneralOptionsHandler: true, ReadHeaderTimeout: accept.DefaultHeadTimeout, ErrorLog: newErrorLog(log)}
+	server := accept.NewServer(guardHandler(router, log), newErrorLog(log))
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			listener, err := listen(ctx, host.ReadyAddress, bounds{}, nil)
+			listener, err := listenWithin(ctx, host.ReadyAddress, accept.ListenerConfig{Table: table})
 			if err != nil {
 				return err
 			}
