node: what clients of gRPC listeners make a process hold is bounded

Other entries saw a coordinator lose its memory by clients of its listener: 300 of them that begin calls and send no messages made a process of 96 MB use 1,040 MB, messages that never end 1,818 MB, a header block without end 473 MB, pings without end 114 MB (`go test ./soak -run TestCrowdAtOtherListeners/coordination -v`, program of; bytes that are no frames stayed within 48 MB).

Cause: gRPC's defaults: 16 MB for the headers of a call, calls without bound on a connection, messages of 4 MB each that are read before any handler sees them, two minutes for a handshake; no bound on connections.

Change: 16 KiB, 1,000 calls, 5 s; each call in progress holds 16 KiB of the process's budget, and a connection what it has sent beyond whole messages. The listeners belong to the process's table; connections make way that have gone longest without a message.

--- a/node/agent.go
+++ b/node/agent.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
+	"github.com/basilkeel/basilkeel/accept"
 	"github.com/basilkeel/basilkeel/agent"
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/config"
@@ -38,7 +39,7 @@
 		fx.StopTimeout(settings.DrainTimeout+stopMargin),
 		fx.Supply(settings, &settings.Process),
 		fx.Provide(
-			newClock, newLogger, newMetrics, newStore, newFleet, agentSelf, newConnections,
+			newClock, newLogger, newMetrics, newProcessBudget, newProcessTable, newStore, newFleet, agentSelf, newConnections,
 			newRepository, newSpread, newKeyring, newVerifier,
 			newPeerSecurity, newPeerServer, newHealth, newRouter,
 			newAdmission, newBackend, newMeter, newAgentServer,
@@ -100,6 +101,7 @@
 	Settings  *setup.Agent
 	Server    *agent.Server
 	RPC       *grpc.Server
+	Table     *accept.Table
 	Backend   *backend
 	Health    *health
 	Clock     *clock.Service
@@ -118,7 +120,7 @@
 			if err := parts.waitForTicketSkew(startCtx); err != nil {
 				return err
 			}
-			listener, err := listen(startCtx, parts.Settings.Listen, bounds{}, nil)
+			listener, err := listenWithin(startCtx, parts.Settings.Listen, accept.ListenerConfig{Table: parts.Table, Opaque: true})
 			if err != nil {
 				return err
 			}
--- a/node/entry.go
+++ b/node/entry.go
@@ -31,7 +31,7 @@
 		fx.StopTimeout(settings.DrainTimeout+stopMargin),
 		fx.Supply(settings, &settings.Process),
 		fx.Provide(
-			newClock, newLogger, newMetrics, newStore, newFleet, entrySelf, newConnections,
+			newClock, newLogger, newMetrics, newProcessBudget, newProcessTable, newStore, newFleet, entrySelf, newConnections,
 			newRepository, newSpread, newHasher, newKeyring, newGate, newSigner,
 			newPeerSecurity, newPeerServer, newHealth, newRouter,
 			newPlan, newSharedRouter, newPool, newQuota, newReserver, newClaimHost, newClaims,
--- a/node/relay.go
+++ b/node/relay.go
@@ -227,11 +227,11 @@
 }
 
 // serveCoordination serves the coordinator's gRPC service to other entries.
-func serveCoordination(lifecycle fx.Lifecycle, self *relaySelf, coordinator *coord.Coordinator, log logrus.FieldLogger) {
-	options := append(append(guardOptions(log), coord.ServerOptions()...), grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))
-	server := grpc.NewServer(options...)
+func serveCoordination(lifecycle fx.Lifecycle, self *relaySelf, coordinator *coord.Coordinator, table *accept.Table, budget *memory.Budget, clock *clock.Service, log logrus.FieldLogger) {
+	options := append(append(guardOptions(log), coord.ServerOptions()...), boundPeers(table, budget, clock)...)
+	server := grpc.NewServer(append(options, grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))...)
 	coord.NewServer(coordinator).Register(server)
-	serveRPCAt(lifecycle, self.address, server, log)
+	serveRPCAt(lifecycle, self.address, table, server, log)
 }
 
 // logLifecycle logs the start of the process and the beginning of its shutdown.
--- a/setup/process.go
+++ b/setup/process.go
@@ -20,12 +20,14 @@
 	PlatformAddr     string
 	InstancesURL     string
 	TicketSecretFile string
-	DrainTimeout     time.Duration
-	LogLevel         string
-	Plaintext        bool
-	PeerFiles        certs.FileSet
-	OperatorFiles    certs.FileSet
-	PlatformFiles    certs.FileSet
+	// MemoryBytes is the memory of the process; zero means that of the machine.
+	MemoryBytes   int64
+	DrainTimeout  time.Duration
+	LogLevel      string
+	Plaintext     bool
+	PeerFiles     certs.FileSet
+	OperatorFiles certs.FileSet
+	PlatformFiles certs.FileSet
 }
 
 const (
@@ -45,6 +47,7 @@
 		stringFlag(&process.PlatformAddr, "platform", "", "address of the platform's key-value service"),
 		stringFlag(&process.InstancesURL, "instances-url", "", "URL of the platform's instance list"),
 		stringFlag(&process.TicketSecretFile, "ticket-secret-file", "", "file with secrets that sign tickets between own processes, one a line: the first signs, all verify"),
+		intFlag(&process.MemoryBytes, "process-memory-bytes", 0, "memory of the process, which bounds its connections and the headers that it receives; 0 means that of the machine"),
 		durationFlag(&process.DrainTimeout, "drain-timeout", defaultDrainTimeout, "longest time for a graceful stop"),
 		stringFlag(&process.LogLevel, "log-level", "info", "least severe level to log: debug, info, warning, error"),
 		boolFlag(&process.Plaintext, "plaintext", "serve and connect without TLS where no certificate is named"),
@@ -70,6 +73,9 @@
 	if checker.required("ticket-secret-file", process.TicketSecretFile) {
 		checker.file("ticket-secret-file", process.TicketSecretFile)
 	}
+	if process.MemoryBytes < 0 {
+		checker.report("process-memory-bytes", "%d is below zero", process.MemoryBytes)
+	}
 	checker.between("drain-timeout", process.DrainTimeout, 0, maxDrainTimeout)
 	checker.level("log-level", process.LogLevel)
 	checkFiles(checker, "peer", process.PeerFiles, process.Plaintext)
