node: callers of the older entry and operators are bounded by the process's table

Callers of `entry` and operators were subject to the same faults: a bound on connections without one on what they hold, heads parsed before they are counted, 1 MiB of head for operators.

Change: both listeners belong to the process's table, also under TLS, where heads are not seen: what is sent before a request has come is held as if it were fields. The listener's own bounds, per address and in all, move to package accept.

No crowd of real processes was measured here: the faults are those of the listeners above, shown by reading only.

--- a/node/entry.go
+++ b/node/entry.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/basilkeel/basilkeel/accept"
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/config"
 	"github.com/basilkeel/basilkeel/conns"
@@ -100,7 +101,7 @@
 
 // serveCallers opens the callers' listener. At shutdown it closes the listener
 // and waits for the requests in progress.
-func serveCallers(lifecycle fx.Lifecycle, settings *setup.Entry, server *entry.Server, health *health, clock *clock.Service, log logrus.FieldLogger) {
+func serveCallers(lifecycle fx.Lifecycle, settings *setup.Entry, server *entry.Server, table *accept.Table, health *health, clock *clock.Service, log logrus.FieldLogger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	httpServer := &http.Server{
 		Handler:                      closeWhenNotReady(health, server.Handler()),
@@ -110,6 +111,7 @@
 		IdleTimeout:                  settings.IdleTimeout,
 		MaxHeaderBytes:               int(settings.HeaderBytes),
 		ConnContext:                  reply.ConnContext,
+		ConnState:                    accept.SetState,
 		ErrorLog:                     newErrorLog(log),
 	}
 	lifecycle.Append(fx.Hook{
@@ -118,10 +120,13 @@
 			if err != nil {
 				return err
 			}
-			listener, err := listen(startCtx, settings.Listen, callerBounds(settings), security.serverTLS())
+			bounded, listener, err := listenSecurely(startCtx, settings.Listen, accept.ListenerConfig{
+				Table: table, Shared: true, MaxConnections: int(settings.Connections), PerAddress: int(settings.ConnectionsPerAddress),
+			}, security.serverTLS())
 			if err != nil {
 				return err
 			}
+			bounded.SetLimits(accept.Limits{HeadBytes: settings.HeaderBytes, HeadTimeout: settings.HeaderTimeout})
 			serveHTTP(httpServer, listener, log)
 			health.ready.Store(true)
 			event.ProcessStarted.Log(log, logrus.Fields{"role": "entry", "address": listener.Addr().String()})
@@ -139,10 +144,6 @@
 	})
 }
 
-func callerBounds(settings *setup.Entry) bounds {
-	return bounds{connections: int(settings.Connections), perAddress: int(settings.ConnectionsPerAddress)}
-}
-
 // waitForBalancer gives the load balancer time to notice that the instance is no
 // longer ready. Requests that arrive meanwhile are served.
 func waitForBalancer(ctx context.Context, clock *clock.Service, delay time.Duration) {
--- a/node/listen.go
+++ b/node/listen.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 
 	"github.com/basilkeel/basilkeel/accept"
@@ -17,30 +15,6 @@
 	"github.com/basilkeel/basilkeel/trunk"
 )
 
-// bounds limits the connections of a listener; zero means no limit.
-type bounds struct {
-	connections int
-	perAddress  int
-}
-
-// listen opens a listener at address. The bounds also count connections whose TLS
-// handshake has not finished.
-func listen(ctx context.Context, address string, bounds bounds, config *tls.Config) (net.Listener, error) {
-	var listenConfig net.ListenConfig
-	listener, err := listenConfig.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, merry.Prependf(err, "address %s", address)
-	}
-	listener = limitPerAddress(listener, bounds.perAddress)
-	if bounds.connections > 0 {
-		listener = netutil.LimitListener(listener, bounds.connections)
-	}
-	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
-	return listener, nil
-}
-
 // listenWithin opens a listener at address whose connections are bounded by the table of config.
 func listenWithin(ctx context.Context, address string, config accept.ListenerConfig) (*accept.Listener, error) {
 	config.KeepAlive = trunk.KeepAlive()
--- a/node/operator.go
+++ b/node/operator.go
@@ -9,6 +9,8 @@
 	"github.com/gorilla/mux"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+
+	"github.com/basilkeel/basilkeel/accept"
 )
 
 const (
@@ -51,7 +53,9 @@
 	return &http.Server{
 		Handler:                      guardHandler(handler, log),
 		DisableGeneralOptionsHandler: true,
+		ConnState:                    accept.SetState,
 		ErrorLog:                     newErrorLog(log),
+		MaxHeaderBytes:               accept.DefaultHeadBytes,
 		ReadHeaderTimeout:            operatorHeaderTimeout,
 		ReadTimeout:                  operatorReadTimeout,
 		WriteTimeout:                 operatorWriteTimeout,
--- a/node/operators.go
+++ b/node/operators.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
+	"github.com/basilkeel/basilkeel/accept"
 	"github.com/basilkeel/basilkeel/clock"
 	"github.com/basilkeel/basilkeel/setup"
 )
@@ -50,7 +51,7 @@
 
 // serveOperators opens the operators' listener. It is opened first and closed
 // last, so that a process can be observed while it starts and stops.
-func serveOperators(lifecycle fx.Lifecycle, process *setup.Process, router *mux.Router, clock *clock.Service, log logrus.FieldLogger) {
+func serveOperators(lifecycle fx.Lifecycle, process *setup.Process, table *accept.Table, router *mux.Router, clock *clock.Service, log logrus.FieldLogger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	server := newOperatorServer(router, log)
 	lifecycle.Append(fx.Hook{
@@ -59,7 +60,7 @@
 			if err != nil {
 				return err
 			}
-			listener, err := listen(startCtx, process.OperatorListen, bounds{}, security.serverTLS())
+			_, listener, err := listenSecurely(startCtx, process.OperatorListen, accept.ListenerConfig{Table: table}, security.serverTLS())
 			if err != nil {
 				return err
 			}
--- a/node/processtable.go
+++ b/node/processtable.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"time"
@@ -48,3 +50,17 @@
 	})
 	return table
 }
+
+// listenSecurely opens a listener whose connections are bounded by the table of config, also while
+// their TLS handshake has not finished. Without a TLS configuration they are plain.
+func listenSecurely(ctx context.Context, address string, config accept.ListenerConfig, security *tls.Config) (*accept.Listener, net.Listener, error) {
+	config.Opaque, config.TLS = security != nil, security != nil
+	listener, err := listenWithin(ctx, address, config)
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case security != nil:
+		return listener, tls.NewListener(listener, security), nil
+	}
+	return listener, listener, nil
+}
