--- a/trial/stream_test.go
+++ b/trial/stream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 
@@ -35,7 +36,11 @@
 func openStream(ctx context.Context, client *http.Client, url, prompt string, tokens int) *stream {
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, trial.Model, prompt, tokens)
 	response := send(ctx, client, http.MethodPost, url+"/v1/completions", body, nil) //nolint:bodyclose // read closes it at the end of the stream.
-	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	if response.StatusCode != http.StatusOK {
+		// An error means that the body is shorter than announced.
+		text, _ := io.ReadAll(response.Body)
+		Expect(response.StatusCode).To(Equal(http.StatusOK), "%v: %s", response.Header, text)
+	}
 	return &stream{response: response, prompt: prompt, tokens: tokens, lines: bufio.NewScanner(response.Body)}
 }
 
