accept: Retry-After in whole seconds

The listeners of `entry` speak plain HTTP, where the header is a whole number; the refusal for lack of memory said 1.000 there.

--- a/accept/refuse.go
+++ b/accept/refuse.go
@@ -27,6 +27,7 @@
 type refusal struct {
 	status     int
 	reason     string
+	// retryAfter is in whole seconds, the unit of the header.
 	retryAfter time.Duration
 }
 
@@ -42,7 +43,7 @@
 	body := fmt.Sprintf(`{"error":%q}`, refusal.reason)
 	retry := ""
 	if refusal.retryAfter > 0 {
-		retry = fmt.Sprintf("Retry-After: %.3f\r\n", refusal.retryAfter.Seconds())
+		retry = fmt.Sprintf("Retry-After: %d\r\n", refusal.retryAfter/time.Second)
 	}
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 		refusal.status, http.StatusText(refusal.status), retry, len(body), body)
