--- a/accept/refuse.go
+++ b/accept/refuse.go
@@ -25,8 +25,8 @@
 
 // refusal is why a head is not passed on. Its request has not run.
 type refusal struct {
-	status     int
-	reason     string
+	status int
+	reason string
 	// retryAfter is in whole seconds, the unit of the header.
 	retryAfter time.Duration
 }
