--- a/trial/stream_test.go
+++ b/trial/stream_test.go
@@ -62,7 +62,7 @@
 // response as text.
 func tryOpenStream(ctx context.Context, client *http.Client, url, prompt string, tokens int) (*stream, string) {
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, trial.Model, prompt, tokens)
-	response := send(ctx, client, http.MethodPost, url+"/v1/completions", body, nil) //nolint:bodyclose // read closes it at the end of the stream.
+	response := send(ctx, client, http.MethodPost, url+"/v1/completions", body, nil)
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
 		text, err := io.ReadAll(response.Body)
