accept: windows do not shrink between requests

Senders choose segments of half the largest window that they have seen; those of 16 KiB no longer fitted, so that they were sent in parts when the timer for probes of a closed window expired. A refused request whose body stalls is read for its connection's sake, and may so outlast a stop.

Change: the buffer grows once, with the first larger body, and what it takes more is held until the connection ends.

--- a/accept/conn.go
+++ b/accept/conn.go
@@ -115,8 +115,8 @@
 	partial, ready, unscanned []byte
 	// progress counts the bytes of the body since they were last reported to the table.
 	progress int64
-	// received is what the kernel receives ahead.
-	received int
+	// receivesMore reports whether the kernel receives bodyReceiveBytes ahead.
+	receivesMore bool
 }
 
 // pastDeadline ends a read or write that is under way.
@@ -273,12 +273,11 @@
 	}
 	conn.progress += int64(length)
 	if conn.progress >= headReceiveBytes {
-		conn.setReceived(bodyReceiveBytes)
+		conn.receiveMore()
 	}
 	switch {
 	case conn.body.ended():
 		conn.inBody = false
-		conn.setReceived(headReceiveBytes)
 		conn.requestWhole()
 	case conn.progress >= progressBytes:
 		conn.progress = 0
@@ -312,20 +311,22 @@
 	conn.unfinished = max(conn.unfinished-bytes, 0)
 }
 
-// setReceived sets what the kernel receives ahead.
-func (conn *Conn) setReceived(bytes int) {
-	if conn.received == bytes {
+// receiveMore has the kernel receive more ahead from now on. Less than before would leave the peer
+// with segments that exceed the window, which it sends only when a timer of some 100 ms expires.
+func (conn *Conn) receiveMore() {
+	if conn.receivesMore {
 		return
 	}
-	conn.received = bytes
+	conn.receivesMore = true
+	conn.account.Hold(memory.Connection, bodyReceiveBytes-headReceiveBytes)
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
 	}
 	// Errors mean that the connection has ended. The window keeps the bound that it had when the
 	// connection was opened unless that is set, too.
-	_ = setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
-	_ = setOption(raw, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+	_ = setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, bodyReceiveBytes)
+	_ = setOption(raw, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bodyReceiveBytes)
 }
 
 // receive reads bytes of the peer. If the connection is to end, those that have arrived before are
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -18,7 +18,7 @@
 	// headReceiveBytes is what the kernel receives ahead on a connection, also before it is accepted.
 	// By itself it would receive 64 KiB, and up to some MB on one that has carried much.
 	headReceiveBytes = 8 << 10
-	// bodyReceiveBytes is what it receives ahead of a body that is being read.
+	// bodyReceiveBytes is what it receives ahead on one that has carried a larger body.
 	bodyReceiveBytes = 32 << 10
 	// unsentBytes bounds what the kernel holds of a connection that it can't send yet. A connection
 	// does not have this limit from its listener.
@@ -155,7 +155,7 @@
 		if remote, ok := tcpConn.RemoteAddr().(*net.TCPAddr); ok {
 			address = remote.AddrPort().Addr().Unmap()
 		}
-		conn := &Conn{TCPConn: tcpConn, listener: listener, address: address, received: headReceiveBytes, account: listener.config.Table.config.Memory.NewAccount()}
+		conn := &Conn{TCPConn: tcpConn, listener: listener, address: address, account: listener.config.Table.config.Memory.NewAccount()}
 		if listener.config.Table.admit(conn) {
 			return conn, nil
 		}
