soak: clients of a crowd share the bytes that they send

Each client copied what it sends: 300 copies of 41 MB for messages that never end, 12 GB of a machine of 24. That it was memory is inferred; there is no log of the kernel.

--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -224,12 +224,13 @@
 	crowdSoak.expectService()
 	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
 	defer cancel()
+	head, piece := []byte(crowd.head), []byte(crowd.piece)
 	var clients, watch sync.WaitGroup
 	watch.Go(func() { crowdSoak.watch(ctx, crowd) })
 	for range crowd.clients {
 		clients.Go(func() {
 			for ctx.Err() == nil {
-				crowd.press(ctx, entry.address(crowd.port))
+				press(ctx, entry.address(crowd.port), head, piece)
 				crowdSoak.pause(crowdPause)
 			}
 		})
@@ -268,24 +269,23 @@
 	return strings.HasPrefix(line, "HTTP/1.0 200")
 }
 
-// press sends what a client of the crowd sends on one connection, until it is closed or ctx is
-// done.
-func (crowd crowd) press(ctx context.Context, address string) {
+// press sends what a client of a crowd sends on one connection, until it is closed or ctx is done.
+func press(ctx context.Context, address string, head, piece []byte) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	if _, err := io.WriteString(conn, crowd.head); err != nil {
+	if _, err := conn.Write(head); err != nil {
 		return
 	}
-	if crowd.piece == "" {
+	if len(piece) == 0 {
 		_, _ = io.Copy(io.Discard, conn)
 		return
 	}
 	for err == nil {
-		_, err = io.WriteString(conn, crowd.piece)
+		_, err = conn.Write(piece)
 	}
 }
 
