accept: the least backlog is 32 connections

Cause: the least backlog of 128 connections, with the 64 KiB that the kernel may take for each at listeners for other instances, is 8 MB, whatever the instance has. An eighth of the budget is 1.2 MB there.

Change: the least is 32, 2 MB. Instances of 144 MB and more have a backlog of 124 and more at those listeners, and callers' listeners are as before from there.

--- a/accept/listener.go
+++ b/accept/listener.go
@@ -29,7 +29,7 @@
 	// backlogRatio bounds what the kernel holds of connections that wait to be accepted, as a
 	// fraction of the budget. Below minBacklog, connections that come in bursts would be dropped.
 	backlogRatio = 1.0 / 8
-	minBacklog   = 128
+	minBacklog   = 32
 )
 
 // setOption sets an option of a socket.
