--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -251,132 +250,42 @@
 	return models.judge()
 }
 
-// playRoutes: a version adds a route for streams to a service that runs no models.
-func playRoutes(fleet *fleet, trouble bool) (int, error) {
-	const model = "daka510000"
-	sizes := map[string]float64{model: 34300}
-	services := []map[string]any{engineService("lm", 8, sizes), plainService("desk")}
-	draft := route("draft", "/draft/", "streaming", "lm", 12000, 400, 1)
-	fleet.store.put("op/config", configuration(1, []map[string]any{draft}, services))
-	for index := range 2 {
-		plain := &backend{service: "desk", zone: "zone-a", slots: 32, config: runnerConfig{ID: fmt.Sprintf("i-desk-%d", index), Events: streamEvents, GapMs: streamGapMs}}
-		if err := fleet.startRunner(plain); err != nil {
-			return unplayed, err
-		}
-	}
-	models, err := newModelFleet(fleet, map[string]int{"lm": 8}, sizes, []string{model})
-	if err != nil {
-		return unplayed, err
-	}
-	target := "lm"
-	if trouble {
-		target = "desk"
-	}
-	letters := route("letters", "/letters/", "streaming", target, 12000, 400, 1)
-	fleet.store.put("op/config", configuration(4, []map[string]any{draft, letters}, services))
-	fleet.note("operator: version 4 adds the route letters to the service %s", target)
-	time.Sleep(6 * time.Second)
-	time.AfterFunc(20*time.Second, fleet.end)
-	var asked, served [2]atomic.Int64
-	every(60*time.Millisecond, fleet.over, func(number int) {
-		which := number % 2
-		answer := models.stream(number/2, []string{"/draft/", "/letters/"}[which], model)
-		asked[which].Add(1)
-		if answer.status == http.StatusOK && answer.whole && answer.stamped && answer.events == streamEvents {
-			served[which].Add(1)
+// playWriter: another writer writes an entry in which fields are missing, under the key of a runner that
+// leaves and whose entry was removed a second before.
+func playWriter(fleet *fleet, trouble bool) (int, error) {
+	return playLeave(fleet, func(leaving *backend) {
+		if !trouble {
+			return
 		}
+		time.Sleep(time.Second)
+		key := "servers/" + leaving.config.ID
+		fleet.store.put(key, map[string]any{"service": "desk", "address": leaving.config.Address, "slots": 16, "state": "ready"})
+		fleet.note("store: another writer writes %s without the fields zone, version, coldLeftMs, seq and born", key)
 	})
-	fleet.note("result: first route %d of %d served, added route %d of %d", served[0].Load(), asked[0].Load(), served[1].Load(), asked[1].Load())
-	return judgeAdded(&asked, &served)
 }
 
-// judgeAdded compares how often requests on an added route are served with those on a first one.
-func judgeAdded(asked, served *[2]atomic.Int64) (int, error) {
-	if asked[0].Load() < 20 || asked[1].Load() < 20 || served[0].Load()*2 < asked[0].Load() {
-		return unplayed, errors.New("the first route is not served")
-	}
-	if float64(served[1].Load())/float64(asked[1].Load()) < 0.25*float64(served[0].Load())/float64(asked[0].Load()) {
-		return broken, nil
-	}
-	return held, nil
-}
+// cutPeriod is the time between two cuts of the watches that are waiting.
+const cutPeriod = 1500 * time.Millisecond
 
-// playLookups: the runners of a service crash together while they run the same frequent lookup.
-func playLookups(fleet *fleet, trouble bool) (int, error) {
-	services := []map[string]any{plainService("desk")}
-	first := route("stock", "/stock/", "safe", "desk", 1500, 300, 2)
-	added := route("tides", "/tides/", "safe", "desk", 1500, 300, 2)
-	fleet.store.put("op/config", configuration(1, []map[string]any{first}, services))
-	start := func(name string, index int) (*backend, error) {
-		runner := &backend{service: "desk", zone: "zone-a", slots: 16, config: runnerConfig{ID: fmt.Sprintf("i-%s-%d", name, index), WorkMs: 150}}
-		return runner, fleet.startRunner(runner)
-	}
-	var runners []*backend
-	for index := range 3 {
-		runner, err := start("first", index)
-		if err != nil {
-			return unplayed, err
-		}
-		runners = append(runners, runner)
-	}
-	if err := fleet.startEntries(); err != nil {
-		return unplayed, err
-	}
-	fleet.store.put("op/config", configuration(3, []map[string]any{first, added}, services))
-	fleet.note("operator: version 3 adds the route tides")
-	time.Sleep(4 * time.Second)
-	began := time.Now()
-	const crashAfter, downFor, length = 10 * time.Second, 4500 * time.Millisecond, 60 * time.Second
-	steadyFrom := began.Add(crashAfter + downFor + 10*time.Second)
-	time.AfterFunc(length, fleet.end)
+// playWatches: the store cuts the watches that are waiting now and then, while a runner leaves.
+func playWatches(fleet *fleet, trouble bool) (int, error) {
 	if trouble {
-		time.AfterFunc(crashAfter, func() {
-			fleet.note("the runners of the zone crash")
-			for _, runner := range runners {
-				runner.kill()
-			}
-		})
-		time.AfterFunc(crashAfter+downFor, func() {
-			fleet.note("they are back")
-			for index := range 3 {
-				if _, err := start("second", index); err != nil {
-					fleet.note("not started: %v", err)
-				}
-			}
+		go every(cutPeriod, fleet.over, func(int) {
+			fleet.note("store: cuts the watches that are waiting; %d cut before", fleet.store.cutWatches())
 		})
 	}
-	var asked, served [2]atomic.Int64
-	lookup := func(which int, path string, number int) {
-		answer := fleet.ask(fleet.entries[number%2], request{method: http.MethodGet, path: path, deadline: 1500 * time.Millisecond})
-		if answer.sentAt.Before(steadyFrom) {
-			return
-		}
-		asked[which].Add(1)
-		if answer.status == http.StatusOK && answer.stamped && answer.whole {
-			served[which].Add(1)
-		}
-	}
-	var playing sync.WaitGroup
-	playing.Go(func() {
-		every(50*time.Millisecond, fleet.over, func(number int) { lookup(0, fmt.Sprintf("/stock/%d", number), number) })
-	})
-	playing.Go(func() {
-		every(25*time.Millisecond, fleet.over, func(number int) { lookup(1, "/tides/today", number) })
-	})
-	playing.Wait()
-	fleet.note("result, from %.0f s after the runners were back: first route %d of %d served, added route %d of %d", 10.0, served[0].Load(), asked[0].Load(), served[1].Load(), asked[1].Load())
-	return judgeAdded(&asked, &served)
+	return playLeave(fleet, func(*backend) {})
 }
 
-// playWriter: a runner leaves whose entry is removed, and another writer writes an entry under its key in
-// which fields are missing.
-func playWriter(fleet *fleet, trouble bool) (int, error) {
-	services := []map[string]any{plainService("desk")}
-	fleet.store.put("op/config", configuration(1, []map[string]any{route("orders", "/orders/", "unsafe", "desk", 1500, 300, 1)}, services))
+// playLeave: a plain runner leaves without reporting it. Its entry is removed, it serves on for a while
+// and exits. removed is called after the entry was removed.
+func playLeave(fleet *fleet, removed func(leaving *backend)) (int, error) {
+	const leavesAfter, servesFor, length = 8 * time.Second, drainTime + 4*time.Second, 24 * time.Second
+	orders := route("orders", "/orders/", "unsafe", "desk", 1500, 300, 1)
+	fleet.store.put("op/config", configuration(1, []map[string]any{orders}, []map[string]any{plainService("desk")}))
 	var runners []*backend
 	for index := range 3 {
-		runner := &backend{service: "desk", zone: "zone-a", slots: 16, config: runnerConfig{ID: fmt.Sprintf("i-desk-%d", index), WorkMs: 300}}
-		runners = append(runners, runner)
+		runners = append(runners, &backend{service: "desk", zone: "zone-a", slots: 16, config: runnerConfig{ID: fmt.Sprintf("i-desk-%d", index), WorkMs: 300}})
 	}
 	leaving := runners[1]
 	// removedAt is when its entry was removed, in Unix nanoseconds.
@@ -396,25 +305,18 @@
 	if err := fleet.startEntries(); err != nil {
 		return unplayed, err
 	}
-	key := "servers/" + leaving.config.ID
-	const leavesAfter, writtenAfter, servesFor = 8 * time.Second, time.Second, drainTime + 4*time.Second
 	time.AfterFunc(leavesAfter, func() {
 		leaving.delisted.Store(true)
-		fleet.store.remove(key)
+		fleet.store.remove("servers/" + leaving.config.ID)
 		removedAt.Store(time.Now().UnixNano())
-		fleet.note("store: %s is removed, as the runner leaves; it serves on for %v and then exits", key, servesFor)
+		fleet.note("store: servers/%s is removed, as the runner leaves; it serves on for %v and then exits", leaving.config.ID, servesFor)
+		removed(leaving)
 	})
-	if trouble {
-		time.AfterFunc(leavesAfter+writtenAfter, func() {
-			fleet.store.put(key, map[string]any{"service": "desk", "address": leaving.config.Address, "slots": 16, "state": "ready"})
-			fleet.note("store: another writer writes %s without the fields zone, version, coldLeftMs, seq and born", key)
-		})
-	}
 	time.AfterFunc(leavesAfter+servesFor, func() {
 		fleet.note("%s exits", leaving.config.ID)
 		leaving.kill()
 	})
-	time.AfterFunc(24*time.Second, fleet.end)
+	time.AfterFunc(length, fleet.end)
 	var asked, lost, lostLate atomic.Int64
 	every(30*time.Millisecond, fleet.over, func(number int) {
 		answer := fleet.ask(fleet.entries[number%2], request{method: http.MethodPost, path: fmt.Sprintf("/orders/%d", number), body: "order", deadline: 1500 * time.Millisecond})
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -27,8 +27,7 @@
 		return
 	}
 	cases := map[string]func(*fleet, bool) (int, error){
-		"adapters": playAdapters, "replacement": playReplacement, "startup": playStartup, "lookups": playLookups, "routes": playRoutes,
-		"writer": playWriter,
+		"adapters": playAdapters, "replacement": playReplacement, "startup": playStartup, "watches": playWatches, "writer": playWriter,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review3 CASE ROOT RECORD")
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -42,6 +42,9 @@
 	history  []item
 	leases   map[int64]lease
 	changed  chan struct{}
+	// cuts is closed and replaced to cut the watches that are waiting, of which cut were.
+	cuts chan struct{}
+	cut  int
 }
 
 func newStore() (*store, error) {
@@ -51,7 +54,7 @@
 	}
 	store := &store{
 		addr: listener.Addr().String(), revision: 1, items: map[string]item{}, leases: map[int64]lease{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), cuts: make(chan struct{}),
 	}
 	store.server = &http.Server{Handler: http.HandlerFunc(store.serve)}
 	go func() { _ = store.server.Serve(listener) }()
@@ -76,6 +79,15 @@
 	store.write(key, nil, 0, true)
 }
 
+// cutWatches cuts the watches that are waiting and returns how many have been cut before.
+func (store *store) cutWatches() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	close(store.cuts)
+	store.cuts = make(chan struct{})
+	return store.cut
+}
+
 // write changes an item. The caller holds mutex.
 func (store *store) write(key string, value []byte, leaseID int64, remove bool) {
 	old, exists := store.items[key]
@@ -232,12 +244,17 @@
 	return http.StatusOK, map[string]any{"revision": store.revision}
 }
 
+// watch answers a watch, and closes its connection after the answer.
 func (store *store) watch(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
 	until := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer until.Stop()
+	writer.Header().Set("Connection", "close")
+	store.mutex.Lock()
+	cuts := store.cuts
+	store.mutex.Unlock()
 	for ended := false; ; {
 		store.mutex.Lock()
 		store.expire()
@@ -260,6 +277,11 @@
 			ended = true
 		case <-time.After(100 * time.Millisecond):
 			// Leases may have run out.
+		case <-cuts:
+			store.mutex.Lock()
+			store.cut++
+			store.mutex.Unlock()
+			panic(http.ErrAbortHandler)
 		case <-request.Context().Done():
 			return
 		}
