--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -255,9 +255,14 @@
 
 // newSnapshot returns the policy of a fixture with one account.
 func newSnapshot(account *policy.Account, routes ...*policy.Route) *policy.Snapshot {
+	return newLimitedSnapshot(1000, account, routes...)
+}
+
+// newLimitedSnapshot returns a policy that bounds the bodies of requests.
+func newLimitedSnapshot(bodyBytes int64, account *policy.Account, routes ...*policy.Route) *policy.Snapshot {
 	engine := &policy.Engine{Slots: 4, Models: map[names.Model]policy.Model{"notes": {Name: "notes"}}}
 	return policy.NewSnapshot(policy.SnapshotConfig{
-		Version: 3, Routes: routes, Limits: policy.Limits{BodyBytes: 1000},
+		Version: 3, Routes: routes, Limits: policy.Limits{BodyBytes: bodyBytes},
 		Services: []*policy.Service{{Name: "desk"}, {Name: "notes", Engine: engine}},
 		Accounts: []*policy.Account{account},
 	})
