trunk, relay: take no part of a failure without a length for the whole

Callers got a part of a body as a complete response: a server answers a long upload with a failure or redirection without a length, sends a part of the body and resets the connection while the upload is being written.

Cause: the write that fails takes the error from the socket, and the read sees the regular end of a connection. Whether the request was written was asked of successes only, as a server may reject a request that it does not read. That excuses an end, but not a reset.

All statuses are asked now. A failure may still end before the request is written if the socket has its peer, which it loses by a reset, but not if the server closes its side; so rejections without a length that end in the regular way pass as before.

A server that rejects an upload and closes with bytes unread resets its connection too. Counted as broken only, a 413 cost a second upload on safe routes, counted against the server, and became a 502 (TestCutRejections- KeepTheirStatus without the change in relay: two servers reached). The relay forwards such a 4xx with what arrived and cuts it off, as it does with those that are too large to buffer.

Command: go test ./trunk ./relay -run 'Reset|Rejections|EndOfTheConnection'

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -35,6 +35,9 @@
 // forwarded, so that the request may be sent to another server.
 func (exchange *exchange) forwardWhole(ctx context.Context, server *pool.Server, response *responseReader) bool {
 	body, whole, err := exchange.readAhead(response)
+	if isRejection(err) {
+		exchange.forwardPart(response, body, err)
+	}
 	if err != nil {
 		exchange.releaseResponse()
 		exchange.recordFailure(ctx, server, err)
@@ -66,8 +69,30 @@
 	return true
 }
 
+// isRejection reports whether err ended the response of a server that rejected the request
+// without having read it. The status tells the caller more than a failure of the relay's own, and
+// there is no point in sending the request to another server.
+func isRejection(err error) bool {
+	var unreadRequestError *trunk.UnreadRequestError
+	return errors.As(err, &unreadRequestError) &&
+		unreadRequestError.Status >= http.StatusBadRequest && unreadRequestError.Status < http.StatusInternalServerError
+}
+
+// forwardPart forwards what was read of a response that broke, and ends it so that it does not
+// look complete. It panics with [http.ErrAbortHandler].
+func (exchange *exchange) forwardPart(response *responseReader, body memory.Pieces, cause error) {
+	exchange.setHeader(response)
+	exchange.writer.WriteHeader(response.Status)
+	exchange.writePieces(exchange.newCallerWriter(nil), body)
+	if err := exchange.writer.FlushError(); err != nil {
+		exchange.abortLeft()
+	}
+	exchange.abort(cause)
+}
+
 // readAhead reads a response. It reports whether it was read to its end: it stops where the
-// response has more than maxBufferedBytes or where no memory is free.
+// response has more than maxBufferedBytes or where no memory is free, and returns what was read
+// before an error.
 func (exchange *exchange) readAhead(response *responseReader) (memory.Pieces, bool, error) {
 	var body memory.Pieces
 	for read := int64(0); read <= maxBufferedBytes; {
@@ -91,7 +116,7 @@
 		case errors.Is(err, io.EOF) && !errors.As(err, &brokenError):
 			return body, true, nil
 		case err != nil:
-			return nil, false, err
+			return body, false, err
 		}
 	}
 	return body, false, nil
--- a/relay/brokenanswer_test.go
+++ b/relay/brokenanswer_test.go
@@ -68,7 +68,7 @@
 func TestResetBesideAnUploadIsNoCompleteResponse(t *testing.T) {
 	const calls = 3
 	upload := strings.Repeat("y", uploadBytes)
-	for _, status := range []int{http.StatusOK} {
+	for _, status := range []int{http.StatusOK, http.StatusFound, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusInternalServerError} {
 		for _, kind := range []policy.Kind{policy.KindSafe, policy.KindUnsafe, policy.KindStream} {
 			for _, partBytes := range []int{18, 64 << 10, 2 << 20} {
 				for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
@@ -89,6 +89,26 @@
 	}
 }
 
+// Guards against uploads that are sent to one server after the other, and callers that don't get
+// to know why, as a server that rejects an upload has reset the connection.
+func TestCutRejectionsKeepTheirStatus(t *testing.T) {
+	for _, kind := range []policy.Kind{policy.KindSafe, policy.KindUnsafe, policy.KindStream} {
+		for _, partBytes := range []int{0, 18, 64 << 10} {
+			t.Run(fmt.Sprintf("%v, %d bytes", kind, partBytes), func(t *testing.T) {
+				g := NewWithT(t)
+				fixture := newUploadFixture(t, route("order", kind, "desk"))
+				first := fixture.resettingServer("desk-1", http.StatusRequestEntityTooLarge, partBytes, 20*time.Millisecond)
+				second := fixture.resettingServer("desk-2", http.StatusRequestEntityTooLarge, partBytes, 20*time.Millisecond)
+				result := fixture.call(http.MethodPost, "/order/1", strings.Repeat("y", uploadBytes), nil)
+				g.Expect(result.err).To(HaveOccurred())
+				g.Expect(result.status).To(Equal(http.StatusRequestEntityTooLarge))
+				g.Expect(result.header.Get("Stamp")).To(Equal("s"))
+				g.Expect(first.Load() + second.Load()).To(Equal(int64(1)))
+			})
+		}
+	}
+}
+
 // Guards against invalid responses that callers get as responses.
 func TestInvalidResponsesDoNotReachCallers(t *testing.T) {
 	const end = "Id: call-1\r\nStamp: s\r\nContent-Length: 4\r\n\r\nfine"
--- a/trunk/errors.go
+++ b/trunk/errors.go
@@ -73,6 +73,17 @@
 	return fmt.Sprintf("response encloses another response, which begins with %q", splicedError.StatusLine)
 }
 
+// UnreadRequestError reports a response without a length whose connection was reset, or, in a
+// success, closed, before the server had read the request, so that its body may be incomplete.
+type UnreadRequestError struct {
+	Status int
+}
+
+// Error implements [error].
+func (unreadRequestError *UnreadRequestError) Error() string {
+	return fmt.Sprintf("connection ended before the request was read, after status %d and a part of the body", unreadRequestError.Status)
+}
+
 // MismatchError reports responses on a connection that belong to other requests.
 type MismatchError struct {
 	Responses int
--- a/trunk/response.go
+++ b/trunk/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -53,12 +54,14 @@
 	switch {
 	case err == nil:
 		return count, nil
+	case response.EndsWithConnection && errors.Is(err, syscall.ECONNRESET) && !response.requestSent():
+		return count, &BrokenError{Address: response.connection.address, Cause: &UnreadRequestError{Status: response.Status}}
 	case !errors.Is(err, io.EOF):
 		return count, &BrokenError{Address: response.connection.address, Cause: err}
 	case response.enclosed != "" && response.connection.hasBytes():
 		return count, &BrokenError{Address: response.connection.address, Cause: &SplicedError{StatusLine: response.enclosed}}
-	case response.EndsWithConnection && response.Status < http.StatusMultipleChoices && !response.endIsRegular():
-		return count, &BrokenError{Address: response.connection.address, Cause: io.ErrUnexpectedEOF}
+	case response.EndsWithConnection && !response.endIsRegular():
+		return count, &BrokenError{Address: response.connection.address, Cause: &UnreadRequestError{Status: response.Status}}
 	}
 	response.complete = true
 	return count, io.EOF
@@ -114,11 +117,15 @@
 // request was written. Its writer has usually returned long before.
 const writeOutcomeDelay = 50 * time.Millisecond
 
-// endIsRegular reports whether the end of a connection may be the regular end of a body without
-// a length. It is asked of successes: a server may reject a request that it has not read. If a server resets the connection before it has read the request, the write
-// that fails takes the error from the socket, and the read sees a regular end after a part of
-// the body: 18 of 20 responses of 20 MiB to requests of 16 MiB were taken for whole.
+// endIsRegular reports whether the end of the connection is the regular end of a body without a
+// length. If a server resets the connection before it has read the request, the write that fails
+// takes the error from the socket, and the read sees a regular end after a part of the body. A
+// failure may also end before the request is written, as a server may reject a request that it
+// does not read, but not with a reset.
 func (response *Response) endIsRegular() bool {
+	if response.Status >= http.StatusMultipleChoices && HasPeer(response.connection.conn) {
+		return true
+	}
 	if response.requestSent() || response.isWritten {
 		return response.writeOutcome == nil
 	}
