engine: take no part of a failure without a length for the whole

The same fault as in trunk, for agents: a plain service that answers a long call with a failure without a length, sends a part of the body and resets the connection had that part taken for the whole.

All statuses are asked now whether the call was written; a failure may also end before that if the server closed its side without a reset. trackedConn records that when a read meets the end, as the HTTP client then closes the connection. It has to be the outermost connection for that, so TLS is dialed below it; package crypto/tls accepts an end without the peer's alert between two records.

A rejection that was reset stays a broken answer here: an agent passes on whole responses only.

--- a/engine/client.go
+++ b/engine/client.go
@@ -30,22 +30,27 @@
 // that a late second response to an earlier one would be taken for its response.
 func newClient(tlsConfig *tls.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &trackedConn{Conn: conn}, nil
-	}
+	tlsDialer := &tls.Dialer{NetDialer: dialer, Config: resumable(tlsConfig)}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dial, TLSClientConfig: resumable(tlsConfig),
+			DialContext: tracked(dialer.DialContext), DialTLSContext: tracked(tlsDialer.DialContext),
 			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: trunk.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// tracked returns a dial function whose connections are each a [trackedConn] over those of dial.
+func tracked(dial trunk.Dial) trunk.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: conn}, nil
+	}
+}
+
 // resumable returns a TLS configuration with which a connection resumes the session of
 // an earlier one, which takes a fraction of a full handshake.
 func resumable(tlsConfig *tls.Config) *tls.Config {
--- a/engine/invalid_test.go
+++ b/engine/invalid_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -16,15 +19,22 @@
 
 // serveRaw returns the URL of a server that runs script on each connection.
 func serveRaw(t *testing.T, script func(conn net.Conn, reader *bufio.Reader)) string {
+	t.Helper()
+	return "http://" + serveOn(t, func(listener net.Listener) net.Listener { return listener }, script)
+}
+
+// serveOn runs script on each connection of a listener that wrap returns, and returns its address.
+func serveOn(t *testing.T, wrap func(net.Listener) net.Listener, script func(conn net.Conn, reader *bufio.Reader)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
+	wrapped := wrap(listener)
 	go func() {
 		for {
-			conn, err := listener.Accept()
+			conn, err := wrapped.Accept()
 			if err != nil {
 				return
 			}
@@ -34,7 +44,28 @@
 			}()
 		}
 	}()
-	return "http://" + listener.Addr().String()
+	return listener.Addr().String()
+}
+
+// newService returns a client of a server that runs script on each connection.
+func newService(t *testing.T, secure bool, script func(conn net.Conn, reader *bufio.Reader)) *engine.HTTPPlainService {
+	t.Helper()
+	config := engine.HTTPPlainServiceConfig{}
+	if secure {
+		issuer := httptest.NewTLSServer(nil)
+		defer issuer.Close()
+		pool := x509.NewCertPool()
+		pool.AddCert(issuer.Certificate())
+		config.TLS = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+		config.URL = "https://" + serveOn(t, func(listener net.Listener) net.Listener {
+			return tls.NewListener(listener, &tls.Config{Certificates: issuer.TLS.Certificates, MinVersion: tls.VersionTLS12})
+		}, script)
+	} else {
+		config.URL = serveRaw(t, script)
+	}
+	plain := engine.NewHTTPPlainService(config)
+	t.Cleanup(plain.Close)
+	return plain
 }
 
 // Guards against answers that are no HTTP responses and that callers got as such.
--- a/engine/sendtracker.go
+++ b/engine/sendtracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"io"
 	"net/http"
@@ -60,20 +59,32 @@
 	}
 }
 
-// endingBody is the body of a success that has neither a length nor chunks, so that it ends
-// with its connection.
+// closedByServer reports whether the server has closed its side of the connection last used, and
+// has not reset it.
+func (sendTracker *sendTracker) closedByServer() bool {
+	sendTracker.mu.Lock()
+	defer sendTracker.mu.Unlock()
+	return sendTracker.conn != nil && sendTracker.conn.closedByPeer.Load()
+}
+
+// endingBody is the body of a response that has neither a length nor chunks, so that it ends with
+// its connection.
 type endingBody struct {
 	io.ReadCloser
 	tracker  *sendTracker
+	status   int
 	canceled <-chan struct{}
 }
 
 // Read implements [io.Reader]. The end of the connection is the regular end of the body only
 // if the request was written: if a server resets the connection before it has read the request,
-// the write that fails takes the error from the socket, and the read sees a regular end.
+// the write that fails takes the error from the socket, and the read sees a regular end. A failure
+// may also end before that, as a server may reject a request that it does not read, but not with a
+// reset.
 func (endingBody endingBody) Read(buffer []byte) (int, error) {
 	count, err := endingBody.ReadCloser.Read(buffer)
-	if errors.Is(err, io.EOF) && !endingBody.tracker.wroteAll(endingBody.canceled) {
+	rejected := endingBody.status >= http.StatusMultipleChoices && endingBody.tracker.closedByServer()
+	if errors.Is(err, io.EOF) && !rejected && !endingBody.tracker.wroteAll(endingBody.canceled) {
 		return count, io.ErrUnexpectedEOF
 	}
 	return count, err
@@ -82,11 +93,7 @@
 func (sendTracker *sendTracker) recordConn(info httptrace.GotConnInfo) {
 	sendTracker.mu.Lock()
 	defer sendTracker.mu.Unlock()
-	conn := info.Conn
-	if tlsConn, isTLS := conn.(*tls.Conn); isTLS {
-		conn = tlsConn.NetConn()
-	}
-	trackedConn, isTracked := conn.(*trackedConn)
+	trackedConn, isTracked := info.Conn.(*trackedConn)
 	if !isTracked {
 		sendTracker.untracked = true
 		return
@@ -127,8 +134,8 @@
 		response.Body.Close()
 		return nil, &SendError{MaybeSent: true, Cause: err}
 	}
-	if trunk.EndsWithConnection(response) && response.StatusCode < http.StatusMultipleChoices {
-		response.Body = endingBody{ReadCloser: response.Body, tracker: tracker, canceled: request.Context().Done()}
+	if trunk.EndsWithConnection(response) {
+		response.Body = endingBody{ReadCloser: response.Body, tracker: tracker, status: response.StatusCode, canceled: request.Context().Done()}
 	}
 	return response, nil
 }
--- a/engine/trackedconn.go
+++ b/engine/trackedconn.go
@@ -1,8 +1,13 @@
 package engine
 
 import (
+	"crypto/tls"
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
+
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 // writeState is the state of the request that currently uses a connection:
@@ -16,10 +21,13 @@
 )
 
 // trackedConn is a connection that records whether its current request has
-// begun to write. If not, it can be sealed to prevent any write.
+// begun to write. If not, it can be sealed to prevent any write. It also records how
+// it ended.
 type trackedConn struct {
 	net.Conn
 	state atomic.Int32
+	// closedByPeer reports whether a read has met the regular end of the connection.
+	closedByPeer atomic.Bool
 }
 
 // beginRequest resets the state for the next request on the connection.
@@ -39,3 +47,17 @@
 	}
 	return trackedConn.Conn.Write(data)
 }
+
+// Read implements net.Conn.
+func (trackedConn *trackedConn) Read(buffer []byte) (int, error) {
+	count, err := trackedConn.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		conn := trackedConn.Conn
+		// Package crypto/tls accepts an end without the peer's alert between two records.
+		if tlsConn, isTLS := conn.(*tls.Conn); isTLS {
+			conn = tlsConn.NetConn()
+		}
+		trackedConn.closedByPeer.Store(trunk.HasPeer(conn))
+	}
+	return count, err
+}
