trunk, engine: take no response whose framing line is folded away

Callers got a part of a body as a complete 200: the line with its length or coding began with a blank or a tab, and the connection ended after the part. The line stood in the value of the field before it.

Cause: package net/http joins a line that begins with a blank to the field before it, so that CheckHead never sees the field. Only the bytes of the head show it.

trunk and engine keep the bytes of a head until it is parsed, and CheckLines rejects a folded line that reads as a field, whatever its name: a lost Content-Encoding misleads callers as well. RFC 9112, 5.2, allows an intermediary to reject folded lines; other folded values pass as before.

Command: go test ./trunk ./engine ./relay -run 'Invalid|Folded'

--- a/engine/invalid_test.go
+++ b/engine/invalid_test.go
@@ -6,10 +6,12 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -68,6 +70,14 @@
 	return plain
 }
 
+// sends returns a script that answers a request with text.
+func sends(text string) func(conn net.Conn, reader *bufio.Reader) {
+	return func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		_, _ = io.WriteString(conn, text)
+	}
+}
+
 // Guards against answers that are no HTTP responses and that callers got as such.
 func TestInvalidResponsesAreNoResponses(t *testing.T) {
 	cases := []struct{ name, bytes string }{
@@ -79,19 +89,46 @@
 		{"a control byte in a field name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok"},
 		{"a tab in a field name", "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\nContent-Length: 2\r\n\r\nok"},
 		{"a field without a name", "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\nok"},
+		{"a length behind a blank", "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 40\r\n\r\na part of the body"},
+		{"a coding behind a tab", "HTTP/1.1 200 OK\r\nX-Note: a\r\n\tTransfer-Encoding: chunked\r\n\r\n28\r\na part"},
+		{"a length behind a blank, of a failure", "HTTP/1.1 500 Trouble\r\nX-Note: a\r\n Content-Length: 40\r\n\r\na part of the body"},
+		{"a length behind a blank, after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 40\r\n\r\na part"},
+		{"a length behind a blank, beyond the read buffer", "HTTP/1.1 200 OK\r\nX-Note: " + strings.Repeat("a", 8<<10) + "\r\n Content-Length: 40\r\n\r\na part"},
 	}
 	for _, each := range cases {
-		t.Run(each.name, func(t *testing.T) {
-			g := NewWithT(t)
-			url := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
-				_, _ = http.ReadRequest(reader)
-				_, _ = io.WriteString(conn, each.bytes)
+		for _, secure := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, over TLS %v", each.name, secure), func(t *testing.T) {
+				g := NewWithT(t)
+				plain := newService(t, secure, sends(each.bytes))
+				response, err := plain.Call(context.Background(), engine.PlainCall{Request: "r-1", Account: "crew", Method: http.MethodGet, Path: "/x", Header: http.Header{}})
+				var sendError *engine.SendError
+				g.Expect(errors.As(err, &sendError) && sendError.MaybeSent).To(BeTrue(), "%+v %v", response, err)
 			})
-			plain := engine.NewHTTPPlainService(engine.HTTPPlainServiceConfig{URL: url})
-			defer plain.Close()
-			response, err := plain.Call(context.Background(), engine.PlainCall{Request: "r-1", Account: "crew", Method: http.MethodGet, Path: "/x", Header: http.Header{}})
-			var sendError *engine.SendError
-			g.Expect(errors.As(err, &sendError) && sendError.MaybeSent).To(BeTrue(), "%+v %v", response, err)
-		})
+		}
+	}
+}
+
+// Guards against sound responses that count as broken: a value may be folded, and a body may look
+// like a head.
+func TestFoldedValuesAreResponses(t *testing.T) {
+	const body = "X-Note: a\r\n Content-Length: 40\r\n\r\n"
+	cases := []struct{ name, head, note string }{
+		{"a folded value", "X-Note: a\r\n b\r\n", "a b"},
+		{"a value that quotes a length", "X-Note: a Content-Length: 40\r\n", "a Content-Length: 40"},
+		{"no folded value", "X-Note: a\r\n", "a"},
+	}
+	for _, each := range cases {
+		for _, framing := range []string{fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), "Connection: close\r\n\r\n"} {
+			for _, secure := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, over TLS %v", each.name, strings.TrimSpace(framing), secure), func(t *testing.T) {
+					g := NewWithT(t)
+					plain := newService(t, secure, sends("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"+each.head+framing+body))
+					response, err := plain.Call(context.Background(), engine.PlainCall{Request: "r-1", Account: "crew", Method: http.MethodGet, Path: "/x", Header: http.Header{}})
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(string(response.Body)).To(Equal(body))
+					g.Expect(response.Header.Get("X-Note")).To(Equal(each.note))
+				})
+			}
+		}
 	}
 }
--- a/engine/sendtracker.go
+++ b/engine/sendtracker.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// checkHead checks the head of the response.
+func (sendTracker *sendTracker) checkHead(response *http.Response) error {
+	if err := trunk.CheckHead(response); err != nil {
+		return err
+	}
+	sendTracker.mu.Lock()
+	defer sendTracker.mu.Unlock()
+	if sendTracker.conn == nil {
+		return nil
+	}
+	return trunk.CheckLines(sendTracker.conn.takeReceived())
+}
+
 // closedByServer reports whether the server has closed its side of the connection last used, and
 // has not reset it.
 func (sendTracker *sendTracker) closedByServer() bool {
@@ -130,7 +143,7 @@
 	if err != nil {
 		return nil, &SendError{MaybeSent: tracker.maybeSent(), Cause: err}
 	}
-	if err := trunk.CheckHead(response); err != nil {
+	if err := tracker.checkHead(response); err != nil {
 		response.Body.Close()
 		return nil, &SendError{MaybeSent: true, Cause: err}
 	}
--- a/engine/trackedconn.go
+++ b/engine/trackedconn.go
@@ -22,10 +22,14 @@
 
 // trackedConn is a connection that records whether its current request has
 // begun to write. If not, it can be sealed to prevent any write. It also records how
-// it ended.
+// it ended, and what it received up to the head of the response.
 type trackedConn struct {
 	net.Conn
 	state atomic.Int32
+	// received is what was read before takeReceived was called, which sets headRead. Reads don't
+	// overlap that call: the HTTP client has returned a response, whose body is read afterwards.
+	received []byte
+	headRead bool
 	// closedByPeer reports whether a read has met the regular end of the connection.
 	closedByPeer atomic.Bool
 }
@@ -51,6 +55,9 @@
 // Read implements net.Conn.
 func (trackedConn *trackedConn) Read(buffer []byte) (int, error) {
 	count, err := trackedConn.Conn.Read(buffer)
+	if !trackedConn.headRead {
+		trackedConn.received = append(trackedConn.received, buffer[:count]...)
+	}
 	if errors.Is(err, io.EOF) {
 		conn := trackedConn.Conn
 		// Package crypto/tls accepts an end without the peer's alert between two records.
@@ -61,3 +68,10 @@
 	}
 	return count, err
 }
+
+// takeReceived returns what the connection received with the head of a response, and keeps no more.
+func (trackedConn *trackedConn) takeReceived() []byte {
+	received := trackedConn.received
+	trackedConn.received, trackedConn.headRead = nil, true
+	return received
+}
--- a/relay/brokenanswer_test.go
+++ b/relay/brokenanswer_test.go
@@ -18,26 +18,22 @@
 	"github.com/basilkeel/basilkeel/pool"
 )
 
-// resettingServer adds a server that reads only the head of a request, writes the head of a
-// response without a length and a part of its body, and resets the connection. It returns the
-// number of its requests.
-func (fixture *fixture) resettingServer(id names.BackendServer, status, partBytes int, pause time.Duration) *atomic.Int64 {
+// rawServer adds a server that runs script on each connection once it has read the head of a
+// request. It returns the number of its requests.
+func (fixture *fixture) rawServer(id names.BackendServer, script func(conn *net.TCPConn)) *atomic.Int64 {
 	fixture.t.Helper()
-	var requests atomic.Int64
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fixture.t.Fatal(err)
 	}
 	fixture.t.Cleanup(func() { listener.Close() })
+	var requests atomic.Int64
 	serve := func(conn net.Conn) {
 		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			requests.Add(1)
+			script(conn.(*net.TCPConn))
 		}
-		requests.Add(1)
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Early\r\nId: call-1\r\nStamp: s\r\nConnection: close\r\n\r\n%s", status, strings.Repeat("x", partBytes))
-		time.Sleep(pause)
-		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
 	go func() {
 		for {
@@ -52,6 +48,16 @@
 	return &requests
 }
 
+// resets returns a script that writes the head of a response without a length and a part of its
+// body, and resets the connection.
+func resets(status, partBytes int, pause time.Duration) func(conn *net.TCPConn) {
+	return func(conn *net.TCPConn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Early\r\nId: call-1\r\nStamp: s\r\nConnection: close\r\n\r\n%s", status, strings.Repeat("x", partBytes))
+		time.Sleep(pause)
+		_ = conn.SetLinger(0)
+	}
+}
+
 // uploadBytes is the length of a body that does not fit into the buffers of a connection.
 const uploadBytes = 4 << 20
 
@@ -76,7 +82,7 @@
 						g := NewWithT(t)
 						for range calls {
 							fixture := newUploadFixture(t, route("order", kind, "desk"))
-							fixture.resettingServer("desk-1", status, partBytes, pause)
+							fixture.rawServer("desk-1", resets(status, partBytes, pause))
 							result := fixture.call(http.MethodPost, "/order/1", upload, nil)
 							if result.err == nil {
 								g.Expect(result.status).To(Equal(http.StatusBadGateway), "%d bytes", len(result.body))
@@ -97,8 +103,8 @@
 			t.Run(fmt.Sprintf("%v, %d bytes", kind, partBytes), func(t *testing.T) {
 				g := NewWithT(t)
 				fixture := newUploadFixture(t, route("order", kind, "desk"))
-				first := fixture.resettingServer("desk-1", http.StatusRequestEntityTooLarge, partBytes, 20*time.Millisecond)
-				second := fixture.resettingServer("desk-2", http.StatusRequestEntityTooLarge, partBytes, 20*time.Millisecond)
+				first := fixture.rawServer("desk-1", resets(http.StatusRequestEntityTooLarge, partBytes, 20*time.Millisecond))
+				second := fixture.rawServer("desk-2", resets(http.StatusRequestEntityTooLarge, partBytes, 20*time.Millisecond))
 				result := fixture.call(http.MethodPost, "/order/1", strings.Repeat("y", uploadBytes), nil)
 				g.Expect(result.err).To(HaveOccurred())
 				g.Expect(result.status).To(Equal(http.StatusRequestEntityTooLarge))
@@ -121,6 +127,8 @@
 		{"a blank before a colon", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\nContent-Length : 4\r\n\r\nfine and more"},
 		{"a control byte in a field name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n" + end},
 		{"a NUL in a field name", "HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n" + end},
+		{"a length behind a blank", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\n Content-Length: 40\r\n\r\na part of the body"},
+		{"a coding behind a tab", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\n\tTransfer-Encoding: chunked\r\n\r\n28\r\na part"},
 		{"a DEL in a field name", "HTTP/1.1 200 OK\r\nX\x7fOdd: 1\r\n" + end},
 	}
 	for _, each := range cases {
@@ -128,11 +136,8 @@
 			t.Run(fmt.Sprintf("%s, %v", each.name, kind), func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				fixture := newFixture(t, route("order", kind, "notes"))
-				fixture.stutteringServer("notes-1", "", func(request *http.Request) string {
-					_, _ = io.Copy(io.Discard, request.Body)
-					return each.sent
-				})
+				fixture := newFixture(t, route("order", kind, "desk"))
+				fixture.rawServer("desk-1", func(conn *net.TCPConn) { _, _ = io.WriteString(conn, each.sent) })
 				result := fixture.call(http.MethodPost, "/order/1", "prompt", nil)
 				g.Expect(result.err).NotTo(HaveOccurred())
 				g.Expect(result.status).To(Equal(http.StatusBadGateway), result.body)
--- a/trunk/connection.go
+++ b/trunk/connection.go
@@ -102,12 +102,19 @@
 	return err == nil && peerErr == nil
 }
 
+// limitHeader bounds the bytes that are read until the next header is complete.
+func (connection *connection) limitHeader() {
+	// Peek returns all that is buffered and no error.
+	buffered, _ := connection.reader.Peek(connection.reader.Buffered())
+	connection.limiter.enable(buffered)
+}
+
 // readResponse reads the header of the response to request. It skips interim responses
 // and responses to other requests. It fails with a *[MismatchError] at a response to
 // another request if [maxMismatched] such responses were skipped before, or if that
 // response cannot be skipped.
 func (connection *connection) readResponse(request *Request) (*http.Response, error) {
-	connection.limiter.enable()
+	connection.limitHeader()
 	defer connection.limiter.disable()
 	for mismatched := 0; ; {
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
@@ -120,6 +127,9 @@
 		if err := CheckHead(response); err != nil {
 			return nil, err
 		}
+		if err := CheckLines(connection.limiter.received); err != nil {
+			return nil, err
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &StatusError{Status: response.StatusCode}
 		}
@@ -182,7 +192,7 @@
 		return false
 	}
 	connection.limiter.disable()
-	defer connection.limiter.enable()
+	defer connection.limitHeader()
 	_, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes)
 	return errors.Is(err, io.EOF)
 }
--- a/trunk/errors.go
+++ b/trunk/errors.go
@@ -61,6 +61,17 @@
 	return fmt.Sprintf("response has a field named %q", fieldNameError.Name)
 }
 
+// FoldedFieldError reports a response with a line that reads as a field, but belongs to the value
+// of the field before it as it begins with a blank.
+type FoldedFieldError struct {
+	Line string
+}
+
+// Error implements [error].
+func (foldedFieldError *FoldedFieldError) Error() string {
+	return fmt.Sprintf("response has the folded field %.100q", foldedFieldError.Line)
+}
+
 // SplicedError reports a response whose header or body encloses the beginning of another
 // one.
 type SplicedError struct {
--- a/trunk/head.go
+++ b/trunk/head.go
@@ -1,7 +1,9 @@
 package trunk
 
 import (
+	"bytes"
 	"net/http"
+	"regexp"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -36,3 +38,30 @@
 	}
 	return nil
 }
+
+// foldedField matches a line that continues the one before it, but reads as a field.
+var foldedField = regexp.MustCompile("^[ \\t]+[-!#$%&'*+.^_`|~0-9A-Za-z]+[ \\t]*:")
+
+// CheckLines checks the heads at the beginning of what a server sent, those of interim responses
+// and that of the response. Package net/http joins a line that begins with a blank to the field
+// before it. If that line reads as a field, such as " Content-Length: 5", the field is lost, and
+// with it perhaps the length of the body. HTTP allows intermediaries to reject such a response.
+// CheckLines fails with a *[FoldedFieldError].
+func CheckLines(sent []byte) error {
+	isStatusLine, interim := true, false
+	for line := range bytes.Lines(sent) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case isStatusLine:
+			_, status, _ := bytes.Cut(line, []byte(" "))
+			isStatusLine, interim = false, bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+		case len(line) == 0 && !interim:
+			return nil
+		case len(line) == 0:
+			isStatusLine = true
+		case foldedField.Match(line):
+			return &FoldedFieldError{Line: string(line)}
+		}
+	}
+	return nil
+}
--- a/trunk/limiter.go
+++ b/trunk/limiter.go
@@ -1,21 +1,30 @@
 package trunk
 
-import "io"
+import (
+	"bytes"
+	"io"
+)
 
-// headerLimiter is a reader that, while enabled, bounds the bytes that are read from a
-// connection. It is enabled until the header of a response is complete. One goroutine
+// headerLimiter is a reader that, while enabled, bounds and keeps the bytes that are read from
+// a connection. It is enabled until the header of a response is complete. One goroutine
 // uses it at a time.
 type headerLimiter struct {
 	source    io.Reader
 	enabled   bool
 	remaining int
+	// received is what has been received since the limiter was enabled.
+	received []byte
 }
 
-func (headerLimiter *headerLimiter) enable() {
+// enable enables the limiter. Of what was read before, buffered is not yet parsed.
+func (headerLimiter *headerLimiter) enable(buffered []byte) {
 	headerLimiter.enabled, headerLimiter.remaining = true, MaxHeaderBytes
+	headerLimiter.received = bytes.Clone(buffered)
 }
 
-func (headerLimiter *headerLimiter) disable() { headerLimiter.enabled = false }
+func (headerLimiter *headerLimiter) disable() {
+	headerLimiter.enabled, headerLimiter.received = false, nil
+}
 
 // Read implements [io.Reader]. It returns a *[HeaderSizeError] when the limit is
 // reached.
@@ -28,5 +37,6 @@
 	}
 	count, err := headerLimiter.source.Read(buffer[:min(len(buffer), headerLimiter.remaining)])
 	headerLimiter.remaining -= count
+	headerLimiter.received = append(headerLimiter.received, buffer[:count]...)
 	return count, err
 }
