engine: take no switch of protocols for a response

A plain service that answers 101 had that passed on by agents, with the bytes up to the end of the connection as its body: agents never ask for another protocol.

Cause: package net/http returns 101 as a final response. trunk rejects it, engine did not. It is a broken answer now.

Command: go test ./engine -run TestInvalidResponsesAreNoResponses

--- a/engine/invalid_test.go
+++ b/engine/invalid_test.go
@@ -84,6 +84,7 @@
 		{"a status of 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok"},
 		{"a status of 007", "HTTP/1.1 007 Trouble\r\nContent-Length: 2\r\n\r\nok"},
 		{"a status of 600", "HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nok"},
+		{"a switch of protocols", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: odd\r\n\r\nok"},
 		{"a blank in a field name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok"},
 		{"a blank before a colon", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more"},
 		{"a control byte in a field name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok"},
--- a/engine/sendtracker.go
+++ b/engine/sendtracker.go
@@ -64,6 +64,9 @@
 	if err := trunk.CheckHead(response); err != nil {
 		return err
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return &trunk.StatusError{Status: response.StatusCode}
+	}
 	sendTracker.mu.Lock()
 	defer sendTracker.mu.Unlock()
 	if sendTracker.conn == nil {
