node, admin, subcmd: believe no response whose head HTTP does not allow

The list of instances, the outcome of an operator's change, and what commands print were taken from a response with a blank in the name of a field.

Cause: package net/http accepts such names; CheckHead, which trunk, engine and the service's client ask, was not asked here.

Status 000, control bytes and parts of a document were rejected before.

Command: go test ./node ./admin ./subcmd -run 'TestInvalid|TestBrokenResponsesAre'

--- a/admin/client.go
+++ b/admin/client.go
@@ -13,6 +13,7 @@
 	"github.com/basilkeel/basilkeel/config"
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/spread"
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 // maxResponseBytes bounds the body of a response.
@@ -30,9 +31,9 @@
 }
 
 // Client calls the administration API. Its errors are *[APIError],
-// *[config.ConflictError], *[config.ValidationError], *[ResponseError] or those of
-// the HTTP client. After one of the last two a change may have taken effect; the
-// caller must retry it with the same id.
+// *[config.ConflictError], *[config.ValidationError], *[ResponseError], those of
+// [trunk.CheckHead] or those of the HTTP client. After one of the last three a change may have
+// taken effect; the caller must retry it with the same id.
 type Client struct {
 	config ClientConfig
 }
@@ -153,6 +154,9 @@
 		return err
 	}
 	defer response.Body.Close()
+	if err := trunk.CheckHead(response); err != nil {
+		return err
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return err
--- a/node/lister.go
+++ b/node/lister.go
@@ -47,6 +47,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if err := trunk.CheckHead(response); err != nil {
+		return nil, merry.Prepend(err, "instance list")
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, merry.Errorf("instance list: status %s", response.Status)
 	}
--- a/subcmd/report.go
+++ b/subcmd/report.go
@@ -16,6 +16,7 @@
 	"github.com/basilkeel/basilkeel/burn"
 	"github.com/basilkeel/basilkeel/node"
 	"github.com/basilkeel/basilkeel/setup"
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 // reportTimeout bounds a request to one entry.
@@ -128,6 +129,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if err := trunk.CheckHead(response); err != nil {
+		return nil, err
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, merry.Errorf("%s answered %s", url, response.Status)
 	}
--- a/subcmd/where.go
+++ b/subcmd/where.go
@@ -17,6 +17,7 @@
 
 	"github.com/basilkeel/basilkeel/node"
 	"github.com/basilkeel/basilkeel/setup"
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 // whereCommand asks an entry where a request would go.
@@ -121,6 +122,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if err := trunk.CheckHead(response); err != nil {
+		return nil, err
+	}
 	encoded, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, err
