node: take no list of instances from a response that was cut off

A list whose response ended with fewer bytes than its length was believed.

Cause: the decoder stopped behind the document and did not meet the end of the body. The body is read to its end now, within the same bound.

Command: go test ./node -run TestBrokenResponsesAreNoInstanceLists

--- a/node/lister.go
+++ b/node/lister.go
@@ -53,8 +53,13 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, merry.Errorf("instance list: status %s", response.Status)
 	}
+	// The whole body is read, as one that breaks off behind the document is no list either.
+	document, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, merry.Prepend(err, "instance list")
+	}
 	var list plat.InstanceList
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := json.Unmarshal(document, &list); err != nil {
 		return nil, merry.Prepend(err, "instance list")
 	}
 	if list.Instances == nil {
--- a/node/lister_test.go
+++ b/node/lister_test.go
@@ -95,6 +95,7 @@
 		{name: "a control byte in a field name", sent: "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n" + whole},
 		{name: "a part without a length", sent: "HTTP/1.1 200 OK\r\n\r\n" + list[:len(list)-1]},
 		{name: "a part behind a folded length", sent: "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 47\r\n\r\n" + list[:20]},
+		{name: "less than its length", sent: "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + list},
 		{name: "without a length", sent: "HTTP/1.1 200 OK\r\n\r\n" + list, valid: true},
 		{name: "with a length", sent: "HTTP/1.1 200 OK\r\n" + whole, valid: true},
 		{name: "in chunks", sent: fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(list), list), valid: true},
