trunk, engine: take no chunks in HTTP/1.0 for a body

Callers got the chunks of a response in HTTP/1.0 with their sizes as the body of a complete 200. Found while looking for other framings that are lost before CheckHead sees the head.

Cause: package net/http ignores a transfer coding before HTTP/1.1 and removes the field, so that the body ends with the connection. RFC 9112, 6.1, takes such a message for one whose framing is faulty. CheckLines rejects it.

Command: go test ./trunk ./engine ./relay -run Invalid

--- a/engine/invalid_test.go
+++ b/engine/invalid_test.go
@@ -88,6 +88,7 @@
 		{"a blank in a field name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok"},
 		{"a blank before a colon", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more"},
 		{"a control byte in a field name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok"},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 		{"a tab in a field name", "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\nContent-Length: 2\r\n\r\nok"},
 		{"a field without a name", "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\nok"},
 		{"a length behind a blank", "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 40\r\n\r\na part of the body"},
--- a/relay/brokenanswer_test.go
+++ b/relay/brokenanswer_test.go
@@ -129,6 +129,7 @@
 		{"a NUL in a field name", "HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n" + end},
 		{"a length behind a blank", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\n Content-Length: 40\r\n\r\na part of the body"},
 		{"a coding behind a tab", "HTTP/1.1 200 OK\r\nId: call-1\r\nStamp: s\r\n\tTransfer-Encoding: chunked\r\n\r\n28\r\na part"},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nId: call-1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"},
 		{"a DEL in a field name", "HTTP/1.1 200 OK\r\nX\x7fOdd: 1\r\n" + end},
 	}
 	for _, each := range cases {
--- a/trunk/errors.go
+++ b/trunk/errors.go
@@ -72,6 +72,16 @@
 	return fmt.Sprintf("response has the folded field %.100q", foldedFieldError.Line)
 }
 
+// CodingError reports a response with a transfer coding in a version of HTTP that has none.
+type CodingError struct {
+	Line string
+}
+
+// Error implements [error].
+func (codingError *CodingError) Error() string {
+	return fmt.Sprintf("response has the coding %.100q before %s", codingError.Line, firstCodingVersion)
+}
+
 // SplicedError reports a response whose header or body encloses the beginning of another
 // one.
 type SplicedError struct {
--- a/trunk/fuzz_test.go
+++ b/trunk/fuzz_test.go
@@ -27,6 +27,7 @@
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=99999999999999999999\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 999999 \xff\r\nX-Id: 1\r\nContent-Length: -1\r\n\r\n", "garbage", "",
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Note: a\r\n Content-Length: 9\r\n\r\ncut", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Note: a\r\n b\r\n\r\nbody",
+		"HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		f.Add([]byte(text))
 	}
--- a/trunk/head.go
+++ b/trunk/head.go
@@ -42,25 +42,35 @@
 // foldedField matches a line that continues the one before it, but reads as a field.
 var foldedField = regexp.MustCompile("^[ \\t]+[-!#$%&'*+.^_`|~0-9A-Za-z]+[ \\t]*:")
 
+// codingField matches a field that states how a body is framed.
+var codingField = regexp.MustCompile(`^(?i:transfer-encoding)[ \t]*:`)
+
+// firstCodingVersion is the first version of HTTP with transfer codings.
+const firstCodingVersion = "HTTP/1.1"
+
 // CheckLines checks the heads at the beginning of what a server sent, those of interim responses
-// and that of the response. Package net/http joins a line that begins with a blank to the field
-// before it. If that line reads as a field, such as " Content-Length: 5", the field is lost, and
-// with it perhaps the length of the body. HTTP allows intermediaries to reject such a response.
-// CheckLines fails with a *[FoldedFieldError].
+// and that of the response, for fields that package net/http drops, and with them perhaps the end of
+// the body. It joins a line that begins with a blank to the field before it, also if that line
+// reads as a field, such as " Content-Length: 5". HTTP allows intermediaries to reject such a
+// response. And it ignores transfer codings before HTTP/1.1, where HTTP takes them for a fault.
+// CheckLines fails with a *[FoldedFieldError] or a *[CodingError].
 func CheckLines(sent []byte) error {
-	isStatusLine, interim := true, false
+	isStatusLine, interim, coded := true, false, false
 	for line := range bytes.Lines(sent) {
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case isStatusLine:
 			_, status, _ := bytes.Cut(line, []byte(" "))
 			isStatusLine, interim = false, bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+			coded = string(line) >= firstCodingVersion
 		case len(line) == 0 && !interim:
 			return nil
 		case len(line) == 0:
 			isStatusLine = true
 		case foldedField.Match(line):
 			return &FoldedFieldError{Line: string(line)}
+		case !coded && codingField.Match(line):
+			return &CodingError{Line: string(line)}
 		}
 	}
 	return nil
--- a/trunk/invalid_test.go
+++ b/trunk/invalid_test.go
@@ -33,6 +33,8 @@
 		{"a control byte in a field name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n" + end},
 		{"a tab in a field name", "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\n" + end},
 		{"a NUL in a field name", "HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n" + end},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{"chunks in HTTP/1.0, with a length", "HTTP/1.0 200 OK\r\nX-Id: one\r\ntransfer-encoding: chunked\r\nContent-Length: 2\r\n\r\nok"},
 		{"a control byte in a value", "HTTP/1.1 200 OK\r\nX-Odd: a\x01b\r\n" + end},
 		{"a field without a name", "HTTP/1.1 200 OK\r\n: 1\r\n" + end},
 	}
