--- a/trunk/head.go
+++ b/trunk/head.go
@@ -55,21 +55,21 @@
 // response. And it ignores transfer codings before HTTP/1.1, where HTTP takes them for a fault.
 // CheckLines fails with a *[FoldedFieldError] or a *[CodingError].
 func CheckLines(sent []byte) error {
-	isStatusLine, interim, coded := true, false, false
+	isStatusLine, interim, hasCodings := true, false, false
 	for line := range bytes.Lines(sent) {
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case isStatusLine:
 			_, status, _ := bytes.Cut(line, []byte(" "))
 			isStatusLine, interim = false, bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
-			coded = string(line) >= firstCodingVersion
+			hasCodings = string(line) >= firstCodingVersion
 		case len(line) == 0 && !interim:
 			return nil
 		case len(line) == 0:
 			isStatusLine = true
 		case foldedField.Match(line):
 			return &FoldedFieldError{Line: string(line)}
-		case !coded && codingField.Match(line):
+		case !hasCodings && codingField.Match(line):
 			return &CodingError{Line: string(line)}
 		}
 	}
--- a/trunk/invalid_test.go
+++ b/trunk/invalid_test.go
@@ -16,6 +16,20 @@
 	"github.com/basilkeel/basilkeel/trunk"
 )
 
+// receive sends a request to a server that answers with text, and returns the error of that.
+func receive(t *testing.T, text string) error {
+	t.Helper()
+	address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		_, _ = io.WriteString(conn, text)
+	})
+	response, err := newTrunk().Do(context.Background(), address, get("one"))
+	if err == nil {
+		response.Close()
+	}
+	return err
+}
+
 // Guards against answers that are no HTTP responses and that callers got as such, with the
 // faulty line passed on or with a body that was not the server's.
 func TestInvalidResponsesAreBroken(t *testing.T) {
@@ -41,14 +55,7 @@
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
 			g := NewWithT(t)
-			address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
-				_, _ = http.ReadRequest(reader)
-				_, _ = io.WriteString(conn, each.bytes)
-			})
-			response, err := newTrunk().Do(context.Background(), address, get("one"))
-			if err == nil {
-				response.Close()
-			}
+			err := receive(t, each.bytes)
 			var brokenError *trunk.BrokenError
 			g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
 		})
@@ -75,14 +82,7 @@
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
 			g := NewWithT(t)
-			address, _ := serve(t, func(conn net.Conn, reader *bufio.Reader) {
-				_, _ = http.ReadRequest(reader)
-				_, _ = io.WriteString(conn, each.bytes)
-			})
-			response, err := newTrunk().Do(context.Background(), address, get("one"))
-			if err == nil {
-				response.Close()
-			}
+			err := receive(t, each.bytes)
 			var brokenError *trunk.BrokenError
 			g.Expect(errors.As(err, &brokenError)).To(BeTrue(), "%v", err)
 			var foldedFieldError *trunk.FoldedFieldError
