subcmd: take no invalid response of the weight store for a load

The simulated model engine held weights as loaded after a response with status 000, or with a blank in the name of a field.

Cause: any status below 300 counted as success, and CheckHead was not asked.

Before: 2 cases of TestInvalidResponsesAreNoReports fail with the check of the load added. After: all pass.

Command: go test ./subcmd -run TestInvalidResponsesAreNoReports

--- a/subcmd/engine.go
+++ b/subcmd/engine.go
@@ -17,6 +17,7 @@
 	"github.com/basilkeel/basilkeel/names"
 	"github.com/basilkeel/basilkeel/plat"
 	"github.com/basilkeel/basilkeel/stand"
+	"github.com/basilkeel/basilkeel/trunk"
 )
 
 // engineCommand simulates a model engine.
@@ -113,6 +114,9 @@
 		return err
 	}
 	defer response.Body.Close()
+	if err := trunk.CheckHead(response); err != nil {
+		return merry.Prepend(err, "the weight store")
+	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return merry.Errorf("the weight store answered %s", response.Status)
 	}
--- a/subcmd/invalid_test.go
+++ b/subcmd/invalid_test.go
@@ -16,10 +16,12 @@
 	for _, each := range []struct {
 		name, sent string
 		valid      bool
+		// invalidHead reports whether the head alone shows that the response is invalid.
+		invalidHead bool
 	}{
-		{name: "a status of 000", sent: "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n[]"},
-		{name: "a blank in a field name", sent: "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n[]"},
-		{name: "a control byte in a field name", sent: "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\n[]"},
+		{name: "a status of 000", invalidHead: true, sent: "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n[]"},
+		{name: "a blank in a field name", invalidHead: true, sent: "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n[]"},
+		{name: "a control byte in a field name", invalidHead: true, sent: "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\n[]"},
 		{name: "a part without a length", sent: "HTTP/1.1 200 OK\r\n\r\n["},
 		{name: "a part behind a folded length", sent: "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 2\r\n\r\n["},
 		{name: "a sound response", sent: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", valid: true},
@@ -48,6 +50,9 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			_, err = fetchRows(t.Context(), client, "http://"+address)
 			g.Expect(err == nil).To(Equal(each.valid), "%v", err)
+			// A load's response is its head.
+			err = (&engineCommand{weightsURL: "http://" + address}).fetch(t.Context(), "notes", "", 0)
+			g.Expect(err == nil).To(Equal(!each.invalidHead), "%v", err)
 		})
 	}
 }
